--- /dev/null
+++ b/crates/agent/src/agent_daemon.rs
@@ -0,0 +1,287 @@
+//! The agent's event loop: messages in, the gang table's actions out.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cuminbarrow_model::worker::WorkerSpec;
+use cuminbarrow_platform::worker_control::TaskReport;
+use cuminbarrow_platform::worker_control::WorkerControl;
+use cuminbarrow_protocol::byte_counter::ByteCounter;
+use cuminbarrow_protocol::link::IncomingLink;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::message::AgentMessage;
+use cuminbarrow_protocol::message::EntryMessage;
+use cuminbarrow_protocol::message::GangMessage;
+use cuminbarrow_telemetry::meter_registry::MeterError;
+use cuminbarrow_telemetry::meter_registry::MeterRegistry;
+use cuminbarrow_telemetry::probe_router::probe_router;
+use smol_str::SmolStr;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::agent_action::AgentAction;
+use crate::agent_metrics::AgentMetrics;
+use crate::agent_settings::AgentSettings;
+use crate::entry_session::EntrySession;
+use crate::gang_links::GangLinks;
+use crate::gang_table::GangTable;
+use crate::task_runner;
+use crate::task_runner::TaskOrder;
+
+/// Events that may wait.
+const QUEUE_EVENTS: usize = 4_096;
+/// Time between ticks while there are gangs.
+const TICK: Duration = Duration::from_millis(100);
+/// Time that a last message has to leave.
+const FLUSH_WAIT: Duration = Duration::from_millis(300);
+
+/// Why an agent can't run.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// Its address can't be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Its metrics can't be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Cause.
+        source: MeterError,
+    },
+}
+
+/// What the event loop is told.
+#[derive(Debug)]
+pub(crate) enum AgentEvent {
+    Entry(EntryMessage),
+    Gang(GangMessage),
+    TaskEnded(TaskReport),
+    TaskRefused { task: SmolStr, reason: String },
+}
+
+/// Runs an agent until `shutdown` turns true and its work is over, or its time for that is up.
+///
+/// # Errors
+/// [`AgentError`] when it can't begin.
+pub async fn run(
+    settings: AgentSettings,
+    worker: Arc<dyn WorkerControl>,
+    mut shutdown: watch::Receiver<bool>,
+) -> Result<(), AgentError> {
+    let mut agent = AgentDaemon::start(settings, worker).await?;
+    let is_stopped = async move {
+        let _ = shutdown.wait_for(|is_stopped| *is_stopped).await;
+    };
+    tokio::pin!(is_stopped);
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = &mut is_stopped => break,
+            event = agent.events.recv() => agent.handle(event),
+            _ = tick.tick(), if !agent.table.is_empty() => agent.tick(),
+        }
+        agent.act();
+    }
+    agent.drain(tick).await;
+    Ok(())
+}
+
+struct AgentDaemon {
+    settings: Arc<AgentSettings>,
+    table: GangTable,
+    links: GangLinks,
+    worker: Arc<dyn WorkerControl>,
+    orders: mpsc::UnboundedSender<TaskOrder>,
+    outbox: mpsc::Sender<AgentMessage>,
+    events: mpsc::Receiver<AgentEvent>,
+    applied: Arc<AtomicU64>,
+    metrics: Arc<AgentMetrics>,
+    clock: Instant,
+}
+
+impl AgentDaemon {
+    async fn start(
+        settings: AgentSettings,
+        worker: Arc<dyn WorkerControl>,
+    ) -> Result<Self, AgentError> {
+        let settings = Arc::new(settings);
+        let incarnation = rand::random();
+        let address = settings.listen;
+        let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let counter = Arc::new(ByteCounter::default());
+        let metrics = Arc::new(AgentMetrics::default());
+        let registry = MeterRegistry::new().context(MetricsSnafu)?;
+        metrics.register(&registry, &counter);
+        serve_probes(&settings, registry).await?;
+        task_runner::stop_leftovers(&*worker).await;
+
+        let (event_sender, events) = mpsc::channel(QUEUE_EVENTS);
+        let (outbox, outbox_receiver) = mpsc::channel(QUEUE_EVENTS);
+        let (orders, order_receiver) = mpsc::unbounded_channel();
+        let dialer = LinkDialer::new(settings.shared_key.clone(), Arc::clone(&counter));
+        let applied = Arc::new(AtomicU64::new(0));
+        let session = EntrySession {
+            settings: Arc::clone(&settings),
+            spec: worker_spec(&settings),
+            incarnation,
+            applied: Arc::clone(&applied),
+            dialer: dialer.clone(),
+            metrics: Arc::clone(&metrics),
+            outbox: outbox_receiver,
+            events: event_sender.clone(),
+        };
+        tokio::spawn(session.run());
+        let handler = gang_handler(event_sender.clone());
+        tokio::spawn(accept_links(listener, settings.shared_key.clone(), counter, handler));
+        let runner =
+            task_runner::run_orders(Arc::clone(&worker), order_receiver, event_sender.clone());
+        tokio::spawn(runner);
+        tokio::spawn(task_runner::follow_reports(Arc::clone(&worker), event_sender));
+        Ok(Self {
+            table: GangTable::new(incarnation, settings.timing),
+            settings,
+            links: GangLinks::new(dialer),
+            worker,
+            orders,
+            outbox,
+            events,
+            applied,
+            metrics,
+            clock: Instant::now(),
+        })
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.clock.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.now_ms();
+        self.table.tick(now_ms);
+    }
+
+    fn handle(&mut self, event: Option<AgentEvent>) {
+        let now_ms = self.now_ms();
+        match event {
+            None => {}
+            Some(AgentEvent::Entry(message)) => self.handle_entry(message, now_ms),
+            Some(AgentEvent::Gang(message)) => self.table.receive(message, now_ms),
+            Some(AgentEvent::TaskEnded(report)) => self.table.task_ended(&report, now_ms),
+            Some(AgentEvent::TaskRefused { task, reason }) => {
+                self.table.task_refused(&task, &reason, now_ms);
+            }
+        }
+        self.applied.store(self.table.applied(), Ordering::Relaxed);
+        self.metrics.applied.store(self.table.applied(), Ordering::Relaxed);
+        self.metrics.running.store(self.table.running() as u64, Ordering::Relaxed);
+    }
+
+    fn handle_entry(&mut self, message: EntryMessage, now_ms: u64) {
+        match message {
+            EntryMessage::Closing | EntryMessage::HeartbeatAck => {}
+            EntryMessage::Sync { worker, offset, assignments } => {
+                self.table.sync(worker, offset, assignments, now_ms);
+            }
+            EntryMessage::Update { offset, changed, removed } => {
+                self.table.update(offset, changed, removed, now_ms);
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        for action in self.table.take_actions() {
+            match action {
+                AgentAction::RenewTasks { tasks, lease_ms } => self.renew(tasks, lease_ms),
+                AgentAction::SendEntry(message) => {
+                    if self.outbox.try_send(message).is_err() {
+                        log::debug!("a message to the entry waits for the next try");
+                    }
+                }
+                AgentAction::SendGang { address, message } => self.links.send(address, message),
+                AgentAction::StartTask(start) => {
+                    log::info!("task {} is started", start.task);
+                    let _ = self.orders.send(TaskOrder::Start(start));
+                }
+                AgentAction::StopTask { task, checkpoint } => {
+                    log::info!("task {task} is stopped, checkpoint: {checkpoint}");
+                    let _ = self.orders.send(TaskOrder::Stop { task, checkpoint });
+                }
+            }
+        }
+    }
+
+    fn renew(&self, tasks: Vec<SmolStr>, lease_ms: u64) {
+        let worker = Arc::clone(&self.worker);
+        tokio::spawn(async move {
+            if let Err(error) = worker.renew(tasks, lease_ms).await {
+                log::warn!("leases can't be renewed at the worker: {error}");
+            }
+        });
+    }
+
+    /// Takes no new work, lets running work finish, and leaves.
+    async fn drain(mut self, mut tick: tokio::time::Interval) {
+        log::info!("draining: {} attempts run", self.table.running());
+        let _ = self.outbox.send(AgentMessage::Draining).await;
+        let deadline = Instant::now() + Duration::from_millis(self.settings.drain_ms);
+        while !self.table.is_empty() && Instant::now() < deadline {
+            tokio::select! {
+                event = self.events.recv() => self.handle(event),
+                _ = tick.tick() => self.tick(),
+            }
+            self.act();
+        }
+        let _ = self.outbox.send(AgentMessage::Leaving).await;
+        tokio::time::sleep(FLUSH_WAIT).await;
+    }
+}
+
+fn worker_spec(settings: &AgentSettings) -> WorkerSpec {
+    WorkerSpec {
+        name: settings.worker.clone(),
+        location: settings.location.clone(),
+        capacity: settings.capacity,
+        address: settings.listen,
+    }
+}
+
+async fn serve_probes(settings: &AgentSettings, registry: MeterRegistry) -> Result<(), AgentError> {
+    let Some(address) = settings.probe_listen else { return Ok(()) };
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let router = probe_router(registry, Arc::new(|| None));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
+fn gang_handler(
+    events: mpsc::Sender<AgentEvent>,
+) -> impl Fn(IncomingLink) + Clone + Send + Sync + 'static {
+    move |incoming| {
+        if incoming.kind != LinkKind::Gang {
+            return;
+        }
+        let events = events.clone();
+        let mut link: Link<GangMessage, GangMessage> = incoming.typed();
+        tokio::spawn(async move {
+            while let Ok(message) = link.receiver.receive().await {
+                if events.send(AgentEvent::Gang(message)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/agent_metrics.rs
@@ -0,0 +1,43 @@
+//! Metrics of an agent.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use cuminbarrow_protocol::byte_counter::ByteCounter;
+use cuminbarrow_telemetry::meter_registry::MeterRegistry;
+
+/// Counts that the agent keeps.
+#[derive(Debug, Default)]
+pub struct AgentMetrics {
+    /// Attempts whose tasks run.
+    pub running: AtomicU64,
+    /// Sessions opened with entries.
+    pub sessions: AtomicU64,
+    /// Offset up to which the agent has acted.
+    pub applied: AtomicU64,
+}
+
+impl AgentMetrics {
+    /// Puts the counts and the bytes of the links into the registry.
+    pub fn register(self: &Arc<Self>, registry: &MeterRegistry, counter: &Arc<ByteCounter>) {
+        let metrics = Arc::clone(self);
+        registry.observe_gauge("agent_running_attempts", "attempts whose tasks run", move || {
+            metrics.running.load(Ordering::Relaxed)
+        });
+        let metrics = Arc::clone(self);
+        registry.observe_counter("agent_sessions", "sessions opened with entries", move || {
+            metrics.sessions.load(Ordering::Relaxed)
+        });
+        let metrics = Arc::clone(self);
+        registry.observe_gauge("agent_applied_offset", "offset acted upon", move || {
+            metrics.applied.load(Ordering::Relaxed)
+        });
+        let bytes = Arc::clone(counter);
+        registry.observe_counter("link_received_bytes", "bytes received over links", move || {
+            bytes.received()
+        });
+        let bytes = Arc::clone(counter);
+        registry.observe_counter("link_sent_bytes", "bytes sent over links", move || bytes.sent());
+    }
+}
--- /dev/null
+++ b/crates/agent/src/gang_timing.rs
@@ -0,0 +1,32 @@
+//! Times of the gang protocol.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Times of the gang protocol, in ms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GangTiming {
+    /// Lease of a gang and of its tasks.
+    pub lease_ms: u64,
+    /// Time between renewals of all members.
+    pub renew_ms: u64,
+    /// Time after which an unanswered message is sent again.
+    pub resend_ms: u64,
+    /// Time that the members have to become ready.
+    pub hold_ms: u64,
+    /// Time that the members have to stop after a checkpoint.
+    pub stop_grace_ms: u64,
+}
+
+impl Default for GangTiming {
+    fn default() -> Self {
+        Self {
+            lease_ms: 15_000,
+            renew_ms: 5_000,
+            resend_ms: 1_000,
+            hold_ms: 30_000,
+            stop_grace_ms: 5_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/api_client.rs
@@ -0,0 +1,220 @@
+//! Client of the entries' HTTP interface, which goes to another entry when one fails.
+
+use std::time::Duration;
+
+use cuminbarrow_entry::api_error::ApiError;
+use cuminbarrow_entry::api_error::ErrorOutcome;
+use cuminbarrow_entry::api_types::JobView;
+use cuminbarrow_entry::api_types::SubmitBody;
+use cuminbarrow_platform::http_caller::CallError;
+use cuminbarrow_platform::http_caller::CallRequest;
+use cuminbarrow_platform::http_caller::CallResponse;
+use cuminbarrow_platform::http_caller::HttpCaller;
+use http::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::client_error::ClientError;
+
+/// Timeout of a request, beyond any wait asked for.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait of one request, in ms.
+const WAIT_MS: u64 = 25_000;
+
+/// Client of some entries. Every request is idempotent, so that it may go to another entry when
+/// its answer is lost.
+pub struct ApiClient {
+    callers: Vec<HttpCaller>,
+    token: String,
+}
+
+impl ApiClient {
+    /// A client of entries at addresses such as `http://127.0.0.1:7500`.
+    pub fn new(entries: &[String], token: impl Into<String>) -> Self {
+        let callers = entries.iter().map(HttpCaller::new).collect();
+        Self { callers, token: token.into() }
+    }
+
+    /// Gets a resource.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry gives it.
+    pub async fn get<T>(&self, path: &str) -> Result<T, ClientError>
+    where
+        T: DeserializeOwned,
+    {
+        read_json(&self.call(Method::GET, path, None, &[], CALL_TIMEOUT).await?)
+    }
+
+    /// Gets a resource's bytes.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry gives it.
+    pub async fn get_bytes(&self, path: &str) -> Result<Vec<u8>, ClientError> {
+        let response = self.call(Method::GET, path, None, &[], CALL_TIMEOUT).await?;
+        Ok(response.body.to_vec())
+    }
+
+    /// Sends a body and reads the answer.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry takes it.
+    pub async fn send<B, T>(&self, method: Method, path: &str, body: &B) -> Result<T, ClientError>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        read_json(&self.call(method, path, Some(json(body)?), &[], CALL_TIMEOUT).await?)
+    }
+
+    /// Asks for an action without an answer.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry does it.
+    pub async fn act(&self, path: &str) -> Result<(), ClientError> {
+        self.call(Method::POST, path, None, &[], CALL_TIMEOUT).await.map(|_| ())
+    }
+
+    /// Submits a job under a key.
+    ///
+    /// # Errors
+    /// [`ClientError`] when it is refused.
+    pub async fn submit(&self, key: &str, body: &SubmitBody) -> Result<JobView, ClientError> {
+        let headers = [("idempotency-key", key.to_owned())];
+        let body = Some(json(body)?);
+        read_json(&self.call(Method::POST, "/v1/jobs", body, &headers, CALL_TIMEOUT).await?)
+    }
+
+    /// Waits once for a job, up to half a minute.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry can tell.
+    pub async fn wait_once(&self, team: &str, key: &str) -> Result<JobView, ClientError> {
+        let path = format!("{}/wait?timeout_ms={WAIT_MS}", job_path(team, key));
+        let timeout = CALL_TIMEOUT + Duration::from_millis(WAIT_MS);
+        read_json(&self.call(Method::GET, &path, None, &[], timeout).await?)
+    }
+
+    /// Waits until a job ended.
+    ///
+    /// # Errors
+    /// [`ClientError`] when no entry can tell.
+    pub async fn wait(&self, team: &str, key: &str) -> Result<JobView, ClientError> {
+        loop {
+            let view = self.wait_once(team, key).await?;
+            if view.is_ended() {
+                return Ok(view);
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        headers: &[(&'static str, String)],
+        timeout: Duration,
+    ) -> Result<CallResponse, ClientError> {
+        let mut last: Option<ClientError> = None;
+        for caller in &self.callers {
+            let request = self.request(&method, path, body.clone(), headers);
+            let error = match caller.call(request, timeout).await {
+                Err(source) => ClientError::Call { source },
+                Ok(response) if response.status.is_success() => return Ok(response),
+                Ok(response) => refusal(&response),
+            };
+            if !is_passing(&error) {
+                return Err(error);
+            }
+            let is_graver = last.as_ref().is_none_or(|last| !is_uncertain(last));
+            if is_graver {
+                last = Some(error);
+            }
+        }
+        Err(last.unwrap_or(ClientError::Malformed { reason: "no entry is named".to_owned() }))
+    }
+
+    fn request(
+        &self,
+        method: &Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        headers: &[(&'static str, String)],
+    ) -> CallRequest {
+        let mut request =
+            CallRequest::get(path).with_header("authorization", format!("Bearer {}", self.token));
+        request.method = method.clone();
+        for (name, value) in headers {
+            request = request.with_header(name, value.clone());
+        }
+        if let Some(body) = body {
+            request.body = body.into();
+            request = request.with_header("content-type", "application/json");
+        }
+        request
+    }
+}
+
+/// Path of a job's resource.
+pub fn job_path(team: &str, key: &str) -> String {
+    format!("/v1/jobs/{}/{}", escape(team), escape(key))
+}
+
+/// Percent-encodes a path segment.
+pub fn escape(segment: &str) -> String {
+    let mut text = String::with_capacity(segment.len());
+    for byte in segment.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~@".contains(&byte) {
+            text.push(char::from(byte));
+        } else {
+            text.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    text
+}
+
+/// Whether another entry may answer better.
+fn is_passing(error: &ClientError) -> bool {
+    match error {
+        ClientError::Call { .. } => true,
+        ClientError::Refused { error } => error.status == 503,
+        _ => false,
+    }
+}
+
+fn is_uncertain(error: &ClientError) -> bool {
+    match error {
+        ClientError::Call { source } => !CallError::is_unsent(source),
+        ClientError::Refused { error } => error.outcome == ErrorOutcome::Unknown,
+        _ => false,
+    }
+}
+
+fn refusal(response: &CallResponse) -> ClientError {
+    match serde_json::from_slice::<ApiError>(&response.body) {
+        Err(_) => ClientError::Malformed {
+            reason: format!(
+                "status {}: {}",
+                response.status,
+                String::from_utf8_lossy(&response.body).escape_debug()
+            ),
+        },
+        Ok(error) => ClientError::Refused { error },
+    }
+}
+
+fn json<B>(body: &B) -> Result<Vec<u8>, ClientError>
+where
+    B: Serialize,
+{
+    serde_json::to_vec(body).map_err(|error| ClientError::Malformed { reason: error.to_string() })
+}
+
+fn read_json<T>(response: &CallResponse) -> Result<T, ClientError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(&response.body)
+        .map_err(|error| ClientError::Malformed { reason: error.to_string() })
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/bin/cuminbarrow-agent.rs
@@ -0,0 +1,7 @@
+//! The agent daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cuminbarrow::agent_main::main()
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/bin/cuminbarrow-entry.rs
@@ -0,0 +1,7 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cuminbarrow::entry_main::main()
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/bin/cuminbarrow-standin.rs
@@ -0,0 +1,7 @@
+//! The stand-in of the platform, for tests and trials.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cuminbarrow::standin_main::main()
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/bin/cuminbarrow.rs
@@ -0,0 +1,7 @@
+//! The command-line client.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cuminbarrow::command::main()
+}
--- /dev/null
+++ b/crates/cuminbarrow/src/demo_cluster.rs
@@ -0,0 +1,202 @@
+//! A whole deployment in one process, on loopback and an embedded platform.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use cuminbarrow_agent::agent_daemon;
+use cuminbarrow_agent::agent_settings::AgentSettings;
+use cuminbarrow_agent::gang_timing::GangTiming;
+use cuminbarrow_entry::entry_daemon;
+use cuminbarrow_entry::entry_settings::EntrySettings;
+use cuminbarrow_entry::entry_settings::PolicyGoal;
+use cuminbarrow_entry::entry_settings::PolicyName;
+use cuminbarrow_entry::entry_settings::TokenRole;
+use cuminbarrow_entry::entry_settings::TokenSettings;
+use cuminbarrow_model::digest::Digest;
+use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::topology::Location;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_standin::platform_server::PlatformServer;
+use cuminbarrow_telemetry::log_settings::LogSettings;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use smol_str::format_smolstr;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::api_client::ApiClient;
+
+/// Token of the demo's operator.
+pub const OPERATOR_TOKEN: &str = "demo-operator";
+/// Workers in a rack.
+const RACK_WORKERS: usize = 3;
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub struct ClusterSize {
+    /// Entries.
+    pub entries: usize,
+    /// Agents, each with a worker.
+    pub agents: usize,
+    /// What each worker has.
+    pub capacity: Resources,
+}
+
+impl ClusterSize {
+    /// What a worker of the archive has.
+    pub const ARCHIVE_WORKER: Resources =
+        Resources { cores: 130, memory_gib: 250, accelerators: 8, slots: 8, connections: 60 };
+}
+
+/// A whole deployment in one process.
+pub struct DemoCluster {
+    /// The platform.
+    pub platform: PlatformServer,
+    /// Addresses of the entries for callers.
+    pub entries: Vec<String>,
+    shutdown: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DemoCluster {
+    /// Starts a deployment.
+    ///
+    /// # Errors
+    /// When loopback ports can't be had.
+    pub fn start(size: ClusterSize) -> std::io::Result<Self> {
+        let platform = PlatformServer::spawn();
+        let (shutdown, receiver) = watch::channel(false);
+        let mut cluster = Self { platform, entries: Vec::new(), shutdown, tasks: Vec::new() };
+        let mut links = Vec::new();
+        for _ in 0..size.entries {
+            let (listen, link_listen) = (free_address()?, free_address()?);
+            cluster.start_entry(listen, link_listen, &receiver);
+            links.push(link_listen);
+        }
+        for index in 0..size.agents {
+            cluster.start_agent(index, free_address()?, size.capacity, &links, &receiver);
+        }
+        Ok(cluster)
+    }
+
+    /// A client with the operator's token.
+    pub fn client(&self) -> ApiClient {
+        ApiClient::new(&self.entries, OPERATOR_TOKEN)
+    }
+
+    /// Stops everything.
+    pub async fn close(self) {
+        let _ = self.shutdown.send(true);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+    }
+
+    fn start_entry(
+        &mut self,
+        listen: SocketAddr,
+        link_listen: SocketAddr,
+        shutdown: &watch::Receiver<bool>,
+    ) {
+        let store: Arc<dyn LogStore> = self.platform.log.clone();
+        let running =
+            entry_daemon::run(entry_settings(listen, link_listen), store, shutdown.clone());
+        self.entries.push(format!("http://{listen}"));
+        self.tasks.push(tokio::spawn(async move {
+            if let Err(error) = running.await {
+                log::error!("an entry ended: {error}");
+            }
+        }));
+    }
+
+    fn start_agent(
+        &mut self,
+        index: usize,
+        listen: SocketAddr,
+        capacity: Resources,
+        links: &[SocketAddr],
+        shutdown: &watch::Receiver<bool>,
+    ) {
+        let settings = agent_settings(index, listen, capacity, links);
+        let worker = self.platform.fleet.worker(settings.worker.clone());
+        let running = agent_daemon::run(settings, worker, shutdown.clone());
+        self.tasks.push(tokio::spawn(async move {
+            if let Err(error) = running.await {
+                log::error!("an agent ended: {error}");
+            }
+        }));
+    }
+}
+
+/// A loopback address that was free a moment ago.
+///
+/// # Errors
+/// When loopback ports can't be had.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn entry_settings(listen: SocketAddr, link_listen: SocketAddr) -> EntrySettings {
+    let operator = TokenSettings {
+        name: SmolStr::new("operator"),
+        token_sha256: Digest::of(OPERATOR_TOKEN.as_bytes()).to_smolstr(),
+        role: TokenRole::Operator,
+    };
+    EntrySettings {
+        region: SmolStr::new("zapad"),
+        listen,
+        link_listen,
+        platform: String::new(),
+        shared_key: SharedKey::new("demo"),
+        tokens: vec![operator],
+        peers: Vec::new(),
+        log_timeout_ms: 2_000,
+        write_timeout_ms: 5_000,
+        session_timeout_ms: 15_000,
+        planner_timeout_ms: 3_000,
+        snapshot_batches: 5_000,
+        drain_ms: 5_000,
+        max_removed_permille: 200,
+        team_submissions_per_s: 100_000,
+        max_requests: 4_000,
+        policy: PolicyName::Guaranteed,
+        goal: PolicyGoal::Completion,
+        log: LogSettings::default(),
+    }
+}
+
+fn agent_settings(
+    index: usize,
+    listen: SocketAddr,
+    capacity: Resources,
+    links: &[SocketAddr],
+) -> AgentSettings {
+    let mut entries = links.to_vec();
+    if !entries.is_empty() {
+        entries.rotate_left(index % links.len());
+    }
+    let rack = index / RACK_WORKERS;
+    let location = Location {
+        region: SmolStr::new("zapad"),
+        data_centre: SmolStr::new("bratislava"),
+        rack: format_smolstr!("r{rack}"),
+    };
+    AgentSettings {
+        worker: format_smolstr!("w{index:03}"),
+        location,
+        capacity,
+        listen,
+        probe_listen: None,
+        entries,
+        platform: String::new(),
+        shared_key: SharedKey::new("demo"),
+        heartbeat_ms: 5_000,
+        session_timeout_ms: 15_000,
+        drain_ms: 1_000,
+        timing: GangTiming::default(),
+        log: LogSettings::default(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/access.rs
@@ -0,0 +1,114 @@
+//! Who may do what: tokens and the limits of each team.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use cuminbarrow_model::digest::Digest;
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use crate::entry_settings::EntrySettingsError;
+use crate::entry_settings::TokenRole;
+use crate::entry_settings::TokenSettings;
+
+/// Seconds of a team's rate that it may use at once.
+const BURST_S: f64 = 10.0;
+
+/// Whoever presented a token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerIdentity {
+    /// The token's name.
+    pub name: SmolStr,
+    /// What it allows.
+    pub role: TokenRole,
+}
+
+impl CallerIdentity {
+    /// Whether the caller may act on a team's jobs.
+    pub fn may_act_for(&self, team: &str) -> bool {
+        match &self.role {
+            TokenRole::Operator => true,
+            TokenRole::Team(own) => own == team,
+        }
+    }
+
+    /// Whether the caller is an operator.
+    pub fn is_operator(&self) -> bool {
+        self.role == TokenRole::Operator
+    }
+}
+
+struct KnownToken {
+    digest: Digest,
+    identity: CallerIdentity,
+}
+
+/// All tokens.
+pub struct TokenTable {
+    tokens: Vec<KnownToken>,
+}
+
+impl TokenTable {
+    /// The tokens of the settings.
+    ///
+    /// # Errors
+    /// [`EntrySettingsError`] when a digest is none.
+    pub fn new(settings: &[TokenSettings]) -> Result<Self, EntrySettingsError> {
+        let mut tokens = Vec::with_capacity(settings.len());
+        for token in settings {
+            let identity = CallerIdentity { name: token.name.clone(), role: token.role.clone() };
+            tokens.push(KnownToken { digest: token.digest()?, identity });
+        }
+        Ok(Self { tokens })
+    }
+
+    /// Whose token it is; every known token is compared, each in constant time.
+    pub fn identify(&self, token: &str) -> Option<CallerIdentity> {
+        let digest = Digest::of(token.as_bytes());
+        let mut found = None;
+        for known in &self.tokens {
+            if bool::from(known.digest.0.ct_eq(&digest.0)) {
+                found = Some(&known.identity);
+            }
+        }
+        found.cloned()
+    }
+}
+
+struct TokenBucket {
+    tokens: f64,
+    filled: Instant,
+}
+
+/// Limits each team's submissions by a token bucket, so that one team's burst leaves room for
+/// the others.
+pub struct TeamLimiter {
+    rate_per_s: f64,
+    buckets: Mutex<BTreeMap<SmolStr, TokenBucket>>,
+}
+
+impl TeamLimiter {
+    /// A limiter that lets each team make `rate_per_s` submissions a second.
+    pub fn new(rate_per_s: u32) -> Self {
+        Self { rate_per_s: f64::from(rate_per_s), buckets: Mutex::new(BTreeMap::new()) }
+    }
+
+    /// Takes one submission off the team's allowance.
+    pub fn admit(&self, team: &SmolStr, now: Instant) -> bool {
+        let burst = self.rate_per_s * BURST_S;
+        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        let bucket = buckets
+            .entry(team.clone())
+            .or_insert_with(|| TokenBucket { tokens: burst, filled: now });
+        let elapsed = now.saturating_duration_since(bucket.filled).as_secs_f64();
+        bucket.tokens = (bucket.tokens + elapsed * self.rate_per_s).min(burst);
+        bucket.filled = now;
+        if bucket.tokens < 1.0 {
+            return false;
+        }
+        bucket.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api_error.rs
@@ -0,0 +1,121 @@
+//! Errors as callers see them: one JSON shape, in the manner of RFC 9457.
+
+use axum::Json;
+use axum::http::HeaderValue;
+use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::http::header::RETRY_AFTER;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_ledger::refusal::Refusal;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// What became of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorOutcome {
+    /// It may have had its effect.
+    MayHaveRun,
+    /// It certainly had no effect and never will.
+    NotRun,
+    /// That is not known yet; ask again with the same key.
+    Unknown,
+}
+
+/// An error as callers see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApiError {
+    /// Kind of error, stable, for programs.
+    #[serde(rename = "type")]
+    pub kind: SmolStr,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened, for people.
+    pub detail: String,
+    /// What became of the request.
+    pub outcome: ErrorOutcome,
+}
+
+impl ApiError {
+    /// An error of a request that certainly had no effect.
+    pub fn not_run(status: StatusCode, kind: &str, detail: impl Into<String>) -> Self {
+        Self {
+            kind: SmolStr::new(kind),
+            status: status.as_u16(),
+            detail: detail.into(),
+            outcome: ErrorOutcome::NotRun,
+        }
+    }
+
+    /// Something asked for is not there, or not the caller's to see.
+    pub fn not_found(what: &str) -> Self {
+        Self::not_run(StatusCode::NOT_FOUND, "not_found", format!("{what} is not known"))
+    }
+
+    /// The caller may not do this.
+    pub fn forbidden() -> Self {
+        let detail = "the token does not allow this";
+        Self::not_run(StatusCode::FORBIDDEN, "forbidden", detail)
+    }
+}
+
+impl From<WriteError> for ApiError {
+    fn from(error: WriteError) -> Self {
+        let (kind, outcome) = match error {
+            WriteError::NotWritten => ("log_unavailable", ErrorOutcome::NotRun),
+            WriteError::QueueFull => ("overloaded", ErrorOutcome::NotRun),
+            WriteError::Unknown => ("answer_outstanding", ErrorOutcome::Unknown),
+        };
+        Self {
+            kind: SmolStr::new(kind),
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            detail: error.to_string(),
+            outcome,
+        }
+    }
+}
+
+impl From<Refusal> for ApiError {
+    fn from(refusal: Refusal) -> Self {
+        let (status, kind) = match &refusal {
+            Refusal::JobEndedBefore { .. } => (StatusCode::CONFLICT, "job_ended"),
+            Refusal::KeyReused { .. } => (StatusCode::CONFLICT, "key_reused"),
+            Refusal::QueueFull { .. } | Refusal::TeamQueueFull { .. } => {
+                (StatusCode::TOO_MANY_REQUESTS, "queue_full")
+            }
+            Refusal::ShapeImpossible { .. } => {
+                (StatusCode::UNPROCESSABLE_ENTITY, "shape_impossible")
+            }
+            Refusal::SheetInfeasible { .. } => {
+                (StatusCode::UNPROCESSABLE_ENTITY, "sheet_infeasible")
+            }
+            Refusal::SheetInvalid { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "sheet_invalid"),
+            Refusal::SheetRemovesTooMuch { .. } => (StatusCode::CONFLICT, "sheet_removes_too_much"),
+            Refusal::SheetStale { .. } => (StatusCode::CONFLICT, "sheet_stale"),
+            Refusal::UnknownJob { .. }
+            | Refusal::UnknownTeam { .. }
+            | Refusal::UnknownWorker { .. } => (StatusCode::NOT_FOUND, "not_found"),
+            _ => (StatusCode::CONFLICT, "refused"),
+        };
+        Self::not_run(status, kind, refusal.to_string())
+    }
+}
+
+impl IntoResponse for ApiError {
+    fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_REQUEST);
+        let is_passing =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        let mut response = (status, Json(self)).into_response();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        if is_passing {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api_jobs.rs
@@ -0,0 +1,287 @@
+//! Resources of jobs: submit, list, show, wait, cancel, answer, explain.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::Path;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use cuminbarrow_ledger::apply::Effect;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_model::job::JobOutcome;
+use cuminbarrow_model::job::JobSpec;
+use cuminbarrow_model::keys::JobKey;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+
+use crate::access::CallerIdentity;
+use crate::api_error::ApiError;
+use crate::api_types::JobView;
+use crate::api_types::SubmitBody;
+use crate::entry_core::EntryCore;
+use crate::entry_core::SharedCore;
+use crate::entry_metrics::EntryMetrics;
+use crate::planner_loop::policy_of;
+
+/// Header that carries a submission's key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest key, in bytes.
+const MAX_KEY_BYTES: usize = 128;
+/// Longest payload reference, in bytes.
+const MAX_PAYLOAD_BYTES: usize = 1_024;
+/// Longest wait of one request, in ms.
+const MAX_WAIT_MS: u64 = 30_000;
+/// Most jobs in one list.
+const MAX_LISTED_JOBS: usize = 1_000;
+
+/// Reads a JSON body, with an error that says where it is wrong.
+pub(crate) fn parse_body<T>(body: &[u8]) -> Result<T, ApiError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| {
+        ApiError::not_run(StatusCode::BAD_REQUEST, "malformed_body", error.to_string())
+    })
+}
+
+pub(crate) async fn submit(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, ApiError> {
+    let name = submission_key(&headers)?;
+    let SubmitBody { team, job } = parse_body(&body)?;
+    if !identity.may_act_for(&team) {
+        return Err(ApiError::forbidden());
+    }
+    check_spec(&job)?;
+    if let Some(view) = known_submission(&core, &team, &name, &job)? {
+        return Ok((StatusCode::OK, Json(view)).into_response());
+    }
+    if !core.limiter.admit(&team, Instant::now()) {
+        EntryMetrics::add(&core.metrics.refusals, 1);
+        let detail = format!("team {team:?} submits faster than its limit");
+        return Err(ApiError::not_run(StatusCode::TOO_MANY_REQUESTS, "rate_limited", detail));
+    }
+    EntryMetrics::add(&core.metrics.submissions, 1);
+    let effect = core.write(Record::JobSubmitted { team, name, spec: job }).await?;
+    let Effect::Job { job } = effect else { return Err(ApiError::not_found("the job")) };
+    log::info!("submission: job={job} by={:?}", identity.name);
+    Ok((StatusCode::CREATED, Json(view_of(&core, job)?)).into_response())
+}
+
+fn submission_key(headers: &HeaderMap) -> Result<SmolStr, ApiError> {
+    let refuse = |detail: &str| {
+        Err(ApiError::not_run(StatusCode::BAD_REQUEST, "bad_idempotency_key", detail))
+    };
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return refuse("the header Idempotency-Key is missing");
+    };
+    let Ok(key) = value.to_str() else {
+        return refuse("the header Idempotency-Key has characters that are not visible ASCII");
+    };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return refuse("the header Idempotency-Key must have 1 to 128 bytes");
+    }
+    Ok(SmolStr::new(key))
+}
+
+fn check_spec(spec: &JobSpec) -> Result<(), ApiError> {
+    let refuse = |detail: &str| Err(ApiError::not_run(StatusCode::BAD_REQUEST, "bad_job", detail));
+    if spec.payload.len() > MAX_PAYLOAD_BYTES {
+        return refuse("payload must have at most 1024 bytes");
+    }
+    if spec.declared_run_ms == 0 {
+        return refuse("declared_run_ms must be at least 1");
+    }
+    Ok(())
+}
+
+/// The job of an earlier submission with the same key and content; needs no append.
+fn known_submission(
+    core: &EntryCore,
+    team: &str,
+    name: &str,
+    spec: &JobSpec,
+) -> Result<Option<JobView>, ApiError> {
+    let state = core.tail.state();
+    let Some(job) = state.team_key(team).and_then(|team| state.job_key(team, name)) else {
+        return Ok(None);
+    };
+    let Some(known) = state.jobs.get(&job) else { return Ok(None) };
+    if known.spec != *spec {
+        let detail = format!("key {name:?} of team {team:?} was used for another job");
+        return Err(ApiError::not_run(StatusCode::CONFLICT, "key_reused", detail));
+    }
+    Ok(Some(JobView::new(&state, job, known)))
+}
+
+fn view_of(core: &EntryCore, job: JobKey) -> Result<JobView, ApiError> {
+    let state = core.tail.state();
+    let known = state.jobs.get(&job).ok_or_else(|| ApiError::not_found("the job"))?;
+    Ok(JobView::new(&state, job, known))
+}
+
+/// The job's key, when the caller may see it.
+fn find(
+    core: &EntryCore,
+    identity: &CallerIdentity,
+    team: &str,
+    name: &str,
+) -> Result<JobKey, ApiError> {
+    if !identity.may_act_for(team) {
+        return Err(ApiError::forbidden());
+    }
+    let state = core.tail.state();
+    let job = state.team_key(team).and_then(|team| state.job_key(team, name));
+    job.ok_or_else(|| ApiError::not_found("the job"))
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ListQuery {
+    team: Option<SmolStr>,
+}
+
+pub(crate) async fn list(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Query(query): Query<ListQuery>,
+) -> Json<Vec<JobView>> {
+    let state = core.tail.state();
+    let views = state
+        .jobs
+        .iter()
+        .rev()
+        .filter(|(_, job)| {
+            let team = state.team_name(job.team);
+            let is_wanted = query.team.as_ref().is_none_or(|wanted| *wanted == team);
+            is_wanted && identity.may_act_for(&team)
+        })
+        .take(MAX_LISTED_JOBS)
+        .map(|(key, job)| JobView::new(&state, *key, job))
+        .collect();
+    Json(views)
+}
+
+pub(crate) async fn show(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+) -> Result<Json<JobView>, ApiError> {
+    let job = find(&core, &identity, &team, &name)?;
+    Ok(Json(view_of(&core, job)?))
+}
+
+#[derive(Deserialize)]
+pub(crate) struct WaitQuery {
+    timeout_ms: Option<u64>,
+}
+
+/// Waits for the end, for the timeout, or for the entry to close: the view tells which, and the
+/// caller asks again where the job has not ended.
+pub(crate) async fn wait(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+    Query(query): Query<WaitQuery>,
+) -> Result<Json<JobView>, ApiError> {
+    let job = find(&core, &identity, &team, &name)?;
+    let mut ticket = core.waits.wait(job);
+    let view = view_of(&core, job)?;
+    if view.is_ended() {
+        return Ok(Json(view));
+    }
+    let timeout = Duration::from_millis(query.timeout_ms.unwrap_or(MAX_WAIT_MS).min(MAX_WAIT_MS));
+    tokio::select! {
+        () = ticket.ended() => {}
+        () = core.closed() => {}
+        () = tokio::time::sleep(timeout) => {}
+    }
+    Ok(Json(view_of(&core, job)?))
+}
+
+pub(crate) async fn cancel(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+) -> Result<Json<JobView>, ApiError> {
+    let job = find(&core, &identity, &team, &name)?;
+    core.write(Record::JobCancelled { job }).await?;
+    log::info!("cancellation: job={job} by={:?}", identity.name);
+    Ok(Json(view_of(&core, job)?))
+}
+
+pub(crate) async fn answer(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+) -> Result<Response, ApiError> {
+    let job = find(&core, &identity, &team, &name)?;
+    let state = core.tail.state();
+    let outcome = state.jobs.get(&job).and_then(|job| job.outcome().cloned());
+    drop(state);
+    match outcome {
+        Some(JobOutcome::Completed { answer }) if answer.is_whole() => {
+            let digest = [("answer-sha256", answer.digest.to_string())];
+            Ok((digest, answer.body).into_response())
+        }
+        Some(JobOutcome::Completed { .. }) => Err(ApiError::not_run(
+            StatusCode::GONE,
+            "answer_dropped",
+            "the job completed, its answer is not kept any more",
+        )),
+        None | Some(_) => Err(ApiError::not_found("an answer of the job")),
+    }
+}
+
+/// Why a job waits, or runs where it does.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExplainView {
+    /// The job.
+    pub job: JobView,
+    /// Its place among the jobs that wait, from 1.
+    pub queue_position: Option<usize>,
+    /// Why it waits, or what the next round would do with it.
+    pub explanation: String,
+    /// Workers on which it failed.
+    pub failed_workers: Vec<SmolStr>,
+}
+
+pub(crate) async fn explain(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+) -> Result<Json<ExplainView>, ApiError> {
+    let key = find(&core, &identity, &team, &name)?;
+    let state = core.tail.state();
+    let job = state.jobs.get(&key).ok_or_else(|| ApiError::not_found("the job"))?;
+    let queue_position = state.pending.iter().position(|pending| *pending == key);
+    let plan = policy_of(&core.settings).plan(&state, EntryCore::wall_ms());
+    let note = plan.waits.iter().find(|note| note.job == key);
+    let explanation = match (queue_position, note) {
+        (None, _) => "it does not wait".to_owned(),
+        (Some(_), None) => "the next round looks at it or places it".to_owned(),
+        (Some(_), Some(note)) => note.reason.to_string(),
+    };
+    let failed_workers = job
+        .failed_workers
+        .iter()
+        .filter_map(|worker| Some(state.worker(*worker)?.spec.name.clone()))
+        .collect();
+    Ok(Json(ExplainView {
+        job: JobView::new(&state, key, job),
+        queue_position: queue_position.map(|position| position + 1),
+        explanation,
+        failed_workers,
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/api_operators.rs
@@ -0,0 +1,165 @@
+//! Resources of operators: teams, workers, the sheet, status.
+
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::http::StatusCode;
+use cuminbarrow_ledger::apply::Effect;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::state::AuditEntry;
+use cuminbarrow_model::keys::TeamKey;
+use cuminbarrow_model::keys::WorkerKey;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::access::CallerIdentity;
+use crate::api_error::ApiError;
+use crate::api_jobs::parse_body;
+use crate::api_types::ReservationView;
+use crate::api_types::SheetBody;
+use crate::api_types::SheetView;
+use crate::api_types::StatusView;
+use crate::api_types::TeamView;
+use crate::api_types::WorkerView;
+use crate::entry_core::EntryCore;
+use crate::entry_core::SharedCore;
+
+/// A sheet that may remove anything.
+const ANY_SHARE_PERMILLE: u16 = 1_000;
+
+fn require_operator(identity: &CallerIdentity) -> Result<(), ApiError> {
+    if identity.is_operator() { Ok(()) } else { Err(ApiError::forbidden()) }
+}
+
+pub(crate) async fn teams(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Json<Vec<TeamView>> {
+    let state = core.tail.state();
+    let views = state.teams.iter().enumerate().filter_map(|(index, team)| {
+        let key = TeamKey(u16::try_from(index).ok()?);
+        let reservations = state.reservations.values().filter(|held| held.team == key);
+        Some(TeamView {
+            name: team.spec.name.clone(),
+            is_active: team.is_active,
+            pending: team.pending,
+            reservations: reservations
+                .map(|held| ReservationView {
+                    guarantee: held.guarantee.clone(),
+                    shape: held.shape,
+                    is_held: held.members.is_some(),
+                    is_used: held.holder.is_some(),
+                })
+                .collect(),
+        })
+    });
+    Json(views.filter(|view| identity.may_act_for(&view.name)).collect())
+}
+
+pub(crate) async fn workers(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Result<Json<Vec<WorkerView>>, ApiError> {
+    require_operator(&identity)?;
+    let state = core.tail.state();
+    let views = state.workers().map(|(_, worker)| WorkerView {
+        name: worker.spec.name.clone(),
+        region: worker.spec.location.region.clone(),
+        data_centre: worker.spec.location.data_centre.clone(),
+        rack: worker.spec.location.rack.clone(),
+        status: worker.status,
+        is_quarantined: worker.quarantined_ms.is_some(),
+        capacity: worker.spec.capacity,
+        used: worker.used,
+    });
+    Ok(Json(views.collect()))
+}
+
+fn worker_key(core: &EntryCore, name: &str) -> Result<WorkerKey, ApiError> {
+    core.tail.state().worker_key(name).ok_or_else(|| ApiError::not_found("the worker"))
+}
+
+pub(crate) async fn drain(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path(name): Path<SmolStr>,
+) -> Result<StatusCode, ApiError> {
+    require_operator(&identity)?;
+    let worker = worker_key(&core, &name)?;
+    core.write(Record::WorkerDrained { worker }).await?;
+    log::info!("drain: worker={worker} by={:?}", identity.name);
+    Ok(StatusCode::NO_CONTENT)
+}
+
+pub(crate) async fn resume(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path(name): Path<SmolStr>,
+) -> Result<StatusCode, ApiError> {
+    require_operator(&identity)?;
+    let worker = worker_key(&core, &name)?;
+    core.write(Record::WorkerResumed { worker }).await?;
+    log::info!("resume: worker={worker} by={:?}", identity.name);
+    Ok(StatusCode::NO_CONTENT)
+}
+
+pub(crate) async fn apply_sheet(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    body: Bytes,
+) -> Result<Json<SheetView>, ApiError> {
+    require_operator(&identity)?;
+    let SheetBody { sheet, allow_removals } = parse_body(&body)?;
+    let max_removed_permille =
+        if allow_removals { ANY_SHARE_PERMILLE } else { core.settings.max_removed_permille };
+    let author = identity.name.clone();
+    let record = Record::SheetApplied { author, sheet, max_removed_permille };
+    let effect = core.write(record).await?;
+    let Effect::Sheet { version } = effect else {
+        return Err(ApiError::not_found("the sheet's version"));
+    };
+    log::info!("sheet: version={version} by={:?}", identity.name);
+    Ok(Json(SheetView::new(&core.tail.state())))
+}
+
+pub(crate) async fn sheet(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Result<Json<SheetView>, ApiError> {
+    require_operator(&identity)?;
+    Ok(Json(SheetView::new(&core.tail.state())))
+}
+
+pub(crate) async fn audit(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Result<Json<Vec<AuditEntry>>, ApiError> {
+    require_operator(&identity)?;
+    Ok(Json(core.tail.state().audit.iter().cloned().collect()))
+}
+
+pub(crate) async fn status(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Result<Json<StatusView>, ApiError> {
+    require_operator(&identity)?;
+    let state = core.tail.state();
+    let unheld = state.reservations.values().filter(|held| held.members.is_none());
+    Ok(Json(StatusView {
+        instance: core.instance,
+        offset: state.offset,
+        is_current: core.tail.is_current(),
+        sheet_version: state.sheet.version,
+        planner_epoch: state.planner.epoch,
+        planner: state.planner.instance,
+        entries: state.entries.len(),
+        workers_up: state.workers.iter().filter(|worker| worker.is_open()).count(),
+        workers: state.workers.len(),
+        pending: state.pending.len(),
+        placed: state.placed.len(),
+        unheld_guarantees: unheld
+            .map(|held| format_smolstr!("{}/{}", state.team_name(held.team), held.guarantee))
+            .collect(),
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/entry_core.rs
@@ -0,0 +1,159 @@
+//! What all parts of an entry share.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use cuminbarrow_ledger::apply::BatchReport;
+use cuminbarrow_ledger::apply::Effect;
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::log_tail::BatchObserver;
+use cuminbarrow_ledger::log_tail::LogTail;
+use cuminbarrow_ledger::log_writer::LogWriter;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_protocol::message::EntryMessage;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::access::TeamLimiter;
+use crate::access::TokenTable;
+use crate::api_error::ApiError;
+use crate::assignment::assignment;
+use crate::assignment::assignments;
+use crate::entry_metrics::EntryMetrics;
+use crate::entry_settings::EntrySettings;
+use crate::session_table::SessionTable;
+use crate::wait_table::WaitTable;
+
+/// What all parts of an entry share.
+pub struct EntryCore {
+    pub(crate) settings: EntrySettings,
+    pub(crate) instance: u64,
+    pub(crate) tail: LogTail,
+    pub(crate) writer: LogWriter,
+    pub(crate) waits: WaitTable,
+    pub(crate) sessions: SessionTable,
+    pub(crate) tokens: TokenTable,
+    pub(crate) limiter: TeamLimiter,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) applied: Notify,
+    pub(crate) closing: watch::Sender<bool>,
+    pub(crate) failure: Mutex<Option<String>>,
+    pub(crate) planner_seen: Mutex<Instant>,
+}
+
+impl EntryCore {
+    /// Writes a record and gives what it did.
+    ///
+    /// # Errors
+    /// [`ApiError`] says what became of it.
+    pub(crate) async fn write(&self, record: Record) -> Result<Effect, ApiError> {
+        let settled = self.writer.write(record, self.write_timeout()).await?;
+        Ok(settled.result?)
+    }
+
+    pub(crate) fn write_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.write_timeout_ms)
+    }
+
+    pub(crate) fn session_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.session_timeout_ms)
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    /// Returns once the entry begins to close.
+    pub(crate) async fn closed(&self) {
+        let _ = self.closing.subscribe().wait_for(|is_closing| *is_closing).await;
+    }
+
+    /// Why the entry should get no requests, or nothing.
+    pub(crate) fn unready_reason(&self) -> Option<String> {
+        if self.is_closing() {
+            return Some("the entry is closing".to_owned());
+        }
+        if let Some(failure) = lock(&self.failure).clone() {
+            return Some(failure);
+        }
+        let is_fresh = self.tail.state().offset == 0 && !self.tail.is_current();
+        is_fresh.then(|| "no state yet: the log does not answer and no peer has one".to_owned())
+    }
+
+    /// Wall clock, in ms since the Unix epoch.
+    pub(crate) fn wall_ms() -> u64 {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Everything that the worker's agent is to do now.
+    pub(crate) fn sync_message(&self, state: &State, worker: WorkerKey) -> EntryMessage {
+        EntryMessage::Sync { worker, offset: state.offset, assignments: assignments(state, worker) }
+    }
+
+    fn push_moves(&self, state: &State, report: &BatchReport) {
+        let mut moves: BTreeMap<WorkerKey, BTreeSet<AttemptKey>> = BTreeMap::new();
+        for moved in &report.moves {
+            moves.entry(moved.worker).or_default().insert(moved.attempt);
+        }
+        for (worker, attempts) in moves {
+            if !self.sessions.contains(worker) {
+                continue;
+            }
+            let mut changed = Vec::new();
+            let mut removed = Vec::new();
+            for attempt in attempts {
+                match assignment(state, attempt) {
+                    None => removed.push(attempt),
+                    Some(assignment) => changed.push(assignment),
+                }
+            }
+            let update = EntryMessage::Update { offset: state.offset, changed, removed };
+            self.sessions.send(worker, update);
+        }
+    }
+}
+
+impl BatchObserver for EntryCore {
+    fn applied(&self, state: &State, offset: u64, batch: &Batch, report: &BatchReport) {
+        self.writer.settle(offset, batch, report);
+        for job in &report.ended {
+            self.waits.wake(*job);
+        }
+        self.push_moves(state, report);
+        if state.planner.instance == Some(batch.writer) {
+            *lock(&self.planner_seen) = Instant::now();
+        }
+        self.applied.notify_one();
+    }
+
+    fn replaced(&self, state: &State) {
+        for worker in self.sessions.workers() {
+            self.sessions.send(worker, self.sync_message(state, worker));
+        }
+        for (job, known) in &state.jobs {
+            if known.outcome().is_some() {
+                self.waits.wake(*job);
+            }
+        }
+    }
+}
+
+/// Locks, also when a holder panicked: the data are replaced whole.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Shorthand of the shared core.
+pub(crate) type SharedCore = Arc<EntryCore>;
--- /dev/null
+++ b/crates/entry/src/entry_daemon.rs
@@ -0,0 +1,294 @@
+//! Starts an entry, serves, and closes without cutting off a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::FromRequestParts;
+use axum::extract::Request;
+use axum::http::StatusCode;
+use axum::http::request::Parts;
+use axum::middleware;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use cuminbarrow_ledger::log_tail::LogTail;
+use cuminbarrow_ledger::log_writer::LogWriter;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_protocol::byte_counter::ByteCounter;
+use cuminbarrow_protocol::link::IncomingLink;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_telemetry::meter_registry::MeterError;
+use cuminbarrow_telemetry::meter_registry::MeterRegistry;
+use cuminbarrow_telemetry::probe_router::probe_router;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::access::CallerIdentity;
+use crate::access::TeamLimiter;
+use crate::access::TokenTable;
+use crate::agent_server;
+use crate::api_error::ApiError;
+use crate::api_jobs;
+use crate::api_operators;
+use crate::entry_core::EntryCore;
+use crate::entry_core::SharedCore;
+use crate::entry_core::lock;
+use crate::entry_metrics;
+use crate::entry_metrics::EntryMetrics;
+use crate::entry_settings::EntrySettings;
+use crate::entry_settings::EntrySettingsError;
+use crate::peer_server;
+use crate::planner_loop;
+use crate::session_table::SessionTable;
+use crate::wait_table::WaitTable;
+
+/// Largest body of a caller's request, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Largest sheet, in bytes.
+const MAX_SHEET_BYTES: usize = 32 * 1024 * 1024;
+/// Time between telling the balancer and refusing new connections.
+const UNREADY_WAIT: Duration = Duration::from_millis(500);
+/// Time between looks at this entry's own record.
+const ANNOUNCE_LOOK: Duration = Duration::from_secs(1);
+
+/// Why an entry can't run.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    /// An address can't be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The metrics can't be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Cause.
+        source: MeterError,
+    },
+    /// The server failed.
+    #[snafu(display("the server failed: {source}"))]
+    Serve {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The settings are wrong.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Cause.
+        source: EntrySettingsError,
+    },
+}
+
+/// Runs an entry until `shutdown` turns true and the requests in flight are answered.
+///
+/// # Errors
+/// [`EntryError`] when it can't begin, or its server fails.
+pub async fn run(
+    settings: EntrySettings,
+    store: Arc<dyn LogStore>,
+    mut shutdown: watch::Receiver<bool>,
+) -> Result<(), EntryError> {
+    let address = settings.listen;
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let address = settings.link_listen;
+    let link_listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let core = build_core(settings, Arc::clone(&store))?;
+    let counter = Arc::new(ByteCounter::default());
+    let registry = MeterRegistry::new().context(MetricsSnafu)?;
+    entry_metrics::register(&core, &registry, &counter);
+
+    let key = core.settings.shared_key.clone();
+    let dialer = LinkDialer::new(key.clone(), Arc::clone(&counter));
+    tokio::spawn(follow_log(core.clone(), Arc::clone(&store), dialer.clone()));
+    tokio::spawn(announce(core.clone()));
+    tokio::spawn(accept_links(link_listener, key, counter, link_handler(core.clone())));
+    let planner = tokio::spawn(planner_loop::run(core.clone(), store, dialer));
+
+    let closing = core.clone();
+    let is_closed = async move {
+        let _ = shutdown.wait_for(|is_stopped| *is_stopped).await;
+        log::info!("closing: no new connections, requests in flight are answered");
+        closing.closing.send_replace(true);
+        tokio::time::sleep(UNREADY_WAIT).await;
+    };
+    let router = router(core.clone(), registry);
+    let drain = Duration::from_millis(core.settings.drain_ms);
+    let server = axum::serve(listener, router).with_graceful_shutdown(is_closed);
+    serve_until_drained(server.into_future(), &core, drain).await?;
+    let _ = planner.await;
+    let _ = core.write(Record::EntryLeft { instance: core.instance }).await;
+    Ok(())
+}
+
+/// Serves until the requests in flight at the shutdown are answered, or their time is up.
+async fn serve_until_drained<S>(
+    server: S,
+    core: &EntryCore,
+    drain: Duration,
+) -> Result<(), EntryError>
+where
+    S: Future<Output = std::io::Result<()>>,
+{
+    tokio::select! {
+        result = server => result.context(ServeSnafu),
+        () = async { core.closed().await; tokio::time::sleep(UNREADY_WAIT + drain).await; } => {
+            log::warn!("requests were still in flight after {} ms", drain.as_millis());
+            Ok(())
+        }
+    }
+}
+
+fn build_core(settings: EntrySettings, store: Arc<dyn LogStore>) -> Result<SharedCore, EntryError> {
+    settings.check().context(SettingsSnafu)?;
+    let tokens = TokenTable::new(&settings.tokens).context(SettingsSnafu)?;
+    let instance = rand::random();
+    let writer = LogWriter::spawn(store, instance, EntryCore::wall_ms);
+    Ok(Arc::new(EntryCore {
+        limiter: TeamLimiter::new(settings.team_submissions_per_s),
+        settings,
+        instance,
+        tail: LogTail::default(),
+        writer,
+        waits: WaitTable::default(),
+        sessions: SessionTable::default(),
+        tokens,
+        metrics: EntryMetrics::default(),
+        applied: Notify::new(),
+        closing: watch::Sender::new(false),
+        failure: Mutex::new(None),
+        planner_seen: Mutex::new(Instant::now()),
+    }))
+}
+
+/// Follows the log; while it does not answer at the start, asks peers for their state.
+async fn follow_log(core: SharedCore, store: Arc<dyn LogStore>, dialer: LinkDialer) {
+    let asking = core.clone();
+    let asker = tokio::spawn(async move {
+        tokio::time::sleep(ANNOUNCE_LOOK).await;
+        while asking.unready_reason().is_some() && !asking.is_closing() {
+            peer_server::take_peer_state(&asking, &dialer).await;
+            tokio::time::sleep(ANNOUNCE_LOOK).await;
+        }
+    });
+    let error = core.tail.run(store, core.clone()).await;
+    asker.abort();
+    log::error!("this entry can't go on: {error}");
+    *lock(&core.failure) = Some(error.to_string());
+}
+
+/// Keeps this entry's own record in the log.
+async fn announce(core: SharedCore) {
+    while !core.is_closing() {
+        let is_known = core.tail.state().entries.contains_key(&core.instance);
+        if core.tail.is_current() && !is_known {
+            let record = Record::EntryJoined {
+                instance: core.instance,
+                region: core.settings.region.clone(),
+                address: core.settings.link_listen,
+            };
+            if let Err(error) = core.write(record).await {
+                log::warn!("this entry can't announce itself yet: {}", error.detail);
+            }
+        }
+        tokio::time::sleep(ANNOUNCE_LOOK).await;
+    }
+}
+
+fn link_handler(core: SharedCore) -> impl Fn(IncomingLink) + Clone + Send + Sync + 'static {
+    move |incoming| {
+        let core = core.clone();
+        match incoming.kind {
+            LinkKind::Agent => {
+                tokio::spawn(agent_server::serve(core, incoming.typed()));
+            }
+            LinkKind::Gang => log::warn!("an entry has no gangs"),
+            LinkKind::Peer => {
+                tokio::spawn(peer_server::serve(core, incoming.typed()));
+            }
+        }
+    }
+}
+
+fn router(core: SharedCore, registry: MeterRegistry) -> Router {
+    let ready = core.clone();
+    let permits = Arc::new(Semaphore::new(core.settings.max_requests));
+    Router::new()
+        .route("/v1/jobs", get(api_jobs::list).post(api_jobs::submit))
+        .route("/v1/jobs/{team}/{key}", get(api_jobs::show))
+        .route("/v1/jobs/{team}/{key}/answer", get(api_jobs::answer))
+        .route("/v1/jobs/{team}/{key}/cancel", post(api_jobs::cancel))
+        .route("/v1/jobs/{team}/{key}/explain", get(api_jobs::explain))
+        .route("/v1/jobs/{team}/{key}/wait", get(api_jobs::wait))
+        .route("/v1/status", get(api_operators::status))
+        .route("/v1/teams", get(api_operators::teams))
+        .route("/v1/audit", get(api_operators::audit))
+        .route("/v1/workers", get(api_operators::workers))
+        .route("/v1/workers/{name}/drain", post(api_operators::drain))
+        .route("/v1/workers/{name}/resume", post(api_operators::resume))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .route(
+            "/v1/sheet",
+            get(api_operators::sheet)
+                .put(api_operators::apply_sheet)
+                .layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
+        )
+        .fallback(|| async { ApiError::not_found("the resource") })
+        .layer(middleware::from_fn(move |request: Request, next: Next| {
+            limit_requests(Arc::clone(&permits), request, next)
+        }))
+        .with_state(core)
+        .merge(probe_router(registry, Arc::new(move || ready.unready_reason())))
+}
+
+/// Refuses early what would only wait.
+async fn limit_requests(permits: Arc<Semaphore>, request: Request, next: Next) -> Response {
+    let Ok(_permit) = permits.try_acquire() else {
+        let detail = "too many requests are being served";
+        return ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail)
+            .into_response();
+    };
+    let response = next.run(request).await;
+    if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
+        let detail = "the body is larger than this resource takes";
+        return ApiError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
+            .into_response();
+    }
+    response
+}
+
+impl FromRequestParts<SharedCore> for CallerIdentity {
+    type Rejection = ApiError;
+
+    async fn from_request_parts(
+        parts: &mut Parts,
+        core: &SharedCore,
+    ) -> Result<Self, Self::Rejection> {
+        if let Some(reason) = core.unready_reason().filter(|_| !core.is_closing()) {
+            return Err(ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", reason));
+        }
+        let header = parts.headers.get("authorization").and_then(|value| value.to_str().ok());
+        let token = header.and_then(|value| value.strip_prefix("Bearer "));
+        let identity = token.and_then(|token| core.tokens.identify(token));
+        identity.ok_or_else(|| {
+            let detail = "a known token is needed: Authorization: Bearer TOKEN";
+            ApiError::not_run(StatusCode::UNAUTHORIZED, "unauthorized", detail)
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The entry: serves callers and operators, follows the log, plans while it holds the planner
+//! role, and feeds the agents that are connected to it.
+
+pub mod access;
+mod agent_server;
+pub mod api_error;
+mod api_jobs;
+mod api_operators;
+pub mod api_types;
+mod assignment;
+pub mod entry_core;
+pub mod entry_daemon;
+mod entry_metrics;
+pub mod entry_settings;
+mod peer_server;
+mod planner_loop;
+mod planner_role;
+mod session_table;
+mod wait_table;
--- /dev/null
+++ b/crates/entry/src/peer_server.rs
@@ -0,0 +1,75 @@
+//! Requests of other entries, and this entry's requests to them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cuminbarrow_ledger::codec;
+use cuminbarrow_ledger::log_tail::BatchObserver;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkError;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::message::PeerRequest;
+use cuminbarrow_protocol::message::PeerResponse;
+
+use crate::entry_core::SharedCore;
+
+/// Longest time that a peer has to answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Serves another entry's link until it ends.
+pub(crate) async fn serve(core: SharedCore, mut link: Link<PeerResponse, PeerRequest>) {
+    while let Ok(request) = link.receiver.receive().await {
+        let response = match request {
+            PeerRequest::FetchState => PeerResponse::State { body: state_bytes(&core) },
+            PeerRequest::Ping => PeerResponse::Pong,
+        };
+        if link.sender.send(&response).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn state_bytes(core: &SharedCore) -> Vec<u8> {
+    let state = core.tail.state();
+    if state.offset == 0 {
+        return Vec::new();
+    }
+    codec::encode(&*state).unwrap_or_default()
+}
+
+/// Asks another entry something.
+pub(crate) async fn ask(
+    dialer: &LinkDialer,
+    address: SocketAddr,
+    request: PeerRequest,
+) -> Result<PeerResponse, LinkError> {
+    let exchange = async {
+        let mut link: Link<PeerRequest, PeerResponse> =
+            dialer.open(address, LinkKind::Peer).await?;
+        link.sender.send(&request).await?;
+        link.receiver.receive().await
+    };
+    tokio::time::timeout(PEER_TIMEOUT, exchange).await.map_err(|_| LinkError::TimedOut)?
+}
+
+/// Takes the state of a peer while the log does not answer. The state carries its offset, so
+/// that nothing is skipped once the log is back.
+pub(crate) async fn take_peer_state(core: &SharedCore, dialer: &LinkDialer) {
+    for &address in &core.settings.peers {
+        let Ok(PeerResponse::State { body }) = ask(dialer, address, PeerRequest::FetchState).await
+        else {
+            continue;
+        };
+        match codec::decode::<State>(&body) {
+            Err(error) => log::warn!("the state of peer {address} is passed over: {error}"),
+            Ok(state) => {
+                log::info!("took the state of peer {address} at offset {}", state.offset);
+                core.tail.replace(state);
+                core.replaced(&core.tail.state());
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/planner_loop.rs
@@ -0,0 +1,334 @@
+//! The planner: claims the role, plans a round after each change, renews, and watches members.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminbarrow_ledger::log_writer::Settled;
+use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::snapshot;
+use cuminbarrow_ledger::state::State as LedgerState;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_policy::first_fit::FirstFit;
+use cuminbarrow_policy::placement_policy::Decision;
+use cuminbarrow_policy::placement_policy::PlacementPolicy;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::message::PeerRequest;
+use smol_str::SmolStr;
+use statig::blocking::IntoStateMachineExt;
+use statig::blocking::StateMachine;
+use tokio::time::Instant;
+
+use crate::entry_core::EntryCore;
+use crate::entry_core::SharedCore;
+use crate::entry_core::lock;
+use crate::entry_metrics::EntryMetrics;
+use crate::entry_settings::EntrySettings;
+use crate::entry_settings::PolicyName;
+use crate::peer_server;
+use crate::planner_role::PlannerRole;
+use crate::planner_role::RoleEvent;
+use crate::planner_role::RoleOrder;
+use crate::planner_role::RoleOrders;
+
+/// Longest time between looks at the role.
+const LOOK: Duration = Duration::from_millis(250);
+/// Longest time between rounds while jobs wait.
+const ROUND: Duration = Duration::from_secs(1);
+/// Time between looks at other entries.
+const MEMBER_LOOK: Duration = Duration::from_secs(2);
+
+/// The policy that the settings name.
+pub(crate) fn policy_of(settings: &EntrySettings) -> Box<dyn PlacementPolicy> {
+    match settings.policy {
+        PolicyName::FirstFit | PolicyName::Guaranteed => Box::new(FirstFit),
+    }
+}
+
+/// Runs the planner's side of an entry until the entry closes.
+pub(crate) async fn run(core: SharedCore, store: Arc<dyn LogStore>, dialer: LinkDialer) {
+    let snapshot_offset = core.tail.state().offset;
+    let mut planner = PlannerLoop {
+        policy: policy_of(&core.settings),
+        role: PlannerRole.uninitialized_state_machine().init_with_context(&mut Vec::new()).into(),
+        planned: Instant::now(),
+        planned_offset: 0,
+        renewed: Instant::now(),
+        snapshot_offset,
+        watch: MemberWatch::default(),
+        core,
+        store,
+        dialer,
+    };
+    loop {
+        let core = planner.core.clone();
+        tokio::select! {
+            () = core.closed() => break,
+            () = core.applied.notified() => {}
+            () = tokio::time::sleep(LOOK) => {}
+        }
+        planner.look().await;
+    }
+    planner.release().await;
+}
+
+struct PlannerLoop {
+    core: SharedCore,
+    store: Arc<dyn LogStore>,
+    dialer: LinkDialer,
+    policy: Box<dyn PlacementPolicy>,
+    role: StateMachine<PlannerRole>,
+    planned: Instant,
+    planned_offset: u64,
+    renewed: Instant,
+    snapshot_offset: u64,
+    watch: MemberWatch,
+}
+
+impl PlannerLoop {
+    async fn look(&mut self) {
+        let event = self.role_event();
+        let mut orders = RoleOrders::new();
+        self.role.handle_with_context(&event, &mut orders);
+        for order in orders {
+            match order {
+                RoleOrder::Claim => self.claim().await,
+                RoleOrder::Plan => self.plan().await,
+            }
+        }
+    }
+
+    fn role_event(&self) -> RoleEvent {
+        let planner = self.core.tail.state().planner;
+        if planner.instance == Some(self.core.instance) {
+            return RoleEvent::HeldHere;
+        }
+        let timeout = Duration::from_millis(self.core.settings.planner_timeout_ms);
+        let is_silent = lock(&self.core.planner_seen).elapsed() >= timeout;
+        let is_open = planner.instance.is_none() || is_silent;
+        if is_open && self.core.tail.is_current() {
+            RoleEvent::Vacant
+        } else {
+            RoleEvent::HeldElsewhere
+        }
+    }
+
+    async fn claim(&mut self) {
+        let epoch = self.core.tail.state().planner.epoch + 1;
+        let instance = self.core.instance;
+        let result = self.core.write(Record::PlannerClaimed { epoch, instance }).await;
+        match result {
+            Err(error) => log::info!("the claim of epoch {epoch} failed: {}", error.detail),
+            Ok(_) => log::info!("this instance plans in epoch {epoch}"),
+        }
+        self.renewed = Instant::now();
+    }
+
+    async fn plan(&mut self) {
+        let offset = self.core.tail.state().offset;
+        let is_changed = offset != self.planned_offset;
+        if is_changed || self.planned.elapsed() >= ROUND {
+            self.planned = Instant::now();
+            self.planned_offset = offset;
+            self.plan_round().await;
+        }
+        self.renew().await;
+        self.watch_members().await;
+        self.keep_snapshot(offset).await;
+    }
+
+    async fn plan_round(&mut self) {
+        let began = std::time::Instant::now();
+        let (epoch, decisions) = {
+            let state = self.core.tail.state();
+            let plan = self.policy.plan(&state, EntryCore::wall_ms());
+            for decision in &plan.decisions {
+                log_decision(&state, decision);
+            }
+            (state.planner.epoch, plan.decisions)
+        };
+        let spent_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
+        EntryMetrics::add(&self.core.metrics.planning_us, spent_us);
+        EntryMetrics::add(&self.core.metrics.rounds, 1);
+        if decisions.is_empty() {
+            return;
+        }
+        EntryMetrics::add(&self.core.metrics.decisions, decisions.len() as u64);
+        let records = decisions.into_iter().map(|decision| decision.into_record(epoch)).collect();
+        let results = self.core.writer.write_all(records, self.core.write_timeout()).await;
+        log_refusals(&results);
+        self.renewed = Instant::now();
+    }
+
+    /// Shows that the planner is alive when it had nothing else to write.
+    async fn renew(&mut self) {
+        let every = Duration::from_millis(self.core.settings.planner_timeout_ms) / 3;
+        if self.renewed.elapsed() >= every {
+            self.renewed = Instant::now();
+            let epoch = self.core.tail.state().planner.epoch;
+            if let Err(error) = self.core.write(Record::PlannerRenewed { epoch }).await {
+                log::info!("epoch {epoch} could not be renewed: {}", error.detail);
+            }
+        }
+    }
+
+    async fn keep_snapshot(&mut self, offset: u64) {
+        if offset < self.snapshot_offset + self.core.settings.snapshot_batches {
+            return;
+        }
+        let state = self.core.tail.state().clone();
+        match snapshot::write_snapshot(&*self.store, self.core.instance, &state).await {
+            Err(error) => log::warn!("no snapshot at offset {offset}: {error}"),
+            Ok(bytes) => {
+                log::info!("wrote a snapshot of {bytes} bytes at offset {}", state.offset);
+                self.snapshot_offset = state.offset;
+            }
+        }
+    }
+
+    async fn watch_members(&mut self) {
+        if self.watch.looked.elapsed() < MEMBER_LOOK {
+            return;
+        }
+        self.watch.looked = Instant::now();
+        for record in self.watch.look(&self.core, &self.dialer).await {
+            if let Err(error) = self.core.write(record).await {
+                log::debug!("a member's loss was not applied: {}", error.detail);
+            }
+        }
+    }
+
+    /// Gives up the role, so that another entry takes over at once.
+    async fn release(&mut self) {
+        let planner = self.core.tail.state().planner;
+        if planner.instance == Some(self.core.instance) {
+            let record = Record::PlannerReleased { epoch: planner.epoch };
+            if let Err(error) = self.core.write(record).await {
+                log::warn!("the planner role was not released: {}", error.detail);
+            }
+        }
+    }
+}
+
+/// Entries that do not answer, and workers whose entry is gone.
+struct MemberWatch {
+    looked: Instant,
+    silent: BTreeMap<u64, Instant>,
+    orphans: BTreeMap<WorkerKey, (u32, Instant)>,
+}
+
+impl Default for MemberWatch {
+    fn default() -> Self {
+        Self { looked: Instant::now(), silent: BTreeMap::new(), orphans: BTreeMap::new() }
+    }
+}
+
+impl MemberWatch {
+    /// Records of what is lost by now.
+    async fn look(&mut self, core: &SharedCore, dialer: &LinkDialer) -> Vec<Record> {
+        let mut records = self.look_at_entries(core, dialer).await;
+        records.extend(self.look_at_workers(core));
+        records
+    }
+
+    async fn look_at_entries(&mut self, core: &SharedCore, dialer: &LinkDialer) -> Vec<Record> {
+        let others: Vec<_> = {
+            let state = core.tail.state();
+            let others = state.entries.iter().filter(|(instance, _)| **instance != core.instance);
+            others.map(|(instance, entry)| (*instance, entry.address)).collect()
+        };
+        self.silent.retain(|instance, _| others.iter().any(|(other, _)| other == instance));
+        let mut records = Vec::new();
+        for (instance, address) in others {
+            if peer_server::ask(dialer, address, PeerRequest::Ping).await.is_ok() {
+                self.silent.remove(&instance);
+                continue;
+            }
+            let since = *self.silent.entry(instance).or_insert_with(Instant::now);
+            if since.elapsed() >= core.session_timeout() {
+                log::warn!("entry {instance} at {address} is lost: no answer to pings");
+                records.push(Record::EntryLeft { instance });
+            }
+        }
+        records
+    }
+
+    fn look_at_workers(&mut self, core: &SharedCore) -> Vec<Record> {
+        let state = core.tail.state();
+        let mut orphans = BTreeMap::new();
+        let mut records = Vec::new();
+        for (key, worker) in state.workers() {
+            let is_orphan = worker.is_known()
+                && worker.status != cuminbarrow_ledger::worker_state::WorkerStatus::Lost
+                && !state.entries.contains_key(&worker.entry);
+            if !is_orphan {
+                continue;
+            }
+            let known = self.orphans.get(&key).filter(|(session, _)| *session == worker.session);
+            let since = known.map(|(_, since)| *since).unwrap_or_else(Instant::now);
+            orphans.insert(key, (worker.session, since));
+            if since.elapsed() >= core.session_timeout() {
+                records.push(Record::WorkerLost {
+                    worker: key,
+                    incarnation: worker.incarnation,
+                    session: worker.session,
+                });
+            }
+        }
+        self.orphans = orphans;
+        records
+    }
+}
+
+/// One line for each decision.
+fn log_decision(state: &LedgerState, decision: &Decision) {
+    match decision {
+        Decision::Place { attempt, members, reservation, reason } => {
+            let reservation = reservation.map(|key| format!(" reservation={key}"));
+            log::info!(
+                "placement: job={} attempt={} members={} reason={reason:?}{} pending={}",
+                attempt.job,
+                attempt.attempt,
+                describe_members(state, members),
+                reservation.unwrap_or_default(),
+                state.pending.len(),
+            );
+        }
+        Decision::Preempt { job, reservation, victims } => {
+            let victims: Vec<String> = victims.iter().map(ToString::to_string).collect();
+            let reservation = reservation.map(|key| format!(" reservation={key}"));
+            log::info!(
+                "preemption: for job={job}{} victims={}",
+                reservation.unwrap_or_default(),
+                victims.join(",")
+            );
+        }
+    }
+}
+
+fn describe_members(state: &LedgerState, members: &[Member]) -> String {
+    let mut counts: BTreeMap<SmolStr, usize> = BTreeMap::new();
+    for member in members {
+        let worker = state.worker(member.worker);
+        let name = worker.map(|worker| worker.spec.name.clone()).unwrap_or_default();
+        *counts.entry(name).or_default() += 1;
+    }
+    let parts: Vec<String> =
+        counts.iter().map(|(name, count)| format!("{}:{count}", name.escape_debug())).collect();
+    parts.join(",")
+}
+
+fn log_refusals(results: &[Result<Settled, WriteError>]) {
+    for result in results {
+        match result {
+            Err(error) => log::warn!("a decision was not written: {error}"),
+            Ok(Settled { result: Err(refusal), .. }) => {
+                log::info!("a decision was refused: {refusal}");
+            }
+            Ok(Settled { result: Ok(_), .. }) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/session_table.rs
@@ -0,0 +1,73 @@
+//! Agents connected to this entry, in shards.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_protocol::message::EntryMessage;
+use tokio::sync::mpsc;
+
+/// Shards, each under its own lock.
+const SHARDS: usize = 16;
+
+struct SessionSlot {
+    id: u64,
+    queue: mpsc::Sender<EntryMessage>,
+}
+
+/// Agents connected to this entry.
+#[derive(Default)]
+pub(crate) struct SessionTable {
+    shards: [Mutex<BTreeMap<WorkerKey, SessionSlot>>; SHARDS],
+}
+
+impl SessionTable {
+    fn with_shard<T, F>(&self, worker: WorkerKey, act: F) -> T
+    where
+        F: FnOnce(&mut BTreeMap<WorkerKey, SessionSlot>) -> T,
+    {
+        let shard = &self.shards[usize::from(worker.0) % SHARDS];
+        act(&mut shard.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a session in place of an earlier one of the same worker.
+    pub(crate) fn open(&self, worker: WorkerKey, id: u64, queue: mpsc::Sender<EntryMessage>) {
+        self.with_shard(worker, |shard| shard.insert(worker, SessionSlot { id, queue }));
+    }
+
+    /// Takes a session away, unless another took its place.
+    pub(crate) fn close(&self, worker: WorkerKey, id: u64) {
+        self.with_shard(worker, |shard| {
+            if shard.get(&worker).is_some_and(|slot| slot.id == id) {
+                shard.remove(&worker);
+            }
+        });
+    }
+
+    /// Whether the worker has a session here.
+    pub(crate) fn contains(&self, worker: WorkerKey) -> bool {
+        self.with_shard(worker, |shard| shard.contains_key(&worker))
+    }
+
+    /// Sends to the worker's session. One whose queue is full is cut off, and will sync anew.
+    pub(crate) fn send(&self, worker: WorkerKey, message: EntryMessage) {
+        self.with_shard(worker, |shard| {
+            let Some(slot) = shard.get(&worker) else { return };
+            if slot.queue.try_send(message).is_err() {
+                log::warn!("the session of worker {worker} is cut off: it reads too slowly");
+                shard.remove(&worker);
+            }
+        });
+    }
+
+    /// Workers with a session here.
+    pub(crate) fn workers(&self) -> Vec<WorkerKey> {
+        let mut workers = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            workers.extend(shard.keys().copied());
+        }
+        workers
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,26 @@
+//! The replicated state as a fold of log records.
+//!
+//! [`state::State::apply`] is pure and total: no clock, no I/O, no random numbers and no
+//! iteration in hash order. A record whose precondition fails changes nothing and gives a typed
+//! [`refusal::Refusal`], so that the first of two racing writers in log order wins and every
+//! replica agrees. The `log_*` modules move batches to and from the platform's log.
+
+pub mod apply;
+mod apply_jobs;
+mod apply_planner;
+mod apply_sheet;
+mod apply_workers;
+pub mod batch;
+pub mod codec;
+pub mod job_state;
+pub mod log_tail;
+pub mod log_writer;
+pub mod pack;
+pub mod promise;
+pub mod record;
+pub mod refusal;
+pub mod reservation;
+pub mod snapshot;
+pub mod state;
+pub mod team_hold;
+pub mod worker_state;
--- /dev/null
+++ b/crates/ledger/src/log_tail.rs
@@ -0,0 +1,202 @@
+//! The tail: a replica of the state that follows the log.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cuminbarrow_platform::log_store::LogError;
+use cuminbarrow_platform::log_store::LogPage;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use snafu::Snafu;
+use tokio::sync::watch;
+
+use crate::apply::BatchReport;
+use crate::batch::Batch;
+use crate::codec;
+use crate::codec::CodecError;
+use crate::snapshot;
+use crate::snapshot::SnapshotError;
+use crate::state::State;
+
+/// Batches read at once.
+const READ_LIMIT: u32 = 256;
+/// Wait for the next batch at the log service, in ms.
+const READ_WAIT_MS: u32 = 10_000;
+/// Wait after a failed read.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// Why a replica can't go on.
+#[derive(Debug, Snafu)]
+pub enum TailError {
+    /// The records needed have expired and no snapshot covers them.
+    #[snafu(display(
+        "the log keeps records from offset {oldest} on, this replica needs {needed}, and no \
+         snapshot covers the gap"
+    ))]
+    Gap {
+        /// Offset needed.
+        needed: u64,
+        /// Oldest offset kept.
+        oldest: u64,
+    },
+    /// A record can't be read; it is never passed over.
+    #[snafu(display("the record at offset {offset} can't be read: {source}"))]
+    Unreadable {
+        /// Its offset.
+        offset: u64,
+        /// Cause.
+        source: CodecError,
+    },
+}
+
+/// What is told of each batch, in log order, on the tail's own task.
+pub trait BatchObserver: Send + Sync {
+    /// A batch was applied; `state` is as of just after it.
+    fn applied(&self, state: &State, offset: u64, batch: &Batch, report: &BatchReport);
+
+    /// The state was replaced by one from a snapshot or a peer.
+    fn replaced(&self, state: &State);
+}
+
+/// A replica of the state.
+pub struct LogTail {
+    state: RwLock<State>,
+    offset: watch::Sender<u64>,
+    oldest: AtomicU64,
+    is_current: AtomicBool,
+}
+
+impl Default for LogTail {
+    fn default() -> Self {
+        Self::new(State::default())
+    }
+}
+
+impl LogTail {
+    /// A replica that begins at some state.
+    pub fn new(state: State) -> Self {
+        let offset = watch::Sender::new(state.offset);
+        Self {
+            state: RwLock::new(state),
+            offset,
+            oldest: AtomicU64::new(0),
+            is_current: AtomicBool::new(false),
+        }
+    }
+
+    /// The state as applied so far.
+    pub fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follows the offset of the next batch.
+    pub fn offsets(&self) -> watch::Receiver<u64> {
+        self.offset.subscribe()
+    }
+
+    /// Whether the last read reached the end of a log that answers.
+    pub fn is_current(&self) -> bool {
+        self.is_current.load(Ordering::Acquire)
+    }
+
+    /// Oldest offset that the log keeps, as last seen.
+    pub fn oldest(&self) -> u64 {
+        self.oldest.load(Ordering::Relaxed)
+    }
+
+    /// Follows the log until it can't go on.
+    ///
+    /// # Errors
+    /// [`TailError`] when going on would be a guess.
+    pub async fn run(
+        &self,
+        store: Arc<dyn LogStore>,
+        observer: Arc<dyn BatchObserver>,
+    ) -> TailError {
+        loop {
+            let from = self.state().offset;
+            let wait_ms = if self.is_current() { READ_WAIT_MS } else { 0 };
+            let result = match store.read(LogStream::Records, from, READ_LIMIT, wait_ms).await {
+                Err(LogError::Expired { oldest }) => {
+                    self.restore(&*store, &*observer, from, oldest).await
+                }
+                Err(error) => {
+                    self.note_failure(&error);
+                    tokio::time::sleep(RETRY_WAIT).await;
+                    Ok(())
+                }
+                Ok(page) => self.apply_page(&page, &*observer),
+            };
+            if let Err(error) = result {
+                self.is_current.store(false, Ordering::Release);
+                return error;
+            }
+        }
+    }
+
+    fn note_failure(&self, error: &LogError) {
+        if self.is_current.swap(false, Ordering::AcqRel) {
+            log::warn!("the log can't be read: {error}");
+        }
+    }
+
+    fn apply_page(&self, page: &LogPage, observer: &dyn BatchObserver) -> Result<(), TailError> {
+        self.oldest.store(page.oldest, Ordering::Relaxed);
+        for (offset, body) in (page.first..).zip(&page.entries) {
+            let batch: Batch =
+                codec::decode(body).map_err(|source| TailError::Unreadable { offset, source })?;
+            self.apply_batch(offset, &batch, observer);
+        }
+        let is_current = self.state().offset >= page.next;
+        self.is_current.store(is_current, Ordering::Release);
+        Ok(())
+    }
+
+    fn apply_batch(&self, offset: u64, batch: &Batch, observer: &dyn BatchObserver) {
+        let report = {
+            let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+            state.apply(offset, batch)
+        };
+        observer.applied(&self.state(), offset, batch, &report);
+        self.offset.send_replace(offset + 1);
+    }
+
+    /// Takes the latest snapshot, never an older state than the one held.
+    async fn restore(
+        &self,
+        store: &dyn LogStore,
+        observer: &dyn BatchObserver,
+        needed: u64,
+        oldest: u64,
+    ) -> Result<(), TailError> {
+        match snapshot::read_latest(store).await {
+            Err(SnapshotError::Log { source }) => {
+                self.note_failure(&source);
+                tokio::time::sleep(RETRY_WAIT).await;
+                Ok(())
+            }
+            Ok(Some(state)) if state.offset >= oldest && state.offset > needed => {
+                log::info!("restored from the snapshot of offset {}", state.offset);
+                self.replace(state);
+                observer.replaced(&self.state());
+                Ok(())
+            }
+            Err(SnapshotError::Codec { .. }) | Ok(_) => GapSnafu { needed, oldest }.fail(),
+        }
+    }
+
+    /// Takes over a state from a snapshot or a peer, when it is newer than the one held.
+    pub fn replace(&self, state: State) {
+        let mut held = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        if state.offset > held.offset {
+            self.offset.send_replace(state.offset);
+            *held = state;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/log_writer.rs
@@ -0,0 +1,332 @@
+//! Group commit: everything that waits goes into one append, with one append in flight.
+//!
+//! A batch keeps its identity over all tries, so that a copy appended twice is applied once. A
+//! caller is told "not run" only while its record was never sent, or was sent and certainly
+//! refused; once an answer was lost it is told "unknown", and the batch is tried until it is
+//! settled.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminbarrow_platform::log_store::LogError;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use rand::RngExt;
+use snafu::Snafu;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::apply::BatchReport;
+use crate::apply::Effect;
+use crate::batch::Batch;
+use crate::batch::RecordId;
+use crate::codec;
+use crate::record::Record;
+use crate::refusal::Refusal;
+
+/// Records that may wait to be appended.
+const QUEUE_RECORDS: usize = 16_384;
+/// Most records in one append.
+const BATCH_RECORDS: usize = 1_024;
+/// First wait after a failed append, in ms.
+const BACKOFF_BASE_MS: u64 = 50;
+/// Longest wait after a failed append, in ms.
+const BACKOFF_CAP_MS: u64 = 2_000;
+
+const QUEUED: u8 = 0;
+const SENT: u8 = 1;
+const ABANDONED: u8 = 2;
+
+/// Why a record has no known effect.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum WriteError {
+    /// The record is certainly not in the log and never will be.
+    #[snafu(display("the log takes no records now; nothing was done"))]
+    NotWritten,
+    /// Too many records wait.
+    #[snafu(display("too many records wait for the log; nothing was done"))]
+    QueueFull,
+    /// The record may be in the log or get there yet.
+    #[snafu(display("the log's answer is outstanding; ask again with the same key"))]
+    Unknown,
+}
+
+/// What a record did, and where it stands in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// Offset of its batch.
+    pub offset: u64,
+    /// What it did.
+    pub result: Result<Effect, Refusal>,
+}
+
+struct WriteRequest {
+    record: Record,
+    stage: Arc<AtomicU8>,
+    answer: oneshot::Sender<Settled>,
+}
+
+impl WriteRequest {
+    fn advance(&self, from: u8, to: u8) -> bool {
+        self.stage.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
+type AnswerTable = BTreeMap<RecordId, oneshot::Sender<Settled>>;
+
+/// Handle to the writer task.
+#[derive(Clone)]
+pub struct LogWriter {
+    sender: mpsc::Sender<WriteRequest>,
+    answers: Arc<Mutex<AnswerTable>>,
+    appends: Arc<AtomicU64>,
+    incarnation: u64,
+}
+
+impl LogWriter {
+    /// Starts the writer task with a fresh `incarnation`. `wall_clock` gives ms since the Unix
+    /// epoch.
+    pub fn spawn<C>(store: Arc<dyn LogStore>, incarnation: u64, wall_clock: C) -> Self
+    where
+        C: Fn() -> u64 + Send + 'static,
+    {
+        let (sender, receiver) = mpsc::channel(QUEUE_RECORDS);
+        let answers = Arc::new(Mutex::new(AnswerTable::new()));
+        let appends = Arc::new(AtomicU64::new(0));
+        let task = WriterTask {
+            store,
+            receiver,
+            answers: Arc::clone(&answers),
+            appends: Arc::clone(&appends),
+            incarnation,
+            sequence: 0,
+            wall_clock: Box::new(wall_clock),
+        };
+        tokio::spawn(task.run());
+        Self { sender, answers, appends, incarnation }
+    }
+
+    /// Incarnation of this writer.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Appends that took effect so far.
+    pub fn appends(&self) -> u64 {
+        self.appends.load(Ordering::Relaxed)
+    }
+
+    /// Writes a record and waits, at most `timeout`, until this instance applied it.
+    ///
+    /// # Errors
+    /// [`WriteError`] says whether the record is certainly not written.
+    pub async fn write(&self, record: Record, timeout: Duration) -> Result<Settled, WriteError> {
+        let ticket = self.enqueue(record)?;
+        ticket.settled(Instant::now() + timeout).await
+    }
+
+    /// Writes records that belong together, in one batch where it has room, and waits for each.
+    pub async fn write_all(
+        &self,
+        records: Vec<Record>,
+        timeout: Duration,
+    ) -> Vec<Result<Settled, WriteError>> {
+        let deadline = Instant::now() + timeout;
+        let tickets: Vec<_> = records.into_iter().map(|record| self.enqueue(record)).collect();
+        let mut results = Vec::with_capacity(tickets.len());
+        for ticket in tickets {
+            results.push(match ticket {
+                Err(error) => Err(error),
+                Ok(ticket) => ticket.settled(deadline).await,
+            });
+        }
+        results
+    }
+
+    fn enqueue(&self, record: Record) -> Result<WriteTicket, WriteError> {
+        let (answer, receiver) = oneshot::channel();
+        let stage = Arc::new(AtomicU8::new(QUEUED));
+        let request = WriteRequest { record, stage: Arc::clone(&stage), answer };
+        self.sender.try_send(request).map_err(|_| WriteError::QueueFull)?;
+        Ok(WriteTicket { stage, receiver })
+    }
+
+    /// Tells the writers of a batch what it did.
+    pub fn settle(&self, offset: u64, batch: &Batch, report: &BatchReport) {
+        if batch.writer != self.incarnation {
+            return;
+        }
+        let mut answers = lock(&self.answers);
+        for (index, result) in report.results.iter().enumerate() {
+            let id = RecordId { writer: batch.writer, sequence: batch.sequence, index };
+            if let Some(answer) = answers.remove(&id) {
+                let _ = answer.send(Settled { offset, result: result.clone() });
+            }
+        }
+    }
+}
+
+/// A record on its way.
+struct WriteTicket {
+    stage: Arc<AtomicU8>,
+    receiver: oneshot::Receiver<Settled>,
+}
+
+impl WriteTicket {
+    async fn settled(self, deadline: Instant) -> Result<Settled, WriteError> {
+        if let Ok(Ok(settled)) = tokio::time::timeout_at(deadline, self.receiver).await {
+            return Ok(settled);
+        }
+        let is_unsent = self
+            .stage
+            .compare_exchange(QUEUED, ABANDONED, Ordering::AcqRel, Ordering::Acquire)
+            .is_ok();
+        Err(if is_unsent { WriteError::NotWritten } else { WriteError::Unknown })
+    }
+}
+
+struct WriterTask {
+    store: Arc<dyn LogStore>,
+    receiver: mpsc::Receiver<WriteRequest>,
+    answers: Arc<Mutex<AnswerTable>>,
+    appends: Arc<AtomicU64>,
+    incarnation: u64,
+    sequence: u64,
+    wall_clock: Box<dyn Fn() -> u64 + Send>,
+}
+
+impl WriterTask {
+    async fn run(mut self) {
+        let mut carried = Vec::new();
+        let mut backoff = Backoff::default();
+        while let Some(requests) = self.next_requests(carried).await {
+            carried = self.append(requests, &mut backoff).await;
+        }
+    }
+
+    /// Requests to append now; nothing once every handle is gone.
+    async fn next_requests(&mut self, carried: Vec<WriteRequest>) -> Option<Vec<WriteRequest>> {
+        let mut requests = carried;
+        while requests.is_empty() {
+            requests.push(self.receiver.recv().await?);
+            while requests.len() < BATCH_RECORDS {
+                let Ok(request) = self.receiver.try_recv() else { break };
+                requests.push(request);
+            }
+            requests.retain(|request| request.advance(QUEUED, SENT));
+        }
+        Some(requests)
+    }
+
+    /// Appends one batch and gives back the requests that are to be tried in another.
+    async fn append(
+        &mut self,
+        requests: Vec<WriteRequest>,
+        backoff: &mut Backoff,
+    ) -> Vec<WriteRequest> {
+        let batch = Batch {
+            writer: self.incarnation,
+            sequence: self.sequence + 1,
+            at_ms: (self.wall_clock)(),
+            records: requests.iter().map(|request| request.record.clone()).collect(),
+        };
+        let body = match codec::encode(&batch) {
+            Err(error) => {
+                log::error!("{} records are dropped: {error}", requests.len());
+                return Vec::new();
+            }
+            Ok(body) => Bytes::from(body),
+        };
+        let tickets = self.register(batch.sequence, requests);
+        let mut is_certain = true;
+        loop {
+            match self.store.append(LogStream::Records, body.clone()).await {
+                Err(LogError::Uncertain { reason }) => {
+                    log::warn!("append {} is uncertain: {reason}", batch.sequence);
+                    is_certain = false;
+                }
+                Err(error) => {
+                    log::warn!("append {} was refused: {error}", batch.sequence);
+                    if is_certain {
+                        let requests = self.unregister(batch, tickets);
+                        backoff.wait().await;
+                        return resend(requests);
+                    }
+                }
+                Ok(_) => {
+                    self.appends.fetch_add(1, Ordering::Relaxed);
+                    self.sequence = batch.sequence;
+                    backoff.reset();
+                    return Vec::new();
+                }
+            }
+            backoff.wait().await;
+        }
+    }
+
+    /// Expects the answers of a batch before it is sent, since the tail may see it first.
+    fn register(&self, sequence: u64, requests: Vec<WriteRequest>) -> Vec<Arc<AtomicU8>> {
+        let mut answers = lock(&self.answers);
+        answers.retain(|_, answer| !answer.is_closed());
+        let mut tickets = Vec::with_capacity(requests.len());
+        for (index, request) in requests.into_iter().enumerate() {
+            let id = RecordId { writer: self.incarnation, sequence, index };
+            answers.insert(id, request.answer);
+            tickets.push(request.stage);
+        }
+        tickets
+    }
+
+    /// Takes back a batch that was certainly refused; callers may abandon its records.
+    fn unregister(&self, batch: Batch, tickets: Vec<Arc<AtomicU8>>) -> Vec<WriteRequest> {
+        let mut answers = lock(&self.answers);
+        let mut requests = Vec::new();
+        for (index, (record, stage)) in batch.records.into_iter().zip(tickets).enumerate() {
+            let id = RecordId { writer: batch.writer, sequence: batch.sequence, index };
+            if let Some(answer) = answers.remove(&id) {
+                let request = WriteRequest { record, stage, answer };
+                request.advance(SENT, QUEUED);
+                requests.push(request);
+            }
+        }
+        requests
+    }
+}
+
+/// Requests that nobody abandoned meanwhile.
+fn resend(mut requests: Vec<WriteRequest>) -> Vec<WriteRequest> {
+    requests.retain(|request| request.advance(QUEUED, SENT));
+    requests
+}
+
+/// Capped exponential waits with full jitter.
+#[derive(Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    async fn wait(&mut self) {
+        let limit_ms = (BACKOFF_BASE_MS << self.failures.min(10)).min(BACKOFF_CAP_MS);
+        self.failures = self.failures.saturating_add(1);
+        let wait_ms = rand::rng().random_range(limit_ms / 2..=limit_ms);
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+
+    fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/ledger/src/pack.rs
@@ -0,0 +1,203 @@
+//! Packing a shape's members into what workers offer, as close together as the span asks.
+
+use std::cmp::Reverse;
+
+use cuminbarrow_model::accelerator_set::AcceleratorSet;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::DataCentreKey;
+use cuminbarrow_model::keys::RackKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::shape::Shape;
+use cuminbarrow_model::shape::Span;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a worker offers to a shape.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Offer {
+    /// Amounts offered.
+    pub free: Resources,
+    /// Accelerators offered.
+    pub accelerators: AcceleratorSet,
+}
+
+impl Offer {
+    /// Takes one member off the offer and gives its accelerators.
+    pub fn take(&mut self, each: &Resources) -> Option<AcceleratorSet> {
+        if !self.free.covers(each) {
+            return None;
+        }
+        let run = self.accelerators.adjacent_run(each.accelerators)?;
+        self.free = self.free.minus(each);
+        self.accelerators = self.accelerators.difference(run);
+        Some(run)
+    }
+
+    /// How many members fit, up to `limit`.
+    fn members(mut self, each: &Resources, limit: usize) -> usize {
+        (0..limit).take_while(|_| self.take(each).is_some()).count()
+    }
+}
+
+/// A rack with its workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RackState {
+    /// Data centre of the rack.
+    pub data_centre: DataCentreKey,
+    /// Workers, in the order in which they joined.
+    pub workers: Vec<WorkerKey>,
+}
+
+/// Room for a shape in one worker.
+#[derive(Clone, Copy)]
+struct WorkerRoom {
+    worker: WorkerKey,
+    offer: Offer,
+    members: usize,
+}
+
+/// Room for a shape in one rack.
+struct RackRoom {
+    rack: RackKey,
+    data_centre: DataCentreKey,
+    members: usize,
+    workers: Vec<WorkerRoom>,
+}
+
+/// Finds members for a whole shape, or nothing.
+///
+/// `offer` gives what a worker offers, or nothing when it is not to be used. Among the places
+/// that hold the shape the one with the least room left over is taken, so that large rooms stay
+/// whole; a data centre's shape takes as few racks as it can.
+pub fn pack<O>(racks: &[RackState], shape: &Shape, offer: O) -> Option<Vec<Member>>
+where
+    O: Fn(WorkerKey) -> Option<Offer>,
+{
+    let rooms = rack_rooms(racks, shape, offer);
+    match shape.span {
+        Span::DataCentre => pack_data_centre(rooms, shape),
+        Span::Rack => pack_rack(rooms, shape),
+        Span::Worker => pack_worker(&rooms, shape),
+    }
+}
+
+fn rack_rooms<O>(racks: &[RackState], shape: &Shape, offer: O) -> Vec<RackRoom>
+where
+    O: Fn(WorkerKey) -> Option<Offer>,
+{
+    let limit = usize::from(shape.members);
+    let mut rooms = Vec::new();
+    for (index, rack) in racks.iter().enumerate() {
+        let workers: Vec<WorkerRoom> = rack
+            .workers
+            .iter()
+            .filter_map(|&worker| {
+                let offer = offer(worker)?;
+                let members = offer.members(&shape.per_member, limit);
+                (members > 0).then_some(WorkerRoom { worker, offer, members })
+            })
+            .collect();
+        let members = workers.iter().map(|room| room.members).sum();
+        if members > 0 {
+            let rack_key = RackKey(u16::try_from(index).unwrap_or(u16::MAX));
+            rooms.push(RackRoom {
+                rack: rack_key,
+                data_centre: rack.data_centre,
+                members,
+                workers,
+            });
+        }
+    }
+    rooms
+}
+
+/// Accelerators left over first, then cores: the worker with the least of both is the tightest.
+fn tightness(room: &WorkerRoom) -> (u8, u16) {
+    (room.offer.accelerators.count(), room.offer.free.cores)
+}
+
+fn pack_worker(rooms: &[RackRoom], shape: &Shape) -> Option<Vec<Member>> {
+    let wanted = usize::from(shape.members);
+    let tightest = rooms
+        .iter()
+        .flat_map(|rack| &rack.workers)
+        .filter(|room| room.members >= wanted)
+        .min_by_key(|room| tightness(room))?;
+    let mut members = Vec::with_capacity(wanted);
+    fill_worker(tightest, shape, &mut members);
+    Some(members)
+}
+
+fn pack_rack(rooms: Vec<RackRoom>, shape: &Shape) -> Option<Vec<Member>> {
+    let wanted = usize::from(shape.members);
+    let tightest = rooms
+        .into_iter()
+        .filter(|rack| rack.members >= wanted)
+        .min_by_key(|rack| (rack_accelerators(rack), rack.members))?;
+    let mut members = Vec::with_capacity(wanted);
+    fill_rack(tightest, shape, &mut members);
+    Some(members)
+}
+
+fn rack_accelerators(rack: &RackRoom) -> u32 {
+    rack.workers.iter().map(|room| u32::from(room.offer.accelerators.count())).sum()
+}
+
+fn pack_data_centre(rooms: Vec<RackRoom>, shape: &Shape) -> Option<Vec<Member>> {
+    let wanted = usize::from(shape.members);
+    let mut totals: Vec<(DataCentreKey, usize)> = Vec::new();
+    for rack in &rooms {
+        match totals.iter_mut().find(|(key, _)| *key == rack.data_centre) {
+            None => totals.push((rack.data_centre, rack.members)),
+            Some((_, total)) => *total += rack.members,
+        }
+    }
+    let (data_centre, _) =
+        totals.into_iter().filter(|(_, total)| *total >= wanted).min_by_key(|(_, total)| *total)?;
+    let mut racks: Vec<RackRoom> =
+        rooms.into_iter().filter(|rack| rack.data_centre == data_centre).collect();
+    let mut members = Vec::with_capacity(wanted);
+    while members.len() < wanted {
+        let rest = wanted - members.len();
+        let rack = racks.swap_remove(next_rack(&racks, rest)?);
+        fill_rack(rack, shape, &mut members);
+    }
+    Some(members)
+}
+
+/// The tightest rack that holds the rest, else the roomiest.
+fn next_rack(racks: &[RackRoom], rest: usize) -> Option<usize> {
+    let indices = 0..racks.len();
+    let holds_rest = indices
+        .clone()
+        .filter(|&index| racks[index].members >= rest)
+        .min_by_key(|&index| (racks[index].members, racks[index].rack));
+    holds_rest
+        .or_else(|| indices.max_by_key(|&index| (racks[index].members, Reverse(racks[index].rack))))
+}
+
+/// Fills a rack's workers: the tightest one that holds the rest, else the roomiest.
+fn fill_rack(mut rack: RackRoom, shape: &Shape, members: &mut Vec<Member>) {
+    let wanted = usize::from(shape.members);
+    while members.len() < wanted && !rack.workers.is_empty() {
+        let rest = wanted - members.len();
+        let indices = 0..rack.workers.len();
+        let holds_rest = indices
+            .clone()
+            .filter(|&index| rack.workers[index].members >= rest)
+            .min_by_key(|&index| tightness(&rack.workers[index]));
+        let roomiest = indices.max_by_key(|&index| rack.workers[index].members);
+        let Some(index) = holds_rest.or(roomiest) else { return };
+        let room = rack.workers.swap_remove(index);
+        fill_worker(&room, shape, members);
+    }
+}
+
+fn fill_worker(room: &WorkerRoom, shape: &Shape, members: &mut Vec<Member>) {
+    let mut offer = room.offer;
+    while members.len() < usize::from(shape.members) {
+        let Some(accelerators) = offer.take(&shape.per_member) else { return };
+        members.push(Member { worker: room.worker, accelerators });
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/promise.rs
@@ -0,0 +1,130 @@
+//! What must hold at every offset, checked without regard to how it came about.
+
+use cuminbarrow_model::accelerator_set::AcceleratorSet;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::ReservationKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::resources::Resources;
+use snafu::Snafu;
+
+use crate::job_state::JobState;
+use crate::state::State;
+use crate::worker_state::WorkerState;
+
+/// A promise that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum BrokenPromise {
+    /// A placed job does not have all its members.
+    #[snafu(display("job {job} runs without some of its members"))]
+    PartOfGang {
+        /// The job.
+        job: JobKey,
+    },
+    /// The members of a reservation are on a worker that can't be used.
+    #[snafu(display("reservation {reservation} is held on worker {worker}, which is closed"))]
+    ReservedOnClosedWorker {
+        /// The reservation.
+        reservation: ReservationKey,
+        /// The worker.
+        worker: WorkerKey,
+    },
+    /// Work that can't be preempted is in the way of a reservation.
+    #[snafu(display("on worker {worker} a reservation can't be reclaimed"))]
+    Unobtainable {
+        /// The worker.
+        worker: WorkerKey,
+    },
+    /// More is in use on a worker than it has, or than the jobs placed there take.
+    #[snafu(display("worker {worker} does not account for what is used there"))]
+    WrongUse {
+        /// The worker.
+        worker: WorkerKey,
+    },
+}
+
+impl WorkerState {
+    /// Whether every team's reservations here can be had by stopping preemptible work of others.
+    pub fn keeps_promises(&self) -> bool {
+        let mut kept = Resources::default();
+        for hold in &self.holds {
+            let others = self.holds.iter().filter(|other| other.team != hold.team);
+            let is_crossed = others
+                .map(|other| other.firm_accelerators.union(other.reserved_accelerators))
+                .any(|held| !held.intersection(hold.reserved_accelerators).is_empty());
+            if is_crossed {
+                return false;
+            }
+            kept = kept.plus(&hold.kept());
+        }
+        self.spec.capacity.covers(&kept)
+    }
+}
+
+impl State {
+    /// Every promise that does not hold now; empty at every offset.
+    pub fn broken_promises(&self) -> Vec<BrokenPromise> {
+        let mut broken = Vec::new();
+        self.check_gangs(&mut broken);
+        self.check_reservations(&mut broken);
+        self.check_workers(&mut broken);
+        broken
+    }
+
+    fn check_gangs(&self, broken: &mut Vec<BrokenPromise>) {
+        for (key, job) in &self.jobs {
+            let Some(placement) = job.placement() else { continue };
+            if placement.members.len() != usize::from(job.spec.shape.members) {
+                broken.push(BrokenPromise::PartOfGang { job: *key });
+            }
+        }
+    }
+
+    fn check_reservations(&self, broken: &mut Vec<BrokenPromise>) {
+        for (key, reservation) in &self.reservations {
+            for member in reservation.members.iter().flatten() {
+                if !self.worker(member.worker).is_some_and(WorkerState::takes_reservations) {
+                    broken.push(BrokenPromise::ReservedOnClosedWorker {
+                        reservation: *key,
+                        worker: member.worker,
+                    });
+                }
+            }
+        }
+    }
+
+    fn check_workers(&self, broken: &mut Vec<BrokenPromise>) {
+        let mut sums = vec![(Resources::default(), AcceleratorSet::EMPTY); self.workers.len()];
+        let mut is_overlapped = vec![false; self.workers.len()];
+        for job in self.placed.iter().filter_map(|key| self.jobs.get(key)) {
+            add_members(job, &mut sums, &mut is_overlapped);
+        }
+        for (key, worker) in self.workers() {
+            let index = usize::from(key.0);
+            let (used, accelerators) = sums[index];
+            let is_right = used == worker.used
+                && accelerators == worker.used_accelerators
+                && worker.spec.capacity.covers(&used)
+                && !is_overlapped[index];
+            if !is_right {
+                broken.push(BrokenPromise::WrongUse { worker: key });
+            }
+            if !worker.keeps_promises() {
+                broken.push(BrokenPromise::Unobtainable { worker: key });
+            }
+        }
+    }
+}
+
+fn add_members(
+    job: &JobState,
+    sums: &mut [(Resources, AcceleratorSet)],
+    is_overlapped: &mut [bool],
+) {
+    for member in job.placement().iter().flat_map(|placement| &placement.members) {
+        let index = usize::from(member.worker.0);
+        let (used, accelerators) = &mut sums[index];
+        *used = used.plus(&job.spec.shape.per_member);
+        is_overlapped[index] |= !accelerators.intersection(member.accelerators).is_empty();
+        *accelerators = accelerators.union(member.accelerators);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/snapshot.rs
@@ -0,0 +1,155 @@
+//! Snapshots: the state as of an offset, in checksummed chunks on a stream of their own.
+
+use bytes::Bytes;
+use cuminbarrow_platform::log_store::LogError;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::codec;
+use crate::codec::CodecError;
+use crate::state::State;
+
+/// Largest chunk, in bytes.
+const CHUNK_BYTES: usize = 256 * 1024;
+/// Chunks read at once.
+const READ_LIMIT: u32 = 64;
+
+/// Why a snapshot could not be written or read.
+#[derive(Debug, Snafu)]
+pub enum SnapshotError {
+    /// The state or a chunk has no such form.
+    #[snafu(display("the snapshot can't be encoded: {source}"))]
+    Codec {
+        /// Cause.
+        source: CodecError,
+    },
+    /// The log service did not do as asked.
+    #[snafu(display("the snapshot stream: {source}"))]
+    Log {
+        /// Cause.
+        source: LogError,
+    },
+}
+
+/// One chunk of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SnapshotChunk {
+    /// Instance that wrote the snapshot.
+    writer: u64,
+    /// Offset of the first record that the snapshot does not cover.
+    offset: u64,
+    /// Place of this chunk.
+    index: u32,
+    /// Number of chunks.
+    count: u32,
+    /// CRC-32 of the whole snapshot.
+    checksum: u32,
+    /// Bytes of this chunk.
+    body: Vec<u8>,
+}
+
+/// Chunks of one snapshot, gathered while reading.
+struct Gathering {
+    first: SnapshotChunk,
+    bodies: Vec<Vec<u8>>,
+}
+
+impl Gathering {
+    fn is_next(&self, chunk: &SnapshotChunk) -> bool {
+        let first = &self.first;
+        (chunk.writer, chunk.offset, chunk.checksum) == (first.writer, first.offset, first.checksum)
+            && chunk.index as usize == self.bodies.len()
+    }
+
+    fn finish(&self) -> Option<State> {
+        if self.bodies.len() != self.first.count as usize {
+            return None;
+        }
+        let bytes = self.bodies.concat();
+        if crc32fast::hash(&bytes) != self.first.checksum {
+            log::error!("snapshot of offset {} fails its checksum", self.first.offset);
+            return None;
+        }
+        match codec::decode::<State>(&bytes) {
+            Err(error) => {
+                log::error!("snapshot of offset {} is passed over: {error}", self.first.offset);
+                None
+            }
+            Ok(state) => Some(state),
+        }
+    }
+}
+
+/// Appends the state as a snapshot and gives its size in bytes.
+///
+/// # Errors
+/// [`SnapshotError`]; a snapshot broken off is passed over by readers.
+pub async fn write_snapshot(
+    store: &dyn LogStore,
+    writer: u64,
+    state: &State,
+) -> Result<usize, SnapshotError> {
+    let bytes = codec::encode(state).context(CodecSnafu)?;
+    let checksum = crc32fast::hash(&bytes);
+    let count = u32::try_from(bytes.chunks(CHUNK_BYTES).count()).unwrap_or(u32::MAX);
+    for (index, body) in bytes.chunks(CHUNK_BYTES).enumerate() {
+        let index = u32::try_from(index).unwrap_or(u32::MAX);
+        let offset = state.offset;
+        let chunk = SnapshotChunk { writer, offset, index, count, checksum, body: body.to_vec() };
+        let body = codec::encode(&chunk).context(CodecSnafu)?;
+        store.append(LogStream::Snapshots, Bytes::from(body)).await.context(LogSnafu)?;
+    }
+    Ok(bytes.len())
+}
+
+/// The latest whole snapshot on the stream; one that fails its checksum is passed over.
+///
+/// # Errors
+/// [`SnapshotError::Log`] when the stream can't be read.
+pub async fn read_latest(store: &dyn LogStore) -> Result<Option<State>, SnapshotError> {
+    let mut latest: Option<State> = None;
+    let mut gathering: Option<Gathering> = None;
+    let mut from = 0;
+    loop {
+        let page = match store.read(LogStream::Snapshots, from, READ_LIMIT, 0).await {
+            Err(LogError::Expired { oldest }) => {
+                from = oldest;
+                continue;
+            }
+            Err(source) => return Err(SnapshotError::Log { source }),
+            Ok(page) => page,
+        };
+        if page.entries.is_empty() {
+            return Ok(latest);
+        }
+        from = page.first + page.entries.len() as u64;
+        for body in &page.entries {
+            let Ok(chunk) = codec::decode::<SnapshotChunk>(body) else { continue };
+            gathering = gather(gathering, chunk);
+            let state = gathering.as_ref().and_then(Gathering::finish);
+            let is_newer =
+                |state: &State| latest.as_ref().is_none_or(|known| state.offset >= known.offset);
+            if let Some(state) = state.filter(is_newer) {
+                latest = Some(state);
+            }
+        }
+    }
+}
+
+fn gather(gathering: Option<Gathering>, chunk: SnapshotChunk) -> Option<Gathering> {
+    match gathering {
+        Some(mut gathering) if gathering.is_next(&chunk) => {
+            gathering.bodies.push(chunk.body);
+            Some(gathering)
+        }
+        _ if chunk.index == 0 => {
+            let bodies = vec![chunk.body.clone()];
+            Some(Gathering { first: chunk, bodies })
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/worker_state.rs
@@ -0,0 +1,184 @@
+//! A worker as the log knows it, with what is used, reserved and offered there.
+
+use std::collections::BTreeSet;
+
+use cuminbarrow_model::accelerator_set::AcceleratorSet;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::RackKey;
+use cuminbarrow_model::keys::TeamKey;
+use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::worker::WorkerSpec;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::pack::Offer;
+use crate::team_hold::TeamHold;
+
+/// Whether a worker takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkerStatus {
+    /// Takes no new work; running work goes on.
+    Draining,
+    /// Left on its own accord.
+    Left,
+    /// Its agent is not heard from.
+    Lost,
+    /// Takes work.
+    Up,
+}
+
+/// A worker as the log knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerState {
+    /// What it announced.
+    pub spec: WorkerSpec,
+    /// Its rack.
+    pub rack: RackKey,
+    /// Incarnation of its agent.
+    pub incarnation: u64,
+    /// Session of its agent.
+    pub session: u32,
+    /// Entry instance that its agent is connected to.
+    pub entry: u64,
+    /// Whether it takes work.
+    pub status: WorkerStatus,
+    /// What placed attempts take.
+    pub used: Resources,
+    /// Accelerators of those.
+    pub used_accelerators: AcceleratorSet,
+    /// Attempts with a member here.
+    pub attempts: BTreeSet<AttemptKey>,
+    /// What teams hold here, by team.
+    pub holds: Vec<TeamHold>,
+    /// Distinct jobs that failed here since the last success.
+    pub failed_jobs: BTreeSet<JobKey>,
+    /// Since when the worker is quarantined, in ms since the Unix epoch.
+    pub quarantined_ms: Option<u64>,
+}
+
+impl WorkerState {
+    /// Whether new work may be placed here, quarantine aside.
+    pub fn is_open(&self) -> bool {
+        self.status == WorkerStatus::Up
+    }
+
+    /// Whether reservations may be held here.
+    pub fn takes_reservations(&self) -> bool {
+        self.is_open() && self.quarantined_ms.is_none()
+    }
+
+    /// Whether the worker counts towards what the deployment has.
+    pub fn is_known(&self) -> bool {
+        self.status != WorkerStatus::Left
+    }
+
+    /// Accelerators that the worker has.
+    pub fn accelerators(&self) -> AcceleratorSet {
+        AcceleratorSet::first(self.spec.capacity.accelerators)
+    }
+
+    /// What no placed attempt takes.
+    pub fn free_offer(&self) -> Offer {
+        Offer {
+            free: self.spec.capacity.minus(&self.used),
+            accelerators: self.accelerators().difference(self.used_accelerators),
+        }
+    }
+
+    /// What is neither used nor reserved for a team other than `team`.
+    pub fn unreserved_offer(&self, team: TeamKey) -> Offer {
+        let mut offer = self.free_offer();
+        let mut kept = Resources::default();
+        for hold in self.holds.iter().filter(|hold| hold.team != team) {
+            kept = kept.plus(&hold.kept().minus(&hold.firm));
+            offer.accelerators = offer.accelerators.difference(hold.reserved_accelerators);
+        }
+        offer.free = offer.free.minus(&kept);
+        offer
+    }
+
+    /// What `team` may take for firm work without harm to any other team's reservation.
+    pub fn firm_offer(&self, team: TeamKey) -> Offer {
+        let mut offer = self.free_offer();
+        let mut taken = Resources::default();
+        for hold in &self.holds {
+            if hold.team == team {
+                taken = taken.plus(&hold.firm);
+                continue;
+            }
+            taken = taken.plus(&hold.kept());
+            offer.accelerators = offer.accelerators.difference(hold.reserved_accelerators);
+        }
+        offer.free = minimum(&offer.free, &self.spec.capacity.minus(&taken));
+        offer
+    }
+
+    /// What a new reservation may take: capacity less everything kept for any team.
+    pub fn reservable_offer(&self) -> Offer {
+        let mut offer = Offer { free: self.spec.capacity, accelerators: self.accelerators() };
+        for hold in &self.holds {
+            offer.free = offer.free.minus(&hold.kept());
+            offer.accelerators = offer
+                .accelerators
+                .difference(hold.reserved_accelerators.union(hold.firm_accelerators));
+        }
+        offer
+    }
+
+    /// The hold of a team, made when there is none.
+    pub(crate) fn hold_mut(&mut self, team: TeamKey) -> &mut TeamHold {
+        let index = match self.holds.binary_search_by_key(&team, |hold| hold.team) {
+            Err(index) => {
+                self.holds.insert(index, TeamHold { team, ..TeamHold::default() });
+                index
+            }
+            Ok(index) => index,
+        };
+        &mut self.holds[index]
+    }
+
+    pub(crate) fn take(&mut self, attempt: AttemptKey, member: &Member, each: &Resources) {
+        self.used = self.used.plus(each);
+        self.used_accelerators = self.used_accelerators.union(member.accelerators);
+        self.attempts.insert(attempt);
+    }
+
+    pub(crate) fn give_back(&mut self, attempt: AttemptKey, member: &Member, each: &Resources) {
+        self.used = self.used.minus(each);
+        self.used_accelerators = self.used_accelerators.difference(member.accelerators);
+        self.attempts.remove(&attempt);
+    }
+
+    pub(crate) fn take_firm(&mut self, team: TeamKey, member: &Member, each: &Resources) {
+        let hold = self.hold_mut(team);
+        hold.firm = hold.firm.plus(each);
+        hold.firm_accelerators = hold.firm_accelerators.union(member.accelerators);
+    }
+
+    pub(crate) fn give_back_firm(&mut self, team: TeamKey, member: &Member, each: &Resources) {
+        let hold = self.hold_mut(team);
+        hold.firm = hold.firm.minus(each);
+        hold.firm_accelerators = hold.firm_accelerators.difference(member.accelerators);
+        self.holds.retain(|hold| !hold.is_empty());
+    }
+
+    pub(crate) fn reserve(&mut self, team: TeamKey, member: &Member, each: &Resources) {
+        let hold = self.hold_mut(team);
+        hold.reserved = hold.reserved.plus(each);
+        hold.reserved_accelerators = hold.reserved_accelerators.union(member.accelerators);
+    }
+
+    pub(crate) fn unreserve(&mut self, team: TeamKey, member: &Member, each: &Resources) {
+        let hold = self.hold_mut(team);
+        hold.reserved = hold.reserved.minus(each);
+        hold.reserved_accelerators = hold.reserved_accelerators.difference(member.accelerators);
+        self.holds.retain(|hold| !hold.is_empty());
+    }
+}
+
+fn minimum(left: &Resources, right: &Resources) -> Resources {
+    left.minus(&left.minus(right))
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/model/src/accelerator_set.rs
@@ -0,0 +1,73 @@
+//! A set of accelerator indices on one worker.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Accelerator indices of one worker as a bit set; index 0 is the lowest bit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AcceleratorSet(pub u32);
+
+impl AcceleratorSet {
+    /// No accelerators.
+    pub const EMPTY: Self = Self(0);
+
+    /// The first `count` indices; at most 32.
+    pub fn first(count: u8) -> Self {
+        if count >= 32 { Self(u32::MAX) } else { Self((1 << count) - 1) }
+    }
+
+    /// Number of accelerators in the set.
+    pub fn count(self) -> u8 {
+        u8::try_from(self.0.count_ones()).unwrap_or(u8::MAX)
+    }
+
+    /// Whether the set is empty.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// Indices in both sets.
+    pub fn intersection(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// Indices in either set.
+    pub fn union(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// Indices in this set and not in the other.
+    pub fn difference(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
+    /// Whether every index of `other` is in this set.
+    pub fn contains(self, other: Self) -> bool {
+        other.difference(self).is_empty()
+    }
+
+    /// The tightest run of `count` adjacent indices: the one in the shortest free run that holds
+    /// it, so that long runs stay whole.
+    pub fn adjacent_run(self, count: u8) -> Option<Self> {
+        if count == 0 {
+            return Some(Self::EMPTY);
+        }
+        let mut best: Option<(u32, u32)> = None;
+        let mut rest = self.0;
+        let mut base = 0;
+        while rest != 0 {
+            let skipped = rest.trailing_zeros();
+            base += skipped;
+            rest >>= skipped;
+            let length = rest.trailing_ones();
+            let is_better = best.is_none_or(|(_, shortest)| length < shortest);
+            if length >= u32::from(count) && is_better {
+                best = Some((base, length));
+            }
+            base += length;
+            rest = rest.checked_shr(length).unwrap_or(0);
+        }
+        best.map(|(start, _)| Self(Self::first(count).0 << start))
+    }
+}
--- /dev/null
+++ b/crates/model/src/resources.rs
@@ -0,0 +1,60 @@
+//! Amounts of everything a task takes on a worker.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Amounts of resources: a worker's capacity, or what one member of a shape takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor cores.
+    pub cores: u16,
+    /// Memory in GiB.
+    pub memory_gib: u16,
+    /// Accelerators.
+    pub accelerators: u8,
+    /// Task slots.
+    pub slots: u8,
+    /// Connections to the backend server.
+    pub connections: u8,
+}
+
+impl Resources {
+    /// Whether `other` fits within these amounts.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.cores >= other.cores
+            && self.memory_gib >= other.memory_gib
+            && self.accelerators >= other.accelerators
+            && self.slots >= other.slots
+            && self.connections >= other.connections
+    }
+
+    /// Sum of both, saturating.
+    pub fn plus(&self, other: &Self) -> Self {
+        self.combine(other, u16::saturating_add, u8::saturating_add)
+    }
+
+    /// These amounts less the other, saturating at zero.
+    pub fn minus(&self, other: &Self) -> Self {
+        self.combine(other, u16::saturating_sub, u8::saturating_sub)
+    }
+
+    /// The larger of both in each resource.
+    pub fn max(&self, other: &Self) -> Self {
+        self.combine(other, u16::max, u8::max)
+    }
+
+    fn combine<W, N>(&self, other: &Self, wide: W, narrow: N) -> Self
+    where
+        W: Fn(u16, u16) -> u16,
+        N: Fn(u8, u8) -> u8,
+    {
+        Self {
+            cores: wide(self.cores, other.cores),
+            memory_gib: wide(self.memory_gib, other.memory_gib),
+            accelerators: narrow(self.accelerators, other.accelerators),
+            slots: narrow(self.slots, other.slots),
+            connections: narrow(self.connections, other.connections),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log_store.rs
@@ -0,0 +1,88 @@
+//! The platform's append-only log service.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// A stream of the log service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogStream {
+    /// Every decision and instruction, in order.
+    Records,
+    /// Chunks of the state as of some offset of the records.
+    Snapshots,
+}
+
+impl LogStream {
+    /// Name of the stream at the log service.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Records => "records",
+            Self::Snapshots => "snapshots",
+        }
+    }
+}
+
+/// Consecutive entries of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogPage {
+    /// Oldest offset that the service still keeps.
+    pub oldest: u64,
+    /// Offset that the next append will get.
+    pub next: u64,
+    /// Offset of the first entry below.
+    pub first: u64,
+    /// Bodies of the entries.
+    pub entries: Vec<Vec<u8>>,
+}
+
+/// Why the log service did not answer as asked.
+#[derive(Clone, Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum LogError {
+    /// The offset asked for is no longer kept.
+    #[snafu(display("the log keeps no records before offset {oldest}"))]
+    Expired {
+        /// Oldest offset kept.
+        oldest: u64,
+    },
+    /// The service refused; nothing was appended.
+    #[snafu(display("the log is unavailable: {reason}"))]
+    Unavailable {
+        /// What was seen.
+        reason: String,
+    },
+    /// The answer was lost; the append may have taken effect.
+    #[snafu(display("no answer from the log: {reason}"))]
+    Uncertain {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// Client of the log service.
+#[async_trait]
+pub trait LogStore: Send + Sync {
+    /// Appends one entry and gives its offset.
+    ///
+    /// # Errors
+    /// [`LogError::Unavailable`] when nothing was appended, [`LogError::Uncertain`] when that is
+    /// not known.
+    async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError>;
+
+    /// Reads up to `limit` entries from offset `from`, waiting up to `wait_ms` for the first.
+    ///
+    /// # Errors
+    /// [`LogError::Expired`] when `from` is below the oldest offset kept.
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<LogPage, LogError>;
+}
--- /dev/null
+++ b/crates/policy/src/first_fit.rs
@@ -0,0 +1,160 @@
+//! The baseline: first come, first served, at the first place that fits. Nothing is lent.
+
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_ledger::pack::RackState;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::DataCentreKey;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::ReservationKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::shape::Shape;
+use cuminbarrow_model::shape::Span;
+
+use crate::placement_policy::Decision;
+use crate::placement_policy::PlaceReason;
+use crate::placement_policy::PlacementPolicy;
+use crate::placement_policy::Plan;
+use crate::placement_policy::WaitNote;
+use crate::placement_policy::WaitReason;
+use crate::room_overlay::RoomOverlay;
+
+/// First come, first served, at the first place that fits.
+#[derive(Debug, Default)]
+pub struct FirstFit;
+
+impl PlacementPolicy for FirstFit {
+    fn name(&self) -> &'static str {
+        "first_fit"
+    }
+
+    fn plan(&mut self, state: &State, now_ms: u64) -> Plan {
+        let mut plan = Plan::default();
+        let mut round = Round { state, overlay: RoomOverlay::default(), used: Vec::new() };
+        let mut misfits: Vec<(Shape, cuminbarrow_model::keys::TeamKey)> = Vec::new();
+        for &key in &state.pending {
+            if plan.is_full() {
+                break;
+            }
+            let Some(job) = state.jobs.get(&key) else { continue };
+            if job.not_before_ms > now_ms {
+                plan.waits.push(WaitNote { job: key, reason: WaitReason::BackingOff });
+                continue;
+            }
+            let misfit = (job.spec.shape, job.team);
+            let decision = if misfits.contains(&misfit) { None } else { round.place(key, job) };
+            match decision {
+                None => {
+                    plan.waits.push(WaitNote { job: key, reason: WaitReason::NoRoom });
+                    if !misfits.contains(&misfit) {
+                        misfits.push(misfit);
+                    }
+                }
+                Some(decision) => plan.decisions.push(decision),
+            }
+        }
+        plan
+    }
+}
+
+struct Round<'a> {
+    state: &'a State,
+    overlay: RoomOverlay,
+    used: Vec<ReservationKey>,
+}
+
+impl Round<'_> {
+    fn place(&mut self, key: JobKey, job: &JobState) -> Option<Decision> {
+        let attempt = AttemptKey { job: key, attempt: job.attempts + 1 };
+        let shape = &job.spec.shape;
+        if let Some((reservation, members)) = self.own_reservation(job) {
+            self.used.push(reservation);
+            self.overlay.take(&members, &shape.per_member);
+            return Some(Decision::Place {
+                attempt,
+                members,
+                reservation: Some(reservation),
+                reason: PlaceReason::OwnReservation,
+            });
+        }
+        let members = first_members(&self.state.racks, shape, |worker| {
+            let state = self.state.worker(worker)?;
+            let is_usable = state.is_open() && self.state.may_probe(worker, job);
+            is_usable.then(|| self.overlay.reduce(worker, state.unreserved_offer(job.team)))
+        })?;
+        self.overlay.take(&members, &shape.per_member);
+        let reason = PlaceReason::Unreserved;
+        Some(Decision::Place { attempt, members, reservation: None, reason })
+    }
+
+    /// An idle reservation of the team that holds the shape and is free of other work.
+    fn own_reservation(&self, job: &JobState) -> Option<(ReservationKey, Vec<Member>)> {
+        let shape = &job.spec.shape;
+        self.state.reservations.iter().find_map(|(key, reservation)| {
+            let is_idle = reservation.team == job.team
+                && reservation.holder.is_none()
+                && !self.used.contains(key)
+                && reservation.shape.holds(shape);
+            let held = reservation.members.as_ref().filter(|_| is_idle)?;
+            let members: Vec<Member> = held
+                .iter()
+                .take(usize::from(shape.members))
+                .filter_map(|member| {
+                    let count = shape.per_member.accelerators;
+                    let accelerators = member.accelerators.adjacent_run(count)?;
+                    Some(Member { worker: member.worker, accelerators })
+                })
+                .collect();
+            self.is_free(&members, shape).then_some((*key, members))
+        })
+    }
+
+    fn is_free(&self, members: &[Member], shape: &Shape) -> bool {
+        members.iter().all(|member| {
+            let Some(worker) = self.state.worker(member.worker) else { return false };
+            let offer = self.overlay.reduce(member.worker, worker.free_offer());
+            offer.free.covers(&shape.per_member) && offer.accelerators.contains(member.accelerators)
+        })
+    }
+}
+
+/// The first members that fit, in the order in which racks and workers joined.
+fn first_members<O>(racks: &[RackState], shape: &Shape, offer: O) -> Option<Vec<Member>>
+where
+    O: Fn(WorkerKey) -> Option<Offer>,
+{
+    let mut groups: Vec<Vec<WorkerKey>> = Vec::new();
+    let mut centres: Vec<DataCentreKey> = Vec::new();
+    for rack in racks {
+        match shape.span {
+            Span::DataCentre => match centres.iter().position(|key| *key == rack.data_centre) {
+                None => {
+                    centres.push(rack.data_centre);
+                    groups.push(rack.workers.clone());
+                }
+                Some(index) => groups[index].extend(&rack.workers),
+            },
+            Span::Rack => groups.push(rack.workers.clone()),
+            Span::Worker => groups.extend(rack.workers.iter().map(|worker| vec![*worker])),
+        }
+    }
+    groups.iter().find_map(|workers| fill(workers, shape, &offer))
+}
+
+fn fill<O>(workers: &[WorkerKey], shape: &Shape, offer: &O) -> Option<Vec<Member>>
+where
+    O: Fn(WorkerKey) -> Option<Offer>,
+{
+    let wanted = usize::from(shape.members);
+    let mut members = Vec::with_capacity(wanted);
+    for &worker in workers {
+        let Some(mut offer) = offer(worker) else { continue };
+        while members.len() < wanted {
+            let Some(accelerators) = offer.take(&shape.per_member) else { break };
+            members.push(Member { worker, accelerators });
+        }
+    }
+    (members.len() == wanted).then_some(members)
+}
--- /dev/null
+++ b/crates/policy/src/room_overlay.rs
@@ -0,0 +1,37 @@
+//! What the decisions of this round have taken already.
+
+use std::collections::BTreeMap;
+
+use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_model::accelerator_set::AcceleratorSet;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::resources::Resources;
+
+/// Room taken by decisions that are not in the state yet.
+#[derive(Debug, Default)]
+pub(crate) struct RoomOverlay {
+    taken: BTreeMap<WorkerKey, (Resources, AcceleratorSet)>,
+}
+
+impl RoomOverlay {
+    /// Notes a placement.
+    pub(crate) fn take(&mut self, members: &[Member], each: &Resources) {
+        for member in members {
+            let (amounts, accelerators) = self.taken.entry(member.worker).or_default();
+            *amounts = amounts.plus(each);
+            *accelerators = accelerators.union(member.accelerators);
+        }
+    }
+
+    /// The offer less what was taken.
+    pub(crate) fn reduce(&self, worker: WorkerKey, offer: Offer) -> Offer {
+        match self.taken.get(&worker) {
+            None => offer,
+            Some((amounts, accelerators)) => Offer {
+                free: offer.free.minus(amounts),
+                accelerators: offer.accelerators.difference(*accelerators),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/link.rs
@@ -0,0 +1,350 @@
+//! Links: one h2 stream both ways, carrying length-prefixed messages.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use h2::RecvStream;
+use h2::SendStream;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use snafu::ensure;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+use crate::byte_counter::ByteCounter;
+use crate::byte_counter::CountedStream;
+use crate::shared_key::SharedKey;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+/// Timeout of the handshake of a link.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// A peer that takes nothing for this long is cut off.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Links accepted at once.
+const MAX_LINKS: usize = 4_096;
+
+/// What a link is for, as its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkKind {
+    /// An agent's link to its entry.
+    Agent,
+    /// Between agents.
+    Gang,
+    /// Between entries.
+    Peer,
+}
+
+impl LinkKind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Agent => "/agent",
+            Self::Gang => "/gang",
+            Self::Peer => "/peer",
+        }
+    }
+
+    fn from_path(path: &str) -> Option<Self> {
+        [Self::Agent, Self::Gang, Self::Peer].into_iter().find(|kind| kind.path() == path)
+    }
+}
+
+/// Why a link failed.
+#[derive(Debug, Snafu)]
+pub enum LinkError {
+    /// The other side closed the link.
+    #[snafu(display("the link was closed"))]
+    Closed,
+    /// The connection could not be made.
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Connect {
+        /// Other side.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A message was not what was expected.
+    #[snafu(display("a message can't be decoded: {source}"))]
+    Decode {
+        /// Cause.
+        source: bincode::error::DecodeError,
+    },
+    /// A message can't be encoded.
+    #[snafu(display("a message can't be encoded: {source}"))]
+    Encode {
+        /// Cause.
+        source: bincode::error::EncodeError,
+    },
+    /// The stream broke.
+    #[snafu(display("the link broke: {source}"))]
+    Http2 {
+        /// Cause.
+        source: h2::Error,
+    },
+    /// A message is too large.
+    #[snafu(display("a message of {length} bytes is larger than {MAX_MESSAGE_BYTES}"))]
+    Oversized {
+        /// Its length.
+        length: usize,
+    },
+    /// The other side did not take the link.
+    #[snafu(display("the link was refused with status {status}"))]
+    Refused {
+        /// HTTP status.
+        status: StatusCode,
+    },
+    /// The other side did not answer, or takes no more.
+    #[snafu(display("the other side of the link does not answer"))]
+    TimedOut,
+}
+
+/// Sends messages of one type.
+pub struct MessageSender<T> {
+    stream: SendStream<Bytes>,
+    kind: PhantomData<fn(T)>,
+}
+
+impl<T> MessageSender<T>
+where
+    T: Serialize,
+{
+    fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream, kind: PhantomData }
+    }
+
+    /// Sends a message; waits for room, but not for long.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the link is broken or the other side takes nothing.
+    pub async fn send(&mut self, message: &T) -> Result<(), LinkError> {
+        let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+            .context(EncodeSnafu)?;
+        ensure!(body.len() <= MAX_MESSAGE_BYTES, OversizedSnafu { length: body.len() });
+        let mut frame = BytesMut::with_capacity(body.len() + 4);
+        frame.put_u32(u32::try_from(body.len()).unwrap_or(u32::MAX));
+        frame.put_slice(&body);
+        let send = self.send_frame(frame.freeze());
+        tokio::time::timeout(SEND_TIMEOUT, send).await.map_err(|_| LinkError::TimedOut)?
+    }
+
+    async fn send_frame(&mut self, mut frame: Bytes) -> Result<(), LinkError> {
+        while !frame.is_empty() {
+            self.stream.reserve_capacity(frame.len());
+            let room = std::future::poll_fn(|context| self.stream.poll_capacity(context)).await;
+            let room = room.context(ClosedSnafu)?.context(Http2Snafu)?;
+            let part = frame.split_to(room.min(frame.len()));
+            self.stream.send_data(part, false).context(Http2Snafu)?;
+        }
+        Ok(())
+    }
+
+    /// Ends this side of the link.
+    pub fn close(mut self) {
+        let _ = self.stream.send_data(Bytes::new(), true);
+    }
+}
+
+/// Receives messages of one type.
+pub struct MessageReceiver<T> {
+    stream: RecvStream,
+    buffer: BytesMut,
+    kind: PhantomData<fn() -> T>,
+}
+
+impl<T> MessageReceiver<T>
+where
+    T: DeserializeOwned,
+{
+    fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new(), kind: PhantomData }
+    }
+
+    /// Receives the next message. Dropping the call loses nothing.
+    ///
+    /// # Errors
+    /// [`LinkError::Closed`] at the end, others when the link breaks.
+    pub async fn receive(&mut self) -> Result<T, LinkError> {
+        loop {
+            if let Some(body) = self.next_frame()? {
+                let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
+                return decoded.map(|(message, _)| message).context(DecodeSnafu);
+            }
+            let data = self.stream.data().await.context(ClosedSnafu)?.context(Http2Snafu)?;
+            self.stream.flow_control().release_capacity(data.len()).context(Http2Snafu)?;
+            self.buffer.extend_from_slice(&data);
+        }
+    }
+
+    fn next_frame(&mut self) -> Result<Option<Bytes>, LinkError> {
+        let Some(prefix) = self.buffer.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        ensure!(length <= MAX_MESSAGE_BYTES, OversizedSnafu { length });
+        if self.buffer.len() < 4 + length {
+            return Ok(None);
+        }
+        self.buffer.advance(4);
+        Ok(Some(self.buffer.split_to(length).freeze()))
+    }
+}
+
+/// Both directions of a link.
+pub struct Link<S, R> {
+    /// Messages to the other side.
+    pub sender: MessageSender<S>,
+    /// Messages from the other side.
+    pub receiver: MessageReceiver<R>,
+}
+
+/// Opens links to other processes.
+#[derive(Clone)]
+pub struct LinkDialer {
+    key: SharedKey,
+    counter: Arc<ByteCounter>,
+}
+
+impl LinkDialer {
+    /// A dialer that shows `key` and counts its bytes.
+    pub fn new(key: SharedKey, counter: Arc<ByteCounter>) -> Self {
+        Self { key, counter }
+    }
+
+    /// Opens a link.
+    ///
+    /// # Errors
+    /// [`LinkError`] when it can't be opened soon.
+    pub async fn open<S, R>(
+        &self,
+        address: SocketAddr,
+        kind: LinkKind,
+    ) -> Result<Link<S, R>, LinkError>
+    where
+        S: Serialize,
+        R: DeserializeOwned,
+    {
+        let open = self.handshake(address, kind);
+        let (send, receive) = tokio::time::timeout(HANDSHAKE_TIMEOUT, open)
+            .await
+            .map_err(|_| LinkError::TimedOut)??;
+        Ok(Link { sender: MessageSender::new(send), receiver: MessageReceiver::new(receive) })
+    }
+
+    async fn handshake(
+        &self,
+        address: SocketAddr,
+        kind: LinkKind,
+    ) -> Result<(SendStream<Bytes>, RecvStream), LinkError> {
+        let socket = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
+        socket.set_nodelay(true).context(ConnectSnafu { address })?;
+        let socket = CountedStream::new(socket, Arc::clone(&self.counter));
+        let (client, connection) = h2::client::handshake(socket).await.context(Http2Snafu)?;
+        tokio::spawn(connection);
+        let mut client = client.ready().await.context(Http2Snafu)?;
+        let request = Request::post(format!("http://{address}{}", kind.path()))
+            .header("authorization", self.key.header())
+            .body(())
+            .expect("a request with an address, a constant path and a checked key is valid");
+        let (response, send) = client.send_request(request, false).context(Http2Snafu)?;
+        let response = response.await.context(Http2Snafu)?;
+        ensure!(response.status() == StatusCode::OK, RefusedSnafu { status: response.status() });
+        Ok((send, response.into_body()))
+    }
+}
+
+/// A link that another process opened; its kind says which messages it carries.
+pub struct IncomingLink {
+    /// What it is for.
+    pub kind: LinkKind,
+    send: SendStream<Bytes>,
+    receive: RecvStream,
+}
+
+impl IncomingLink {
+    /// The link with its message types.
+    pub fn typed<S, R>(self) -> Link<S, R>
+    where
+        S: Serialize,
+        R: DeserializeOwned,
+    {
+        Link { sender: MessageSender::new(self.send), receiver: MessageReceiver::new(self.receive) }
+    }
+}
+
+/// Accepts links until dropped, and hands each to `handle` on a task of its own.
+pub async fn accept_links<H>(
+    listener: TcpListener,
+    key: SharedKey,
+    counter: Arc<ByteCounter>,
+    handle: H,
+) where
+    H: Fn(IncomingLink) + Clone + Send + Sync + 'static,
+{
+    let permits = Arc::new(Semaphore::new(MAX_LINKS));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        let socket = match listener.accept().await {
+            Err(error) => {
+                log::warn!("a link can't be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+            Ok((socket, _)) => socket,
+        };
+        let socket = set_up(socket, &counter);
+        let (key, handle) = (key.clone(), handle.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve_socket(socket, &key, handle).await {
+                log::debug!("an incoming link failed: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
+
+fn set_up(socket: TcpStream, counter: &Arc<ByteCounter>) -> CountedStream {
+    if let Err(error) = socket.set_nodelay(true) {
+        log::debug!("no-delay can't be set: {error}");
+    }
+    CountedStream::new(socket, Arc::clone(counter))
+}
+
+async fn serve_socket<H>(socket: CountedStream, key: &SharedKey, handle: H) -> Result<(), LinkError>
+where
+    H: Fn(IncomingLink),
+{
+    let handshake = h2::server::handshake(socket);
+    let mut connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| LinkError::TimedOut)?
+        .context(Http2Snafu)?;
+    while let Some(request) = connection.accept().await {
+        let (request, mut respond) = request.context(Http2Snafu)?;
+        let kind = LinkKind::from_path(request.uri().path());
+        let header = request.headers().get("authorization");
+        let is_trusted = header.is_some_and(|header| key.matches(header.as_bytes()));
+        let (status, kind) = match kind {
+            Some(kind) if is_trusted => (StatusCode::OK, Some(kind)),
+            Some(_) => (StatusCode::UNAUTHORIZED, None),
+            None => (StatusCode::NOT_FOUND, None),
+        };
+        let mut response = Response::new(());
+        *response.status_mut() = status;
+        let send = respond.send_response(response, kind.is_none()).context(Http2Snafu)?;
+        if let Some(kind) = kind {
+            handle(IncomingLink { kind, send, receive: request.into_body() });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sheet/src/sheet_text.rs
@@ -0,0 +1,41 @@
+//! From a file's bytes to text and its delimiter.
+
+use crate::sheet_issue::SheetIssue;
+
+/// Byte order mark that some programs put in front.
+const BYTE_ORDER_MARK: &str = "\u{feff}";
+/// Delimiters that exports use.
+const DELIMITERS: [u8; 3] = [b',', b';', b'\t'];
+
+/// The text of a file, without a byte order mark.
+///
+/// # Errors
+/// A [`SheetIssue`] with the place of the first byte that is not UTF-8.
+pub fn decode(bytes: &[u8]) -> Result<&str, SheetIssue> {
+    match std::str::from_utf8(bytes) {
+        Err(error) => {
+            let place = error.valid_up_to();
+            let line = bytes[..place].iter().filter(|byte| **byte == b'\n').count() as u64 + 1;
+            let value = format!("byte {place} (0x{:02x})", bytes[place]);
+            Err(SheetIssue::new(line, "(encoding)", &value, "text in UTF-8"))
+        }
+        Ok(text) => Ok(text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text)),
+    }
+}
+
+/// The delimiter that occurs most often in the header row, outside quotes.
+pub(crate) fn delimiter(text: &str) -> u8 {
+    let header = text.lines().next().unwrap_or_default();
+    let mut counts = [0_usize; DELIMITERS.len()];
+    let mut is_quoted = false;
+    for byte in header.bytes() {
+        is_quoted ^= byte == b'"';
+        if let Some(index) = DELIMITERS.iter().position(|known| *known == byte)
+            && !is_quoted
+        {
+            counts[index] += 1;
+        }
+    }
+    let most = (0..DELIMITERS.len()).rev().max_by_key(|index| counts[*index]);
+    DELIMITERS[most.unwrap_or_default()]
+}
--- /dev/null
+++ b/crates/standin/src/log_service.rs
@@ -0,0 +1,164 @@
+//! The log service in memory, with faults.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_platform::log_store::LogError;
+use cuminbarrow_platform::log_store::LogPage;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+/// How the service misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Refuses everything.
+    pub is_down: bool,
+    /// Delays each answer, in ms.
+    pub delay_ms: u64,
+    /// Loses the answers of this many appends after their effect.
+    pub lose_answers: u32,
+    /// Most entries kept in a stream; 0 keeps all.
+    pub retained_entries: usize,
+}
+
+#[derive(Default)]
+struct StreamEntries {
+    oldest: u64,
+    entries: VecDeque<Vec<u8>>,
+}
+
+impl StreamEntries {
+    fn next(&self) -> u64 {
+        self.oldest + self.entries.len() as u64
+    }
+
+    fn expire(&mut self, retained: usize) {
+        while retained > 0 && self.entries.len() > retained {
+            self.entries.pop_front();
+            self.oldest += 1;
+        }
+    }
+
+    fn page(&self, from: u64, limit: u32) -> LogPage {
+        let skipped = usize::try_from(from.saturating_sub(self.oldest)).unwrap_or(usize::MAX);
+        let entries = self.entries.iter().skip(skipped).take(limit as usize).cloned().collect();
+        LogPage { oldest: self.oldest, next: self.next(), first: from, entries }
+    }
+}
+
+#[derive(Default)]
+struct LogState {
+    faults: LogFaults,
+    streams: BTreeMap<LogStream, StreamEntries>,
+    appends: u64,
+    appended_bytes: u64,
+}
+
+/// The log service in memory.
+#[derive(Default)]
+pub struct LogService {
+    state: Mutex<LogState>,
+    appended: Notify,
+}
+
+impl LogService {
+    /// Makes the service misbehave from now on.
+    pub fn set_faults(&self, faults: LogFaults) {
+        let mut state = self.lock();
+        state.faults = faults;
+        for stream in state.streams.values_mut() {
+            stream.expire(faults.retained_entries);
+        }
+    }
+
+    /// Appends that took effect.
+    pub fn appends(&self) -> u64 {
+        self.lock().appends
+    }
+
+    /// Bytes of those.
+    pub fn appended_bytes(&self) -> u64 {
+        self.lock().appended_bytes
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn delay(&self) -> Result<(), LogError> {
+        let faults = self.lock().faults;
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if self.lock().faults.is_down {
+            return Err(LogError::Unavailable { reason: "the service is down".to_owned() });
+        }
+        Ok(())
+    }
+
+    fn page(&self, stream: LogStream, from: u64, limit: u32) -> Result<LogPage, LogError> {
+        let mut state = self.lock();
+        let entries = state.streams.entry(stream).or_default();
+        if from < entries.oldest {
+            return Err(LogError::Expired { oldest: entries.oldest });
+        }
+        Ok(entries.page(from, limit))
+    }
+}
+
+#[async_trait]
+impl LogStore for LogService {
+    async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        self.delay().await?;
+        let offset = {
+            let mut state = self.lock();
+            let retained = state.faults.retained_entries;
+            state.appends += 1;
+            state.appended_bytes += body.len() as u64;
+            let entries = state.streams.entry(stream).or_default();
+            let offset = entries.next();
+            entries.entries.push_back(body.to_vec());
+            entries.expire(retained);
+            if state.faults.lose_answers > 0 {
+                state.faults.lose_answers -= 1;
+                Err(LogError::Uncertain { reason: "the answer was lost".to_owned() })
+            } else {
+                Ok(offset)
+            }
+        };
+        self.appended.notify_waiters();
+        offset
+    }
+
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        self.delay().await?;
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(u64::from(wait_ms));
+        loop {
+            let appended = self.appended.notified();
+            let page = self.page(stream, from, limit)?;
+            if !page.entries.is_empty() || wait_ms == 0 {
+                return Ok(page);
+            }
+            if tokio::time::timeout_at(deadline, appended).await.is_err() {
+                return Ok(page);
+            }
+            self.delay().await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker_fleet.rs
@@ -0,0 +1,306 @@
+//! Workers in memory: tasks run on timers, under leases.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cuminbarrow_platform::worker_control::TaskEnd;
+use cuminbarrow_platform::worker_control::TaskReport;
+use cuminbarrow_platform::worker_control::TaskStart;
+use cuminbarrow_platform::worker_control::WorkerControl;
+use cuminbarrow_platform::worker_control::WorkerError;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::payload::Payload;
+use crate::payload::result_of;
+
+/// Time between looks at running tasks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How a worker misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WorkerFaults {
+    /// Refuses this many starts.
+    pub fail_starts: u32,
+    /// Refuses every start.
+    pub fail_all: bool,
+    /// Delay of usage reports, in ms.
+    pub usage_lag_ms: u64,
+}
+
+struct RunningTask {
+    start: TaskStart,
+    began: Instant,
+    run: Duration,
+    lease_until: Instant,
+}
+
+impl RunningTask {
+    fn progress_permille(&self, now: Instant) -> u16 {
+        let total = self.run.as_millis().max(1);
+        let done = now.duration_since(self.began).as_millis().min(total);
+        let rest = u128::from(1_000 - self.start.resume_permille.min(1_000));
+        let done = u16::try_from(done * rest / total).unwrap_or(1_000);
+        self.start.resume_permille + done
+    }
+
+    fn end(&self, now: Instant) -> Option<TaskEnd> {
+        if now >= self.lease_until {
+            return Some(TaskEnd::LeaseLapsed);
+        }
+        if now < self.began + self.run {
+            return None;
+        }
+        if Payload::parse(&self.start.payload).fails {
+            return Some(TaskEnd::Failed { reason: SmolStr::new("the task failed") });
+        }
+        Some(TaskEnd::Completed { result: result_of(&self.start.payload) })
+    }
+}
+
+/// A span of time in which a task ran, for checks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSpan {
+    /// Worker.
+    pub worker: SmolStr,
+    /// Task.
+    pub task: SmolStr,
+    /// Payload.
+    pub payload: SmolStr,
+    /// Start, in ms since the fleet began.
+    pub from_ms: u64,
+    /// End, in ms since the fleet began; nothing while it runs.
+    pub until_ms: Option<u64>,
+}
+
+#[derive(Default)]
+struct WorkerTasks {
+    faults: WorkerFaults,
+    tasks: BTreeMap<SmolStr, RunningTask>,
+    reports: Vec<TaskReport>,
+}
+
+#[derive(Default)]
+struct FleetState {
+    workers: BTreeMap<SmolStr, WorkerTasks>,
+    spans: Vec<TaskSpan>,
+}
+
+/// All workers of the stand-in.
+pub struct WorkerFleet {
+    state: Mutex<FleetState>,
+    reported: Notify,
+    began: Instant,
+}
+
+impl WorkerFleet {
+    /// A fleet whose tasks are looked after by a task of the runtime.
+    pub fn spawn() -> Arc<Self> {
+        let fleet = Arc::new(Self {
+            state: Mutex::new(FleetState::default()),
+            reported: Notify::new(),
+            began: Instant::now(),
+        });
+        let weak = Arc::downgrade(&fleet);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                let Some(fleet) = weak.upgrade() else { return };
+                fleet.tick();
+            }
+        });
+        fleet
+    }
+
+    /// A client of one worker, which begins to exist with it.
+    pub fn worker(self: &Arc<Self>, name: impl Into<SmolStr>) -> Arc<dyn WorkerControl> {
+        Arc::new(FleetWorker { fleet: Arc::clone(self), name: name.into() })
+    }
+
+    /// Makes a worker misbehave from now on.
+    pub fn set_faults(&self, worker: &str, faults: WorkerFaults) {
+        self.lock().workers.entry(worker.into()).or_default().faults = faults;
+    }
+
+    /// Every span of time in which a task ran.
+    pub fn spans(&self) -> Vec<TaskSpan> {
+        self.lock().spans.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FleetState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn tick(&self) {
+        let now = Instant::now();
+        let mut ends = Vec::new();
+        for (name, worker) in &self.lock().workers {
+            for (task, running) in &worker.tasks {
+                if let Some(end) = running.end(now) {
+                    ends.push((name.clone(), TaskReport { task: task.clone(), end }));
+                }
+            }
+        }
+        for (name, report) in ends {
+            self.end_task(&name, report);
+        }
+    }
+
+    fn end_task(&self, name: &SmolStr, report: TaskReport) {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let Some(worker) = state.workers.get_mut(name) else { return };
+        if worker.tasks.remove(&report.task).is_none() {
+            return;
+        }
+        let task = report.task.clone();
+        worker.reports.push(report);
+        let span = state
+            .spans
+            .iter_mut()
+            .rev()
+            .find(|span| span.until_ms.is_none() && span.worker == *name && span.task == task);
+        if let Some(span) = span {
+            span.until_ms = Some(now_ms);
+        }
+        drop(state);
+        self.reported.notify_waiters();
+    }
+
+    fn start(&self, name: &SmolStr, start: TaskStart) -> Result<(), WorkerError> {
+        let from_ms = self.now_ms();
+        let now = Instant::now();
+        let mut state = self.lock();
+        let worker = state.workers.entry(name.clone()).or_default();
+        if worker.tasks.contains_key(&start.task) {
+            return Ok(());
+        }
+        if worker.faults.fail_all || worker.faults.fail_starts > 0 {
+            worker.faults.fail_starts = worker.faults.fail_starts.saturating_sub(1);
+            return Err(WorkerError::Refused { reason: "the start failed".to_owned() });
+        }
+        let is_taken = worker
+            .tasks
+            .values()
+            .any(|running| running.start.accelerators & start.accelerators != 0);
+        if is_taken {
+            return Err(WorkerError::Refused { reason: "an accelerator is taken".to_owned() });
+        }
+        let total_ms = Payload::parse(&start.payload).run_ms.unwrap_or(start.declared_run_ms);
+        let rest_ms = total_ms * u64::from(1_000 - start.resume_permille.min(1_000)) / 1_000;
+        let running = RunningTask {
+            began: now,
+            run: Duration::from_millis(rest_ms),
+            lease_until: now + Duration::from_millis(start.lease_ms),
+            start: start.clone(),
+        };
+        worker.tasks.insert(start.task.clone(), running);
+        state.spans.push(TaskSpan {
+            worker: name.clone(),
+            task: start.task,
+            payload: start.payload,
+            from_ms,
+            until_ms: None,
+        });
+        Ok(())
+    }
+
+    fn renew(&self, name: &SmolStr, tasks: &[SmolStr], lease_ms: u64) {
+        let lease_until = Instant::now() + Duration::from_millis(lease_ms);
+        let mut state = self.lock();
+        let Some(worker) = state.workers.get_mut(name) else { return };
+        for task in tasks {
+            if let Some(running) = worker.tasks.get_mut(task) {
+                running.lease_until = lease_until;
+            }
+        }
+    }
+
+    fn stop(&self, name: &SmolStr, task: &SmolStr, checkpoint: bool) {
+        let progress = self.lock().workers.get(name).and_then(|worker| {
+            let running = worker.tasks.get(task)?;
+            let kept = running.progress_permille(Instant::now());
+            Some(if checkpoint { kept } else { running.start.resume_permille })
+        });
+        if let Some(progress_permille) = progress {
+            let end = TaskEnd::Stopped { progress_permille };
+            self.end_task(name, TaskReport { task: task.clone(), end });
+        }
+    }
+
+    fn throttle(&self, name: &SmolStr, task: &SmolStr, share_permille: u16) {
+        let mut state = self.lock();
+        let Some(worker) = state.workers.get_mut(name) else { return };
+        if let Some(running) = worker.tasks.get_mut(task) {
+            let now = Instant::now();
+            let done = now.duration_since(running.began);
+            let rest = running.run.saturating_sub(done);
+            running.run = done + rest * 1_000 / u32::from(share_permille.max(1));
+        }
+    }
+
+    fn reports_after(&self, name: &SmolStr, after: u64) -> Vec<TaskReport> {
+        let skipped = usize::try_from(after).unwrap_or(usize::MAX);
+        let state = self.lock();
+        let reports = state.workers.get(name).map(|worker| worker.reports.iter().skip(skipped));
+        reports.map(|reports| reports.cloned().collect()).unwrap_or_default()
+    }
+}
+
+/// Client of one worker.
+struct FleetWorker {
+    fleet: Arc<WorkerFleet>,
+    name: SmolStr,
+}
+
+#[async_trait]
+impl WorkerControl for FleetWorker {
+    async fn start(&self, task: TaskStart) -> Result<(), WorkerError> {
+        self.fleet.start(&self.name, task)
+    }
+
+    async fn renew(&self, tasks: Vec<SmolStr>, lease_ms: u64) -> Result<(), WorkerError> {
+        self.fleet.renew(&self.name, &tasks, lease_ms);
+        Ok(())
+    }
+
+    async fn stop(&self, task: SmolStr, checkpoint: bool) -> Result<(), WorkerError> {
+        self.fleet.stop(&self.name, &task, checkpoint);
+        Ok(())
+    }
+
+    async fn throttle(&self, task: SmolStr, share_permille: u16) -> Result<(), WorkerError> {
+        self.fleet.throttle(&self.name, &task, share_permille);
+        Ok(())
+    }
+
+    async fn reports(&self, after: u64, wait_ms: u32) -> Result<Vec<TaskReport>, WorkerError> {
+        let deadline = Instant::now() + Duration::from_millis(u64::from(wait_ms));
+        loop {
+            let reported = self.fleet.reported.notified();
+            let reports = self.fleet.reports_after(&self.name, after);
+            if !reports.is_empty() || tokio::time::timeout_at(deadline, reported).await.is_err() {
+                return Ok(reports);
+            }
+        }
+    }
+
+    async fn running(&self) -> Result<Vec<SmolStr>, WorkerError> {
+        let state = self.fleet.lock();
+        let tasks = state.workers.get(&self.name).map(|worker| worker.tasks.keys());
+        Ok(tasks.map(|tasks| tasks.cloned().collect()).unwrap_or_default())
+    }
+}
