Prove the path under kills, pauses, cuts and outages with real processes

Cause: the path stood, but nothing showed that it holds when processes die, links break or the log loses answers.

Change: an integration test that starts the stand-in, two entries and up to six agents as processes, with our own fault-injecting proxy (delay, cut one or both ways, reset, bandwidth) between agents and entries and between agents.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -255,7 +255,7 @@
         name: settings.worker.clone(),
         location: settings.location.clone(),
         capacity: settings.capacity,
-        address: settings.listen,
+        address: settings.advertise.unwrap_or(settings.listen),
     }
 }
 
--- a/crates/agent/src/agent_settings.rs
+++ b/crates/agent/src/agent_settings.rs
@@ -49,8 +49,10 @@
     pub location: Location,
     /// What the worker has.
     pub capacity: Resources,
-    /// Where other agents reach this one.
+    /// Address to listen on for other agents.
     pub listen: SocketAddr,
+    /// Where other agents reach this one, when that is another address.
+    pub advertise: Option<SocketAddr>,
     /// Where monitoring reaches it.
     pub probe_listen: Option<SocketAddr>,
     /// Entries of this region, in order of preference.
--- a/crates/cuminbarrow/src/demo_cluster.rs
+++ b/crates/cuminbarrow/src/demo_cluster.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use cuminbarrow_agent::agent_daemon;
 use cuminbarrow_agent::agent_settings::AgentSettings;
@@ -12,7 +14,7 @@
 use cuminbarrow_entry::entry_settings::EntrySettings;
 use cuminbarrow_entry::entry_settings::PolicyGoal;
 use cuminbarrow_entry::entry_settings::PolicyName;
-use cuminbarrow_entry::entry_settings::TokenRole;
+use cuminbarrow_entry::entry_settings::RoleName;
 use cuminbarrow_entry::entry_settings::TokenSettings;
 use cuminbarrow_model::digest::Digest;
 use cuminbarrow_model::resources::Resources;
@@ -34,6 +36,15 @@
 /// Workers in a rack.
 const RACK_WORKERS: usize = 3;
 
+/// First port that the demo takes.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports from there.
+const PORT_COUNT: u32 = 18_000;
+/// Ports between the first ones of two processes.
+const PORT_STRIDE: u32 = 997;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// How large a deployment is.
 #[derive(Clone, Copy, Debug)]
 pub struct ClusterSize {
@@ -131,19 +142,29 @@
     }
 }
 
-/// A loopback address that was free a moment ago.
+/// A loopback address that was free a moment ago, outside the range from which the system takes
+/// ports for outgoing connections.
 ///
 /// # Errors
-/// When loopback ports can't be had.
+/// When no port of the range is free.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    let seed = std::process::id() * PORT_STRIDE;
+    for _ in 0..PORT_COUNT {
+        let index = seed.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+        let port = FIRST_PORT + u16::try_from(index).unwrap_or_default();
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(std::io::ErrorKind::AddrInUse.into())
 }
 
 fn entry_settings(listen: SocketAddr, link_listen: SocketAddr) -> EntrySettings {
     let operator = TokenSettings {
         name: SmolStr::new("operator"),
         token_sha256: Digest::of(OPERATOR_TOKEN.as_bytes()).to_smolstr(),
-        role: TokenRole::Operator,
+        role: RoleName::Operator,
+        team: None,
     };
     EntrySettings {
         region: SmolStr::new("zapad"),
@@ -189,6 +210,7 @@
         location,
         capacity,
         listen,
+        advertise: None,
         probe_listen: None,
         entries,
         platform: String::new(),
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/gang_failures.rs
@@ -0,0 +1,181 @@
+//! Gangs under kills, pauses, cuts and lost answers: no part without the rest, and work that is
+//! not repeatable at most once.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cuminbarrow_entry::api_types::PhaseName;
+use cuminbarrow_standin::fault_proxy::ProxyFaults;
+use cuminbarrow_standin::log_service::LogFaults;
+use cuminbarrow_standin::worker_fleet::TaskSpan;
+use nix::sys::signal::Signal;
+
+use crate::cluster_builder::Cluster;
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::LEASE_MS;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::body;
+use crate::cluster_builder::eventually;
+use crate::cluster_builder::once;
+use crate::cluster_builder::worker_index;
+
+/// Time of the stand-in's look at leases, and of a message between agents, in ms.
+const SLACK_MS: u64 = 500;
+
+/// Ends of a gang's tasks lie within one lease of each other.
+fn assert_ends_together(spans: &[TaskSpan], payload: &str) {
+    let mut attempts: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for span in spans.iter().filter(|span| span.payload == payload) {
+        let attempt = span.task.rsplit_once('.').unwrap().0;
+        attempts.entry(attempt).or_default().push(span.until_ms.expect("the task ended"));
+    }
+    for (attempt, ends) in attempts {
+        let apart_ms = ends.iter().max().unwrap() - ends.iter().min().unwrap();
+        assert!(apart_ms <= LEASE_MS + SLACK_MS, "attempt {attempt} ended {apart_ms} ms apart");
+    }
+}
+
+/// Distinct attempts of which a task ran.
+fn started_attempts(spans: &[TaskSpan], payload: &str) -> usize {
+    let spans = spans.iter().filter(|span| span.payload == payload);
+    spans.map(|span| span.task.rsplit_once('.').unwrap().0).collect::<BTreeSet<_>>().len()
+}
+
+async fn all_ended(cluster: &Cluster, payload: &str) -> Vec<TaskSpan> {
+    eventually("every task ended", async || {
+        let spans = cluster.spans().await;
+        let mut own = spans.iter().filter(|span| span.payload == payload);
+        own.all(|span| span.until_ms.is_some()).then_some(spans)
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_member_ends_the_gang_within_a_lease() {
+    let cluster = ClusterBuilder::new().start().await;
+    let payload = "run_ms=20000,paused";
+    cluster.caller().submit("gang", &once(body(3, 8, payload))).await.unwrap();
+    let view = cluster.wait_for_phase("gang", PhaseName::Running).await;
+    eventually("three tasks run", async || (cluster.spans().await.len() == 3).then_some(())).await;
+    let member = worker_index(&view.members[2].worker);
+    cluster.agents[member].signal(Signal::SIGSTOP);
+    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    cluster.agents[member].signal(Signal::SIGCONT);
+    assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
+    let spans = all_ended(&cluster, payload).await;
+    assert_ends_together(&spans, payload);
+    assert_eq!(started_attempts(&spans, payload), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_lead_ends_the_gang_within_a_lease() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let payload = "run_ms=20000,killed";
+    cluster.caller().submit("gang", &once(body(3, 8, payload))).await.unwrap();
+    let view = cluster.wait_for_phase("gang", PhaseName::Running).await;
+    eventually("three tasks run", async || (cluster.spans().await.len() == 3).then_some(())).await;
+    let lead = Cluster::lead_of(&view);
+    cluster.agents[lead].kill();
+    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
+    let spans = all_ended(&cluster, payload).await;
+    assert_ends_together(&spans, payload);
+    assert_eq!(started_attempts(&spans, payload), 1);
+}
+
+/// Cuts the lead's way to one member, or the member's way back, or breaks links: the gang ends
+/// everywhere within a lease, or goes on whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_between_members_ends_the_gang_within_a_lease() {
+    let cluster = ClusterBuilder::new().start().await;
+    let faults = [
+        ProxyFaults { cut_forward: true, ..ProxyFaults::default() },
+        ProxyFaults::HALF_OPEN,
+        ProxyFaults { reset: true, ..ProxyFaults::default() },
+    ];
+    for (index, faults) in faults.into_iter().enumerate() {
+        let payload = format!("run_ms=20000,cut={index}");
+        let key = format!("cut-{index}");
+        cluster.caller().submit(&key, &once(body(3, 8, &payload))).await.unwrap();
+        let view = cluster.wait_for_phase(&key, PhaseName::Running).await;
+        let member = worker_index(&view.members[2].worker);
+        cluster.agent_proxies[member].set(faults);
+        let view = cluster.caller().wait(TEAM, &key).await.unwrap();
+        cluster.agent_proxies[member].set(ProxyFaults::default());
+        assert_eq!(view.phase, PhaseName::MayHaveRun, "under {faults:?}: {view:?}");
+        let spans = all_ended(&cluster, &payload).await;
+        assert_ends_together(&spans, &payload);
+        assert!(started_attempts(&spans, &payload) <= 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_gang_runs_again_after_its_lead_restarts() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let payload = "run_ms=1500,again";
+    cluster.caller().submit("gang", &body(3, 8, payload)).await.unwrap();
+    let view = cluster.wait_for_phase("gang", PhaseName::Running).await;
+    let lead = Cluster::lead_of(&view);
+    cluster.agents[lead].kill();
+    cluster.restart_agent(lead);
+    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+    assert!(view.attempts >= 2, "{view:?}");
+    assert_ends_together(&all_ended(&cluster, payload).await, payload);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_start_nothing_twice() {
+    let cluster = ClusterBuilder::new().start().await;
+    let caller = cluster.caller();
+    for index in 0..8 {
+        let payload = format!("run_ms=50,lost={index}");
+        let key = format!("lost-{index}");
+        cluster.set_log_faults(LogFaults { lose_answers: 3, ..LogFaults::default() }).await;
+        caller.submit(&key, &once(body(2, 4, &payload))).await.unwrap();
+        cluster.set_log_faults(LogFaults { lose_answers: 2, ..LogFaults::default() }).await;
+        let view = caller.wait(TEAM, &key).await.unwrap();
+        assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+        let spans = all_ended(&cluster, &payload).await;
+        assert_eq!(started_attempts(&spans, &payload), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_refuses_new_work_and_keeps_running_work() {
+    let cluster = ClusterBuilder::new().start().await;
+    let caller = cluster.caller();
+    caller.submit("before", &body(2, 8, "run_ms=3000,before")).await.unwrap();
+    cluster.wait_for_phase("before", PhaseName::Running).await;
+    cluster.set_log_faults(LogFaults { is_down: true, ..LogFaults::default() }).await;
+    let refused = caller.submit("during", &body(1, 1, "x")).await.unwrap_err();
+    let text = refused.to_string();
+    assert!(text.contains("outcome: NotRun"), "{text}");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    cluster.set_log_faults(LogFaults::default()).await;
+    let view = caller.wait(TEAM, "before").await.unwrap();
+    assert_eq!((view.phase, view.attempts), (PhaseName::Completed, 1), "{view:?}");
+    let jobs: Vec<serde_json::Value> = cluster.operator().get("/v1/jobs").await.unwrap();
+    assert_eq!(jobs.len(), 1, "what was refused as not run is not there");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planner_killed_while_work_arrives() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let caller = cluster.caller();
+    for index in 0..60 {
+        let payload = format!("run_ms=100,planner={index}");
+        caller.submit(&format!("job-{index}"), &once(body(2, 4, &payload))).await.unwrap();
+        if index == 30 {
+            cluster.entries[0].kill();
+        }
+    }
+    for index in 0..60 {
+        let key = format!("job-{index}");
+        let view = caller.wait(TEAM, &key).await.unwrap();
+        let payload = format!("run_ms=100,planner={index}");
+        assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+        assert_eq!(started_attempts(&all_ended(&cluster, &payload).await, &payload), 1);
+    }
+}
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/many_callers.rs
@@ -0,0 +1,45 @@
+//! Each of many callers gets its own answer, whole.
+
+use std::sync::Arc;
+
+use cuminbarrow::api_client::job_path;
+use cuminbarrow_entry::api_types::PhaseName;
+use cuminbarrow_model::digest::Digest;
+
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::body;
+
+/// Callers at once.
+const CALLERS: usize = 1_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_caller_gets_its_own_answer() {
+    let cluster = ClusterBuilder::new().start().await;
+    let clients: Vec<_> = (0..2).map(|entry| Arc::new(cluster.client_of(entry, TEAM))).collect();
+    let mut calls = Vec::new();
+    for index in 0..CALLERS {
+        let (submitter, reader) =
+            (Arc::clone(&clients[index % 2]), Arc::clone(&clients[(index + 1) % 2]));
+        calls.push(tokio::spawn(async move {
+            let run_ms = 20 + (index * 7_919) % 180;
+            let payload = format!("run_ms={run_ms},bytes={},caller={index}", 100 + index);
+            let key = format!("call-{index}");
+            submitter.submit(&key, &body(1, 0, &payload)).await.unwrap();
+            let view = submitter.wait(TEAM, &key).await.unwrap();
+            assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+            let reader = if index % 3 == 0 { reader } else { submitter };
+            let path = job_path(TEAM, &key);
+            let own = cuminbarrow_entry::api_types::JobView::is_ended;
+            while !own(&reader.wait(TEAM, &key).await.unwrap()) {}
+            let answer = reader.get_bytes(&format!("{path}/answer")).await.unwrap();
+            let expected: Vec<u8> =
+                format!("{payload};").bytes().cycle().take(100 + index).collect();
+            assert_eq!(answer, expected);
+            assert_eq!(view.answer_sha256, Some(Digest::of(&expected).to_string()));
+        }));
+    }
+    for call in calls {
+        call.await.unwrap();
+    }
+}
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/worker_drain.rs
@@ -0,0 +1,54 @@
+//! A backend server that is leaving receives no new work.
+
+use std::time::Duration;
+
+use cuminbarrow_entry::api_types::PhaseName;
+
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::body;
+
+/// Time after which a draining worker gets nothing new, in ms.
+const PROMISED_MS: u64 = 3_000;
+/// Time for which work goes on arriving.
+const ARRIVALS: Duration = Duration::from_secs(5);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_worker_gets_nothing_new() {
+    let cluster = ClusterBuilder::new().start().await;
+    let caller = cluster.caller();
+    let mut index = 0;
+    let mut submit = async || {
+        index += 1;
+        let key = format!("job-{index}");
+        caller.submit(&key, &body(1, 2, "run_ms=100")).await.unwrap();
+        key
+    };
+    let mut keys = Vec::new();
+    for _ in 0..40 {
+        keys.push(submit().await);
+    }
+    let began_ms = latest_start_ms(&cluster, "w0").await;
+    cluster.operator().act("/v1/workers/w0/drain").await.unwrap();
+    let drained_ms = cluster.spans().await.iter().map(|span| span.from_ms).max().unwrap_or(0);
+    let until = tokio::time::Instant::now() + ARRIVALS;
+    while tokio::time::Instant::now() < until {
+        keys.push(submit().await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for key in keys {
+        let view = caller.wait(TEAM, &key).await.unwrap();
+        assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+    }
+    let last_ms = latest_start_ms(&cluster, "w0").await;
+    assert!(
+        last_ms <= drained_ms.max(began_ms) + PROMISED_MS,
+        "w0 was drained at {drained_ms} ms and started work at {last_ms} ms"
+    );
+}
+
+async fn latest_start_ms(cluster: &crate::cluster_builder::Cluster, worker: &str) -> u64 {
+    let spans = cluster.spans().await;
+    let starts = spans.iter().filter(|span| span.worker == worker).map(|span| span.from_ms);
+    starts.max().unwrap_or(0)
+}
--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -58,7 +58,7 @@
     pub fn new(settings: &[TokenSettings]) -> Result<Self, EntrySettingsError> {
         let mut tokens = Vec::with_capacity(settings.len());
         for token in settings {
-            let identity = CallerIdentity { name: token.name.clone(), role: token.role.clone() };
+            let identity = CallerIdentity { name: token.name.clone(), role: token.role()? };
             tokens.push(KnownToken { digest: token.digest()?, identity });
         }
         Ok(Self { tokens })
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -20,6 +20,12 @@
         /// The token's name.
         name: SmolStr,
     },
+    /// Role and team do not go together.
+    #[snafu(display("tokens: {name:?} needs team with role team, and no team with operator"))]
+    BadRole {
+        /// The token's name.
+        name: SmolStr,
+    },
     /// Nobody could use the entry.
     #[snafu(display("tokens: at least one token is needed"))]
     NoTokens,
@@ -54,8 +60,7 @@
 }
 
 /// What a token lets its bearer do.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TokenRole {
     /// Act on everything.
     Operator,
@@ -63,6 +68,16 @@
     Team(SmolStr),
 }
 
+/// Kind of role, as settings name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoleName {
+    /// An operator.
+    Operator,
+    /// A caller of the team that `team` names.
+    Team,
+}
+
 /// A token, by its digest.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,10 +87,27 @@
     /// SHA-256 of the token, in hexadecimal digits.
     pub token_sha256: SmolStr,
     /// What it allows.
-    pub role: TokenRole,
+    pub role: RoleName,
+    /// The team, where the role is `team`.
+    #[serde(default)]
+    pub team: Option<SmolStr>,
 }
 
 impl TokenSettings {
+    /// What the token allows.
+    ///
+    /// # Errors
+    /// [`EntrySettingsError::BadRole`] when role and team do not go together.
+    pub fn role(&self) -> Result<TokenRole, EntrySettingsError> {
+        match (self.role, &self.team) {
+            (RoleName::Operator, None) => Ok(TokenRole::Operator),
+            (RoleName::Team, Some(team)) => Ok(TokenRole::Team(team.clone())),
+            (RoleName::Operator, Some(_)) | (RoleName::Team, None) => {
+                BadRoleSnafu { name: self.name.clone() }.fail()
+            }
+        }
+    }
+
     /// The digest.
     ///
     /// # Errors
@@ -153,6 +185,7 @@
         ensure!(!self.tokens.is_empty(), NoTokensSnafu);
         for token in &self.tokens {
             token.digest()?;
+            token.role()?;
         }
         let permille = self.max_removed_permille;
         ensure!(permille <= 1_000, ShareTooLargeSnafu { permille });
--- /dev/null
+++ b/crates/standin/src/fault_proxy.rs
@@ -0,0 +1,133 @@
+//! A TCP proxy that injects faults between our processes.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+
+/// Bytes moved at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What the proxy does to connections, old and new.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProxyFaults {
+    /// Holds back everything on its way to the target.
+    pub cut_forward: bool,
+    /// Holds back everything on its way from the target.
+    pub cut_backward: bool,
+    /// Delays each chunk each way.
+    pub delay: Duration,
+    /// Bytes a second each way; 0 for no limit.
+    pub bytes_per_s: u64,
+    /// Refuses new connections and resets old ones.
+    pub reset: bool,
+}
+
+impl ProxyFaults {
+    /// Both directions held back, with the connections open: a peer that is gone without a word.
+    pub const HALF_OPEN: Self = Self {
+        cut_forward: true,
+        cut_backward: true,
+        delay: Duration::ZERO,
+        bytes_per_s: 0,
+        reset: false,
+    };
+}
+
+/// A proxy in front of one address.
+pub struct FaultProxy {
+    /// Where to connect instead.
+    pub address: SocketAddr,
+    faults: watch::Sender<ProxyFaults>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy in front of `target`, without faults.
+    ///
+    /// # Errors
+    /// When no loopback port can be had.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let (faults, receiver) = watch::channel(ProxyFaults::default());
+        tokio::spawn(accept(listener, target, receiver));
+        Ok(Self { address, faults })
+    }
+
+    /// Injects other faults from now on.
+    pub fn set(&self, faults: ProxyFaults) {
+        self.faults.send_replace(faults);
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, faults: watch::Receiver<ProxyFaults>) {
+    loop {
+        let faults = faults.clone();
+        if faults.has_changed().is_err() {
+            return;
+        }
+        let Ok((client, _)) = listener.accept().await else { continue };
+        tokio::spawn(async move {
+            let mut resets = faults.clone();
+            let _ = tokio::select! {
+                result = carry(client, target, faults) => result,
+                _ = resets.wait_for(|faults| faults.reset) => Ok(()),
+            };
+        });
+    }
+}
+
+async fn carry(
+    client: TcpStream,
+    target: SocketAddr,
+    faults: watch::Receiver<ProxyFaults>,
+) -> io::Result<()> {
+    client.set_nodelay(true)?;
+    let server = TcpStream::connect(target).await?;
+    server.set_nodelay(true)?;
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let forward = pump(client_read, server_write, faults.clone(), |faults| faults.cut_forward);
+    let backward = pump(server_read, client_write, faults, |faults| faults.cut_backward);
+    tokio::select! {
+        result = forward => result,
+        result = backward => result,
+    }
+}
+
+async fn pump<C>(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut faults: watch::Receiver<ProxyFaults>,
+    is_cut: C,
+) -> io::Result<()>
+where
+    C: Fn(&ProxyFaults) -> bool,
+{
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        let current = {
+            let current = faults.wait_for(|faults| !is_cut(faults)).await;
+            current.map(|current| *current).map_err(|_| io::ErrorKind::ConnectionAborted)?
+        };
+        let limit = current.bytes_per_s;
+        let paced_ms = if limit == 0 { 0 } else { count as u64 * 1_000 / limit };
+        let pause = current.delay + Duration::from_millis(paced_ms);
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        to.write_all(&buffer[..count]).await?;
+    }
+}
