--- a/crates/ledger/src/apply_jobs.rs
+++ b/crates/ledger/src/apply_jobs.rs
@@ -42,6 +42,7 @@
 use crate::refusal::UnknownTeamSnafu;
 use crate::refusal::UnknownWorkerSnafu;
 use crate::refusal::WorkerClosedSnafu;
+use crate::run_estimate::job_kind;
 use crate::state::MAX_KEPT_ANSWERS;
 use crate::state::MAX_KEPT_JOBS;
 use crate::state::MAX_PENDING_JOBS;
@@ -447,6 +448,7 @@
                 let is_whole = answer.body.len() <= cuminbarrow_model::job::Answer::MAX_BYTES;
                 ensure!(placement.is_started() && is_whole, AttemptNotCurrentSnafu { attempt });
                 self.praise_workers(&placement.members);
+                self.learn_run_time(attempt.job, &placement);
                 let outcome = JobOutcome::Completed { answer: answer.clone() };
                 self.end_job(attempt.job, outcome, report);
             }
@@ -538,6 +540,20 @@
         }
     }
 
+    /// Learns from a completed attempt how long the team's jobs of its kind really run.
+    fn learn_run_time(&mut self, key: JobKey, placement: &Placement) {
+        let clock_ms = self.clock_ms;
+        let Some(job) = self.jobs.get(&key) else { return };
+        let rest_permille = u64::from(1_000 - job.progress_permille.min(1_000));
+        let declared_ms = job.spec.declared_run_ms * rest_permille / 1_000;
+        let Some(started_ms) = placement.started_ms.filter(|_| declared_ms > 0) else { return };
+        let run_ms = clock_ms.saturating_sub(started_ms);
+        let kind = job_kind(&job.spec);
+        if let Some(team) = self.teams.get_mut(usize::from(job.team.0)) {
+            team.estimates[kind].learn(run_ms, declared_ms);
+        }
+    }
+
     fn praise_workers(&mut self, members: &[Member]) {
         let mut is_freed = false;
         for member in members {
--- a/crates/ledger/src/apply_sheet.rs
+++ b/crates/ledger/src/apply_sheet.rs
@@ -119,9 +119,12 @@
         }
         for spec in teams {
             match self.teams.iter_mut().find(|team| team.spec.name == spec.name) {
-                None => {
-                    self.teams.push(TeamState { spec: spec.clone(), is_active: true, pending: 0 })
-                }
+                None => self.teams.push(TeamState {
+                    spec: spec.clone(),
+                    is_active: true,
+                    pending: 0,
+                    estimates: Default::default(),
+                }),
                 Some(team) => {
                     team.spec = spec.clone();
                     team.is_active = true;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod record;
 pub mod refusal;
 pub mod reservation;
+pub mod run_estimate;
 pub mod snapshot;
 pub mod state;
 pub mod team_hold;
--- /dev/null
+++ b/crates/ledger/src/run_estimate.rs
@@ -0,0 +1,76 @@
+//! How long jobs really run, against what was declared: a smoothed ratio and its deviation, as
+//! TCP keeps them for its retransmission timer (RFC 6298).
+
+use cuminbarrow_model::job::JobSpec;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::job_state::JobState;
+use crate::state::State;
+
+/// Number of kinds of jobs that are told apart.
+pub const JOB_KINDS: usize = 4;
+/// Largest ratio learnt, in thousandths; declarations are off by up to ten times.
+const MAX_RATIO_PERMILLE: u64 = 10_000;
+
+/// Kind of a job: with or without accelerators, single or gang.
+pub fn job_kind(spec: &JobSpec) -> usize {
+    let has_accelerators = usize::from(spec.shape.per_member.accelerators > 0);
+    let is_gang = usize::from(spec.shape.members > 1);
+    has_accelerators * 2 + is_gang
+}
+
+/// Ratio of real to declared run time, in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunEstimate {
+    mean_permille: u32,
+    deviation_permille: u32,
+}
+
+impl Default for RunEstimate {
+    fn default() -> Self {
+        Self { mean_permille: 1_000, deviation_permille: 500 }
+    }
+}
+
+impl RunEstimate {
+    pub(crate) fn learn(&mut self, run_ms: u64, declared_ms: u64) {
+        let ratio = (run_ms * 1_000 / declared_ms.max(1)).min(MAX_RATIO_PERMILLE);
+        let ratio = u32::try_from(ratio).unwrap_or(u32::MAX);
+        let error = self.mean_permille.abs_diff(ratio);
+        self.deviation_permille = (self.deviation_permille * 3 + error) / 4;
+        self.mean_permille = (self.mean_permille * 7 + ratio) / 8;
+    }
+
+    /// Time that a job with this declaration likely runs, in ms.
+    pub fn likely_ms(&self, declared_ms: u64) -> u64 {
+        (declared_ms.saturating_mul(u64::from(self.mean_permille)) / 1_000).max(1)
+    }
+
+    /// Time that it rarely exceeds, in ms.
+    pub fn rarely_exceeded_ms(&self, declared_ms: u64) -> u64 {
+        let ratio = u64::from(self.mean_permille + 2 * self.deviation_permille);
+        (declared_ms.saturating_mul(ratio) / 1_000).max(1)
+    }
+}
+
+impl State {
+    /// The estimate for a job's kind in its team.
+    pub fn estimate(&self, job: &JobState) -> RunEstimate {
+        let team = self.team(job.team);
+        team.map(|team| team.estimates[job_kind(&job.spec)]).unwrap_or_default()
+    }
+
+    /// Declared run time that is left of a job, in ms.
+    pub fn declared_rest_ms(&self, job: &JobState) -> u64 {
+        let rest = u64::from(1_000 - job.progress_permille.min(1_000));
+        job.spec.declared_run_ms * rest / 1_000
+    }
+
+    /// When a placed job likely ends, in ms since the Unix epoch.
+    pub fn likely_end_ms(&self, job: &JobState) -> Option<u64> {
+        let placement = job.placement()?;
+        let began_ms = placement.started_ms.unwrap_or(placement.placed_ms);
+        Some(began_ms + self.estimate(job).likely_ms(self.declared_rest_ms(job)))
+    }
+}
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -24,6 +24,8 @@
 use crate::job_state::Placement;
 use crate::pack::RackState;
 use crate::reservation::Reservation;
+use crate::run_estimate::JOB_KINDS;
+use crate::run_estimate::RunEstimate;
 use crate::worker_state::WorkerState;
 
 /// Most jobs that may wait at once.
@@ -71,6 +73,8 @@
     pub is_active: bool,
     /// Its jobs that wait.
     pub pending: u32,
+    /// How long its jobs of each kind really run.
+    pub estimates: [RunEstimate; JOB_KINDS],
 }
 
 /// The sheet in force.
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -122,8 +122,7 @@
             let current = faults.wait_for(|faults| !is_cut(faults)).await;
             current.map(|current| *current).map_err(|_| io::ErrorKind::ConnectionAborted)?
         };
-        let limit = current.bytes_per_s;
-        let paced_ms = if limit == 0 { 0 } else { count as u64 * 1_000 / limit };
+        let paced_ms = (count as u64 * 1_000).checked_div(current.bytes_per_s).unwrap_or_default();
         let pause = current.delay + Duration::from_millis(paced_ms);
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
