--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -1,5 +1,7 @@
 //! Whole deployments of real processes, one file a feature.
 
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
 mod bad_input;
 mod cluster_builder;
 mod entry_failover;
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -13,8 +13,10 @@
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_platform::log_store::LogStore;
 use cuminbarrow_policy::first_fit::FirstFit;
+use cuminbarrow_policy::guaranteed::Guaranteed;
 use cuminbarrow_policy::placement_policy::Decision;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
+use cuminbarrow_policy::policy_weights::PolicyWeights;
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::message::PeerRequest;
 use smol_str::SmolStr;
@@ -27,6 +29,7 @@
 use crate::entry_core::lock;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_settings::EntrySettings;
+use crate::entry_settings::PolicyGoal;
 use crate::entry_settings::PolicyName;
 use crate::peer_server;
 use crate::planner_role::PlannerRole;
@@ -43,8 +46,13 @@
 
 /// The policy that the settings name.
 pub(crate) fn policy_of(settings: &EntrySettings) -> Box<dyn PlacementPolicy> {
+    let weights = match settings.goal {
+        PolicyGoal::Completion => PolicyWeights::COMPLETION,
+        PolicyGoal::Fragmentation => PolicyWeights::FRAGMENTATION,
+    };
     match settings.policy {
-        PolicyName::FirstFit | PolicyName::Guaranteed => Box::new(FirstFit),
+        PolicyName::FirstFit => Box::new(FirstFit),
+        PolicyName::Guaranteed => Box::new(Guaranteed::new(weights)),
     }
 }
 
--- a/crates/ledger/src/apply_jobs.rs
+++ b/crates/ledger/src/apply_jobs.rs
@@ -152,6 +152,7 @@
                 phase: JobPhase::Pending,
                 attempts: 0,
                 failures: 0,
+                preemptions: 0,
                 failed_workers: Default::default(),
                 progress_permille: 0,
                 submitted_ms,
@@ -417,6 +418,9 @@
             ensure!(is_fair, NotPreemptibleSnafu { attempt });
         }
         for &attempt in victims {
+            if let Some(victim) = self.jobs.get_mut(&attempt.job) {
+                victim.preemptions = victim.preemptions.saturating_add(1);
+            }
             let is_started = self.placement(attempt).is_some_and(Placement::is_started);
             if is_started {
                 let cause = StopCause::Preempted { beneficiary: key };
--- a/crates/ledger/src/job_state.rs
+++ b/crates/ledger/src/job_state.rs
@@ -92,6 +92,8 @@
     pub attempts: u16,
     /// Attempts that ended by a failure or a lapse.
     pub failures: u8,
+    /// Times that a running attempt was stopped in favour of another job.
+    pub preemptions: u8,
     /// Workers on which it failed.
     pub failed_workers: BTreeSet<WorkerKey>,
     /// Share of the work that a checkpoint keeps, in thousandths.
--- a/crates/ledger/src/pack.rs
+++ b/crates/ledger/src/pack.rs
@@ -112,31 +112,54 @@
     rooms
 }
 
-/// Accelerators left over first, then cores: the worker with the least of both is the tightest.
-fn tightness(room: &WorkerRoom) -> (u8, u16) {
-    (room.offer.accelerators.count(), room.offer.free.cores)
+/// How little room a worker has: accelerators first, then cores.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct WorkerTightness {
+    accelerators: u8,
+    cores: u16,
 }
 
+fn tightness(room: &WorkerRoom) -> WorkerTightness {
+    WorkerTightness { accelerators: room.offer.accelerators.count(), cores: room.offer.free.cores }
+}
+
+/// Accelerators that all racks of a data centre offer.
+fn centre_accelerators(rooms: &[RackRoom], data_centre: DataCentreKey) -> u32 {
+    let racks = rooms.iter().filter(|rack| rack.data_centre == data_centre);
+    racks.map(rack_accelerators).sum()
+}
+
+/// The tightest worker; among equals the one whose rack and data centre have the least room.
 fn pack_worker(rooms: &[RackRoom], shape: &Shape) -> Option<Vec<Member>> {
     let wanted = usize::from(shape.members);
-    let tightest = rooms
-        .iter()
-        .flat_map(|rack| &rack.workers)
-        .filter(|room| room.members >= wanted)
-        .min_by_key(|room| tightness(room))?;
+    let mut best = None;
+    for rack in rooms {
+        let fitting = rack.workers.iter().filter(|room| room.members >= wanted);
+        let Some(room) = fitting.min_by_key(|room| tightness(room)) else { continue };
+        let centre = centre_accelerators(rooms, rack.data_centre);
+        let rank = (tightness(room), centre, rack_accelerators(rack));
+        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+            best = Some((rank, room));
+        }
+    }
+    let (_, tightest) = best?;
     let mut members = Vec::with_capacity(wanted);
     fill_worker(tightest, shape, &mut members);
     Some(members)
 }
 
+/// The tightest rack; among equals the one whose data centre has the least room.
 fn pack_rack(rooms: Vec<RackRoom>, shape: &Shape) -> Option<Vec<Member>> {
     let wanted = usize::from(shape.members);
-    let tightest = rooms
-        .into_iter()
-        .filter(|rack| rack.members >= wanted)
-        .min_by_key(|rack| (rack_accelerators(rack), rack.members))?;
+    let index =
+        (0..rooms.len()).filter(|&index| rooms[index].members >= wanted).min_by_key(|&index| {
+            let rack = &rooms[index];
+            let centre = centre_accelerators(&rooms, rack.data_centre);
+            (rack_accelerators(rack), rack.members, centre, rack.rack)
+        })?;
     let mut members = Vec::with_capacity(wanted);
-    fill_rack(tightest, shape, &mut members);
+    let mut rooms = rooms;
+    fill_rack(rooms.swap_remove(index), shape, &mut members);
     Some(members)
 }
 
--- a/crates/load/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- /dev/null
+++ b/crates/load/src/policy_report.rs
@@ -0,0 +1,83 @@
+//! What one policy made of one load.
+
+use serde::Serialize;
+
+/// What one policy made of one load.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct PolicyReport {
+    pub(crate) policy: &'static str,
+    pub(crate) deployment: &'static str,
+    pub(crate) seed: u64,
+    /// Time from submission to completion, or to the end of the run, over the real run time.
+    pub(crate) completion_p50_ratio: f64,
+    pub(crate) completion_p95_ratio: f64,
+    pub(crate) completion_p99_ratio: f64,
+    /// Share of jobs with a deadline that were answered after it, or never.
+    pub(crate) late_share: f64,
+    /// Accelerator-hours that stay free after planning though a waiting job's count would fit.
+    pub(crate) fragmentation: f64,
+    /// Time from the decision to reclaim to the start, in s.
+    pub(crate) reclaim_p50_s: f64,
+    pub(crate) reclaim_p99_s: f64,
+    /// Longest wait of a job of 8 or more accelerators, in s.
+    pub(crate) large_gang_wait_max_s: f64,
+    pub(crate) urgent_start_p99_s: f64,
+    pub(crate) work_lost_accelerator_hours: f64,
+    pub(crate) promises_broken: u64,
+    /// Processor time of planning for each decision, in rounds that decide.
+    pub(crate) decision_cpu_us: f64,
+    /// Jobs that completed.
+    pub(crate) completed: usize,
+    /// Preemptions.
+    pub(crate) preemptions: usize,
+    /// Share of the accelerators in use while jobs arrived.
+    pub(crate) utilization: f64,
+    /// Processor time of a round that decides nothing.
+    pub(crate) idle_round_cpu_us: f64,
+    /// Longest single round of planning.
+    pub(crate) round_cpu_max_us: f64,
+}
+
+impl PolicyReport {
+    pub(crate) fn header() -> String {
+        "policy      p50    p95    p99    late%  frag ah  recl50 recl99 large_s  urg99_s  lost ah \
+         broken cpu_us  idle_us max_us  done preempt util%"
+            .to_owned()
+    }
+
+    pub(crate) fn row(&self) -> String {
+        format!(
+            "{:<11} {:<6.2} {:<6.2} {:<6.2} {:<6.1} {:<8.1} {:<6.1} {:<6.1} {:<8.0} {:<8.2} \
+             {:<7.1} {:<6} {:<7.0} {:<7.0} {:<7.0} {:<4} {:<7} {:.0}",
+            self.policy,
+            self.completion_p50_ratio,
+            self.completion_p95_ratio,
+            self.completion_p99_ratio,
+            self.late_share * 100.0,
+            self.fragmentation,
+            self.reclaim_p50_s,
+            self.reclaim_p99_s,
+            self.large_gang_wait_max_s,
+            self.urgent_start_p99_s,
+            self.work_lost_accelerator_hours,
+            self.promises_broken,
+            self.decision_cpu_us,
+            self.idle_round_cpu_us,
+            self.round_cpu_max_us,
+            self.completed,
+            self.preemptions,
+            self.utilization * 100.0,
+        )
+    }
+
+    pub(crate) fn json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// The value below which a share of all lies; 0 for none.
+pub(crate) fn percentile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_unstable_by(f64::total_cmp);
+    let index = (values.len() as f64 * share).ceil() as usize;
+    values.get(index.saturating_sub(1)).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/load/src/policy_run.rs
@@ -0,0 +1,472 @@
+//! Runs one load through a policy and the real fold, in virtual time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use cuminbarrow_ledger::apply::BatchReport;
+use cuminbarrow_ledger::apply::Effect;
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::job_state::StopCause;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::attempt::AttemptEnd;
+use cuminbarrow_model::job::Answer;
+use cuminbarrow_model::job::JobOutcome;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_policy::placement_policy::PlacementPolicy;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::deployment::Deployment;
+use crate::deployment::HOUR_MS;
+use crate::event_queue::Event;
+use crate::event_queue::EventQueue;
+use crate::policy_report::PolicyReport;
+use crate::policy_report::percentile;
+use crate::workload::Workload;
+
+/// From the placement to the start: the log twice, and the gang's ready messages.
+const START_DELAY_MS: u64 = 300;
+/// From the request to stop to the end of a gang, with and without a checkpoint.
+const CHECKPOINT_MS: u64 = 2_000;
+const STOP_MS: u64 = 300;
+/// From a task's failure at its start to the report.
+const FAIL_MS: u64 = 2_000;
+/// From the loss of a worker to the record of it.
+const LOSS_DETECTION_MS: u64 = 15_000;
+/// Time between looks of the planner while jobs wait.
+const LOOK_MS: u64 = 5_000;
+/// Rounds at one time, at most.
+const MAX_ROUNDS: usize = 40;
+/// Time after the last arrival in which jobs may still end.
+const TAIL_MS: u64 = 48 * HOUR_MS;
+/// Accelerators from which on a job counts as large.
+const LARGE_ACCELERATORS: u32 = 8;
+
+/// What is measured while the load runs.
+#[derive(Default)]
+struct Measures {
+    fragmented_ms: u64,
+    used_ms: u64,
+    starts: BTreeMap<JobKey, u64>,
+    runs: BTreeSet<AttemptKey>,
+    reclaims: BTreeMap<JobKey, u64>,
+    reclaim_s: Vec<f64>,
+    lost_ms: u64,
+    broken: u64,
+    decisions: u64,
+    preemptions: usize,
+    planning_us: f64,
+    idle_us: f64,
+    idle_rounds: u64,
+    round_max_us: f64,
+}
+
+/// Runs one load through a policy.
+pub(crate) struct PolicyRun<'a> {
+    deployment: &'a Deployment,
+    seed: u64,
+    policy: Box<dyn PlacementPolicy>,
+    load: Workload,
+    state: State,
+    queue: EventQueue,
+    now_ms: u64,
+    sequence: u64,
+    load_of: BTreeMap<JobKey, usize>,
+    job_of: BTreeMap<usize, JobKey>,
+    measures: Measures,
+    is_changed: bool,
+}
+
+impl<'a> PolicyRun<'a> {
+    pub(crate) fn new(
+        deployment: &'a Deployment,
+        seed: u64,
+        policy: Box<dyn PlacementPolicy>,
+    ) -> Self {
+        let load = Workload::new(deployment, seed);
+        let mut queue = EventQueue::default();
+        for (index, job) in load.jobs.iter().enumerate() {
+            queue.push(job.at_ms, Event::Arrival(index));
+            if let Some(cancel_ms) = job.cancel_ms {
+                queue.push(cancel_ms, Event::Cancel(index));
+            }
+        }
+        for (index, trouble) in load.troubles.iter().enumerate() {
+            if !trouble.fails_starts {
+                queue.push(trouble.from_ms + LOSS_DETECTION_MS, Event::Loss(index));
+                queue.push(trouble.until_ms + LOSS_DETECTION_MS, Event::Recovery(index));
+            }
+        }
+        Self {
+            deployment,
+            seed,
+            policy,
+            load,
+            state: State::default(),
+            queue,
+            now_ms: 0,
+            sequence: 0,
+            load_of: BTreeMap::new(),
+            job_of: BTreeMap::new(),
+            measures: Measures::default(),
+            is_changed: true,
+        }
+    }
+
+    pub(crate) fn run(mut self) -> PolicyReport {
+        self.set_up();
+        let end_ms = self.deployment.horizon_ms + TAIL_MS;
+        while let Some(next_ms) = self.queue.next_ms().filter(|next_ms| *next_ms <= end_ms) {
+            self.account(next_ms);
+            self.now_ms = next_ms;
+            while self.queue.next_ms() == Some(next_ms) {
+                if let Some((_, event)) = self.queue.pop() {
+                    self.handle(event);
+                }
+            }
+            self.plan();
+        }
+        self.report()
+    }
+
+    fn set_up(&mut self) {
+        let joins =
+            self.deployment.workers.iter().enumerate().map(|(index, spec)| Record::WorkerJoined {
+                spec: spec.clone(),
+                incarnation: index as u64,
+                session: 1,
+                entry: 1,
+            });
+        let mut records: Vec<Record> = joins.collect();
+        records.push(Record::PlannerClaimed { epoch: 1, instance: 1 });
+        records.push(Record::SheetApplied {
+            author: SmolStr::new("load"),
+            sheet: self.deployment.sheet(),
+            max_removed_permille: 0,
+        });
+        let report = self.apply(records);
+        for result in &report.results {
+            assert!(result.is_ok(), "the deployment must be possible: {result:?}");
+        }
+        self.queue.push(0, Event::Look);
+    }
+
+    fn apply(&mut self, records: Vec<Record>) -> BatchReport {
+        self.sequence += 1;
+        let batch = Batch { writer: 1, sequence: self.sequence, at_ms: self.now_ms, records };
+        let report = self.state.apply(self.sequence - 1, &batch);
+        if self.sequence.is_multiple_of(self.deployment.check_every) {
+            self.measures.broken += self.state.broken_promises().len() as u64;
+        }
+        self.is_changed = true;
+        for moved in &report.moves {
+            self.note_stop(moved.attempt);
+        }
+        report
+    }
+
+    /// A gang that is newly told to stop stops after a while.
+    fn note_stop(&mut self, attempt: AttemptKey) {
+        let Some(job) = self.state.jobs.get(&attempt.job) else { return };
+        let Some(placement) = job.placement_of(attempt).filter(|p| p.stop.is_some()) else {
+            return;
+        };
+        if placement.stop == Some(StopCause::Cancelled) || job.spec.repeatable {
+            let delay = if job.spec.checkpointable { CHECKPOINT_MS } else { STOP_MS };
+            self.queue.push(self.now_ms + delay, Event::Stopped(attempt));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(index) => self.arrive(index),
+            Event::Cancel(index) => {
+                if let Some(&job) = self.job_of.get(&index) {
+                    self.apply(vec![Record::JobCancelled { job }]);
+                }
+            }
+            Event::End(attempt) => self.end(attempt),
+            Event::Look => {
+                if !self.state.pending.is_empty() || self.now_ms < self.deployment.horizon_ms {
+                    self.queue.push(self.now_ms + LOOK_MS, Event::Look);
+                }
+                self.is_changed |= !self.state.pending.is_empty();
+            }
+            Event::Loss(index) => self.lose(index),
+            Event::Recovery(index) => self.recover(index),
+            Event::Start(attempt) => self.start(attempt),
+            Event::Stopped(attempt) => self.stopped(attempt),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let job = &self.load.jobs[index];
+        let record = Record::JobSubmitted {
+            team: job.team.clone(),
+            name: format_smolstr!("job-{index}"),
+            spec: job.spec.clone(),
+        };
+        if let Ok(Effect::Job { job }) = self.apply(vec![record]).results[0] {
+            self.load_of.insert(job, index);
+            self.job_of.insert(index, job);
+        }
+    }
+
+    fn lead_incarnation(&self, attempt: AttemptKey) -> Option<u64> {
+        let lead = self.state.placement(attempt)?.lead();
+        Some(self.state.worker(lead)?.incarnation)
+    }
+
+    fn start(&mut self, attempt: AttemptKey) {
+        let Some(lead_incarnation) = self.lead_incarnation(attempt) else { return };
+        let report = self.apply(vec![Record::JobStarted { attempt, lead_incarnation }]);
+        if report.results[0].is_err() {
+            return;
+        }
+        self.measures.starts.entry(attempt.job).or_insert(self.now_ms);
+        if let Some(since_ms) = self.measures.reclaims.remove(&attempt.job) {
+            self.measures.reclaim_s.push((self.now_ms - since_ms) as f64 / 1_000.0);
+        }
+        self.check_once(attempt);
+        let after_ms = self.run_time(attempt);
+        self.queue.push(self.now_ms + after_ms, Event::End(attempt));
+    }
+
+    /// Work that is not repeatable starts at most once.
+    fn check_once(&mut self, attempt: AttemptKey) {
+        let is_repeatable =
+            self.state.jobs.get(&attempt.job).is_some_and(|job| job.spec.repeatable);
+        let is_second = self.measures.runs.iter().any(|run| run.job == attempt.job);
+        if is_second && !is_repeatable {
+            self.measures.broken += 1;
+        }
+        self.measures.runs.insert(attempt);
+    }
+
+    fn run_time(&self, attempt: AttemptKey) -> u64 {
+        let Some(load) = self.load_of.get(&attempt.job).map(|index| &self.load.jobs[*index]) else {
+            return 0;
+        };
+        if self.failing_worker(attempt).is_some() || fails(load, attempt) {
+            return FAIL_MS;
+        }
+        let progress = self.state.jobs[&attempt.job].progress_permille.min(1_000);
+        load.run_ms * u64::from(1_000 - progress) / 1_000
+    }
+
+    /// A member's worker that fails everything now.
+    fn failing_worker(&self, attempt: AttemptKey) -> Option<WorkerKey> {
+        let placement = self.state.placement(attempt)?;
+        let is_failing = |worker: &WorkerKey| {
+            self.load.troubles.iter().any(|trouble| {
+                trouble.fails_starts
+                    && trouble.worker == usize::from(worker.0)
+                    && (trouble.from_ms..trouble.until_ms).contains(&self.now_ms)
+            })
+        };
+        placement.members.iter().map(|member| member.worker).find(is_failing)
+    }
+
+    fn end(&mut self, attempt: AttemptKey) {
+        let Some(lead_incarnation) = self.lead_incarnation(attempt) else { return };
+        let Some(&index) = self.load_of.get(&attempt.job) else { return };
+        let started_ms = self.state.placement(attempt).and_then(|p| p.started_ms).unwrap_or(0);
+        let is_quick = self.now_ms - started_ms <= FAIL_MS;
+        let failing = self.failing_worker(attempt).filter(|_| is_quick);
+        let lead = self.state.placement(attempt).map(|p| p.lead()).unwrap_or_default();
+        let end = match failing {
+            Some(worker) => AttemptEnd::Failed { worker, reason: SmolStr::new("bad worker") },
+            None if fails(&self.load.jobs[index], attempt) => {
+                AttemptEnd::Failed { worker: lead, reason: SmolStr::new("bad job") }
+            }
+            None => AttemptEnd::Completed { answer: Answer::new(Vec::new()) },
+        };
+        self.apply(vec![Record::JobEnded { attempt, lead_incarnation, end }]);
+    }
+
+    fn stopped(&mut self, attempt: AttemptKey) {
+        let Some(lead_incarnation) = self.lead_incarnation(attempt) else { return };
+        let Some(job) = self.state.jobs.get(&attempt.job) else { return };
+        let Some(placement) = job.placement_of(attempt) else { return };
+        let Some(&index) = self.load_of.get(&attempt.job) else { return };
+        let started_ms = placement.started_ms.unwrap_or(self.now_ms);
+        let ran_ms = self.now_ms - started_ms;
+        let total_ms = self.load.jobs[index].run_ms.max(1);
+        let done =
+            job.progress_permille + u16::try_from(ran_ms * 1_000 / total_ms).unwrap_or(1_000);
+        let progress_permille = done.min(999);
+        let size = u64::from(job.spec.shape.accelerators());
+        if !job.spec.checkpointable {
+            self.measures.lost_ms += ran_ms * size;
+        }
+        let end = AttemptEnd::Stopped { progress_permille };
+        self.apply(vec![Record::JobEnded { attempt, lead_incarnation, end }]);
+    }
+
+    fn lose(&mut self, index: usize) {
+        let worker = WorkerKey(u16::try_from(self.load.troubles[index].worker).unwrap_or(0));
+        let Some(known) = self.state.worker(worker) else { return };
+        let (incarnation, session) = (known.incarnation, known.session);
+        self.apply(vec![Record::WorkerLost { worker, incarnation, session }]);
+    }
+
+    fn recover(&mut self, index: usize) {
+        let worker = WorkerKey(u16::try_from(self.load.troubles[index].worker).unwrap_or(0));
+        let Some(known) = self.state.worker(worker) else { return };
+        let record = Record::WorkerJoined {
+            spec: known.spec.clone(),
+            incarnation: known.incarnation + 1_000,
+            session: 1,
+            entry: 1,
+        };
+        self.apply(vec![record]);
+    }
+
+    fn plan(&mut self) {
+        for _ in 0..MAX_ROUNDS {
+            if !self.is_changed {
+                return;
+            }
+            self.is_changed = false;
+            let began = Instant::now();
+            let plan = self.policy.plan(&self.state, self.now_ms);
+            let spent_us = began.elapsed().as_secs_f64() * 1e6;
+            self.measures.round_max_us = self.measures.round_max_us.max(spent_us);
+            if plan.decisions.is_empty() {
+                self.measures.idle_us += spent_us;
+                self.measures.idle_rounds += 1;
+                return;
+            }
+            self.measures.planning_us += spent_us;
+            self.measures.decisions += plan.decisions.len() as u64;
+            let records: Vec<Record> =
+                plan.decisions.into_iter().map(|decision| decision.into_record(1)).collect();
+            let report = self.apply(records.clone());
+            for (record, result) in records.iter().zip(&report.results) {
+                if result.is_ok() {
+                    self.note_decision(record);
+                }
+            }
+        }
+    }
+
+    fn note_decision(&mut self, record: &Record) {
+        match record {
+            Record::JobPlaced { attempt, .. } => {
+                self.queue.push(self.now_ms + START_DELAY_MS, Event::Start(*attempt));
+            }
+            Record::JobsPreempted { job, victims, reservation, .. } => {
+                self.measures.preemptions += victims.len();
+                if reservation.is_some() {
+                    self.measures.reclaims.entry(*job).or_insert(self.now_ms);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Accounts the time until the next event, while jobs arrive.
+    fn account(&mut self, next_ms: u64) {
+        let until_ms = next_ms.min(self.deployment.horizon_ms);
+        let lasting_ms = until_ms.saturating_sub(self.now_ms);
+        if lasting_ms == 0 {
+            return;
+        }
+        let up = self.state.workers.iter().filter(|worker| worker.is_open());
+        let (mut free, mut used) = (0_u64, 0_u64);
+        for worker in up {
+            used += u64::from(worker.used.accelerators);
+            free += u64::from(worker.spec.capacity.accelerators - worker.used.accelerators);
+        }
+        self.measures.used_ms += used * lasting_ms;
+        if free > 0 && self.is_fragmented(free) {
+            self.measures.fragmented_ms += free * lasting_ms;
+        }
+    }
+
+    /// Whether the count of some waiting job's accelerators is free, though the policy, which has
+    /// just planned, found no place for its shape.
+    fn is_fragmented(&self, free: u64) -> bool {
+        let waiting = self.state.pending.iter().filter_map(|key| self.state.jobs.get(key));
+        waiting
+            .filter(|job| job.not_before_ms <= self.now_ms)
+            .map(|job| u64::from(job.spec.shape.accelerators()))
+            .any(|count| count > 0 && count <= free)
+    }
+
+    fn report(mut self) -> PolicyReport {
+        let mut ratios = Vec::new();
+        let mut completed = 0;
+        let (mut with_deadline, mut late) = (0_usize, 0_usize);
+        let mut urgent_s = Vec::new();
+        let mut large_s = 0.0_f64;
+        for (key, job) in &self.state.jobs {
+            let Some(load) = self.load_of.get(key).map(|index| &self.load.jobs[*index]) else {
+                continue;
+            };
+            if load.is_poisoned || load.cancel_ms.is_some() {
+                continue;
+            }
+            let done_ms = completed_ms(job);
+            completed += usize::from(done_ms.is_some());
+            let until_ms = done_ms.unwrap_or(self.now_ms);
+            ratios.push((until_ms - job.submitted_ms) as f64 / load.run_ms.max(1) as f64);
+            if let Some(deadline_ms) = job.spec.deadline_ms {
+                with_deadline += 1;
+                late += usize::from(done_ms.is_none_or(|done_ms| done_ms > deadline_ms));
+            }
+            let started_ms = self.measures.starts.get(key).copied().unwrap_or(self.now_ms);
+            let wait_s = started_ms.saturating_sub(job.submitted_ms) as f64 / 1_000.0;
+            if job.spec.urgent {
+                urgent_s.push(wait_s);
+            }
+            if job.spec.shape.accelerators() >= LARGE_ACCELERATORS {
+                large_s = large_s.max(wait_s);
+            }
+        }
+        let total = u64::from(self.state.known_accelerators()) * self.deployment.horizon_ms;
+        let hour = HOUR_MS as f64;
+        let measures = &mut self.measures;
+        PolicyReport {
+            policy: self.policy.name(),
+            deployment: self.deployment.name.name(),
+            seed: self.seed,
+            completion_p50_ratio: percentile(&mut ratios, 0.50),
+            completion_p95_ratio: percentile(&mut ratios, 0.95),
+            completion_p99_ratio: percentile(&mut ratios, 0.99),
+            late_share: late as f64 / with_deadline.max(1) as f64,
+            fragmentation: measures.fragmented_ms as f64 / hour,
+            reclaim_p50_s: percentile(&mut measures.reclaim_s, 0.50),
+            reclaim_p99_s: percentile(&mut measures.reclaim_s, 0.99),
+            large_gang_wait_max_s: large_s,
+            urgent_start_p99_s: percentile(&mut urgent_s, 0.99),
+            work_lost_accelerator_hours: measures.lost_ms as f64 / hour,
+            promises_broken: measures.broken,
+            decision_cpu_us: measures.planning_us / measures.decisions.max(1) as f64,
+            completed,
+            preemptions: measures.preemptions,
+            utilization: measures.used_ms as f64 / total.max(1) as f64,
+            idle_round_cpu_us: measures.idle_us / measures.idle_rounds.max(1) as f64,
+            round_cpu_max_us: measures.round_max_us,
+        }
+    }
+}
+
+fn fails(load: &crate::workload::LoadJob, attempt: AttemptKey) -> bool {
+    load.is_poisoned || attempt.attempt <= load.failing_attempts
+}
+
+fn completed_ms(job: &JobState) -> Option<u64> {
+    match &job.phase {
+        cuminbarrow_ledger::job_state::JobPhase::Ended {
+            outcome: JobOutcome::Completed { .. },
+            at_ms,
+        } => Some(*at_ms),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/load/src/workload.rs
@@ -0,0 +1,170 @@
+//! A seeded load: what arrives when, how long it really runs, and what goes wrong.
+
+use cuminbarrow_model::job::JobSpec;
+use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::shape::Shape;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Distribution;
+use rand_distr::Exp;
+use rand_distr::LogNormal;
+use smol_str::SmolStr;
+
+use crate::deployment::Deployment;
+use crate::deployment::HOUR_MS;
+use crate::deployment::JobMix;
+
+/// Share of jobs that arrive in bursts.
+const BURST_SHARE: f64 = 0.35;
+/// Sigma of the log-normal error of declared run times.
+const DECLARED_SIGMA: f64 = 1.0;
+/// Largest factor by which a declared run time is off.
+const MAX_DECLARED_FACTOR: f64 = 10.0;
+/// Share of jobs that fail wherever they run.
+const POISONED_SHARE: f64 = 0.01;
+/// Share of attempts that fail by chance.
+const FAILED_SHARE: f64 = 0.02;
+/// Waves in which jobs are cancelled.
+const CANCEL_WAVES: u64 = 4;
+/// Share of jobs near a wave that it cancels.
+const CANCEL_SHARE: f64 = 0.15;
+/// Shortest real run time, in ms.
+const MIN_RUN_MS: f64 = 60_000.0;
+
+/// A job that will arrive.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadJob {
+    pub(crate) at_ms: u64,
+    pub(crate) team: SmolStr,
+    pub(crate) spec: JobSpec,
+    /// Real run time of a whole run, in ms.
+    pub(crate) run_ms: u64,
+    /// Whether it fails wherever it runs.
+    pub(crate) is_poisoned: bool,
+    /// Attempts that fail by chance, counted from the first.
+    pub(crate) failing_attempts: u16,
+    pub(crate) cancel_ms: Option<u64>,
+}
+
+/// A worker that goes away or fails everything for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkerTrouble {
+    pub(crate) worker: usize,
+    pub(crate) from_ms: u64,
+    pub(crate) until_ms: u64,
+    /// Whether it fails every start; else it is lost.
+    pub(crate) fails_starts: bool,
+}
+
+/// Everything that will happen.
+pub(crate) struct Workload {
+    pub(crate) jobs: Vec<LoadJob>,
+    pub(crate) troubles: Vec<WorkerTrouble>,
+}
+
+impl Workload {
+    pub(crate) fn new(deployment: &Deployment, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let arrivals = arrivals(deployment, &mut rng);
+        let waves: Vec<u64> =
+            (0..CANCEL_WAVES).map(|_| rng.random_range(0..deployment.horizon_ms)).collect();
+        let jobs =
+            arrivals.into_iter().map(|at_ms| job(deployment, at_ms, &waves, &mut rng)).collect();
+        Self { jobs, troubles: troubles(deployment, &mut rng) }
+    }
+}
+
+/// Times of arrival: an even stream, and bursts.
+fn arrivals(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Vec<u64> {
+    let mut times = vec![0; deployment.initial_jobs];
+    let bursts = 4 + deployment.jobs / 60;
+    let centres: Vec<u64> =
+        (0..bursts).map(|_| rng.random_range(0..deployment.horizon_ms)).collect();
+    let spread = Exp::new(1.0 / 120_000.0).expect("the rate is positive");
+    for _ in 0..deployment.jobs {
+        let is_burst = rng.random_bool(BURST_SHARE);
+        let time = if is_burst {
+            let centre = centres[rng.random_range(0..centres.len())];
+            let after: f64 = spread.sample(rng);
+            centre + after as u64
+        } else {
+            rng.random_range(0..deployment.horizon_ms)
+        };
+        times.push(time.min(deployment.horizon_ms));
+    }
+    times.sort_unstable();
+    times
+}
+
+fn job(deployment: &Deployment, at_ms: u64, waves: &[u64], rng: &mut ChaCha8Rng) -> LoadJob {
+    let mix = pick_mix(&deployment.mixes, rng);
+    let run = LogNormal::new(mix.median_run_ms.ln(), mix.run_sigma).expect("sigma is finite");
+    let run_ms = run.sample(rng).clamp(MIN_RUN_MS, 24.0 * HOUR_MS as f64);
+    let error = LogNormal::new(0.0, DECLARED_SIGMA).expect("sigma is finite");
+    let factor = error.sample(rng).clamp(1.0 / MAX_DECLARED_FACTOR, MAX_DECLARED_FACTOR);
+    let repeatable = rng.random_bool(mix.repeatable);
+    let slack = rng.random_range(1.0..5.0) * run_ms + 600_000.0;
+    let deadline_ms = rng.random_bool(0.7).then_some(at_ms + (run_ms + slack) as u64);
+    let per_member = Resources {
+        cores: mix.cores,
+        memory_gib: mix.memory_gib,
+        accelerators: rng.random_range(mix.accelerators.0..=mix.accelerators.1),
+        slots: 1,
+        connections: 1,
+    };
+    let spec = JobSpec {
+        shape: Shape {
+            members: rng.random_range(mix.members.0..=mix.members.1),
+            per_member,
+            span: mix.span,
+        },
+        repeatable,
+        checkpointable: repeatable && rng.random_bool(mix.checkpointable),
+        urgent: rng.random_bool(mix.urgent),
+        deadline_ms,
+        declared_run_ms: (run_ms * factor) as u64,
+        payload: SmolStr::default(),
+    };
+    let is_in_wave = waves.iter().any(|wave| at_ms.abs_diff(*wave) < 2 * HOUR_MS);
+    let cancel_ms = (is_in_wave && rng.random_bool(CANCEL_SHARE)).then(|| at_ms + HOUR_MS / 2);
+    let team = &deployment.teams[rng.random_range(0..deployment.teams.len())];
+    LoadJob {
+        at_ms,
+        team: team.name.clone(),
+        spec,
+        run_ms: run_ms as u64,
+        is_poisoned: rng.random_bool(POISONED_SHARE),
+        failing_attempts: u16::from(rng.random_bool(FAILED_SHARE)),
+        cancel_ms,
+    }
+}
+
+fn pick_mix(mixes: &[JobMix], rng: &mut ChaCha8Rng) -> JobMix {
+    let total: u32 = mixes.iter().map(|mix| mix.weight).sum();
+    let mut pick = rng.random_range(0..total);
+    for mix in mixes {
+        if pick < mix.weight {
+            return *mix;
+        }
+        pick -= mix.weight;
+    }
+    mixes[0]
+}
+
+/// One worker in ten is lost for a while, and one worker fails everything for a while.
+fn troubles(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Vec<WorkerTrouble> {
+    let count = deployment.workers.len();
+    let mut troubles = Vec::new();
+    for index in 0..=count / 10 {
+        let from_ms = rng.random_range(0..deployment.horizon_ms);
+        let lasting_ms = rng.random_range(HOUR_MS / 6..HOUR_MS * 2);
+        troubles.push(WorkerTrouble {
+            worker: rng.random_range(0..count),
+            from_ms,
+            until_ms: from_ms + lasting_ms,
+            fails_starts: index == 0,
+        });
+    }
+    troubles
+}
--- /dev/null
+++ b/crates/policy/src/claim_table.rs
@@ -0,0 +1,63 @@
+//! Room that was reclaimed for a job and is kept for it until it is placed.
+
+use std::collections::BTreeMap;
+
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::JobKey;
+
+use crate::room_overlay::RoomOverlay;
+
+/// Longest time for which room is kept, in ms: the grace of a stop and a gang lease.
+const CLAIM_MS: u64 = 30_000;
+
+/// Room kept for one job.
+#[derive(Clone, Debug)]
+pub(crate) struct RoomClaim {
+    pub(crate) members: Vec<Member>,
+    pub(crate) until_ms: u64,
+}
+
+/// Room kept for jobs.
+#[derive(Debug, Default)]
+pub(crate) struct ClaimTable {
+    claims: BTreeMap<JobKey, RoomClaim>,
+}
+
+impl ClaimTable {
+    /// Forgets claims of jobs that no longer wait, and old ones.
+    pub(crate) fn expire(&mut self, state: &State, now_ms: u64) {
+        self.claims.retain(|job, claim| claim.until_ms > now_ms && state.pending.contains(job));
+    }
+
+    pub(crate) fn insert(&mut self, job: JobKey, members: Vec<Member>, now_ms: u64) {
+        self.claims.insert(job, RoomClaim { members, until_ms: now_ms + CLAIM_MS });
+    }
+
+    pub(crate) fn get(&self, job: JobKey) -> Option<&RoomClaim> {
+        self.claims.get(&job)
+    }
+
+    pub(crate) fn remove(&mut self, job: JobKey) {
+        self.claims.remove(&job);
+    }
+
+    /// Jobs that wait for room kept for them.
+    pub(crate) fn jobs(&self) -> Vec<JobKey> {
+        self.claims.keys().copied().collect()
+    }
+
+    /// Takes the room of all claims off, but for those of one job.
+    pub(crate) fn take_others(
+        &self,
+        state: &State,
+        own: Option<JobKey>,
+        overlay: &mut RoomOverlay,
+    ) {
+        for (key, claim) in self.claims.iter().filter(|(key, _)| Some(**key) != own) {
+            if let Some(job) = state.jobs.get(key) {
+                overlay.take(&claim.members, &job.spec.shape.per_member);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/large_shield.rs
@@ -0,0 +1,128 @@
+//! The shield: room kept for the large job that waits longest, so that smaller ones can't starve
+//! it. Until its time smaller jobs run in front of it where they likely end before.
+
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_ledger::pack::pack;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::WorkerKey;
+
+use crate::policy_weights::PolicyWeights;
+use crate::victim_choice::held_on;
+
+/// Accelerators from which on a job counts as large.
+const LARGE_ACCELERATORS: u32 = 8;
+/// Members from which on a job counts as large.
+const LARGE_MEMBERS: u8 = 4;
+/// Time for which a choice of place is kept, in ms.
+const KEPT_MS: u64 = 5_000;
+
+/// Room kept for one large job.
+#[derive(Clone, Debug)]
+pub(crate) struct LargeShield {
+    pub(crate) job: JobKey,
+    /// Where it likely finds room first.
+    pub(crate) members: Vec<Member>,
+    /// When it likely does, in ms since the Unix epoch.
+    pub(crate) start_ms: u64,
+    chosen_ms: u64,
+}
+
+/// Whether a job is large.
+pub(crate) fn is_large(job: &JobState) -> bool {
+    let shape = &job.spec.shape;
+    shape.accelerators() >= LARGE_ACCELERATORS || shape.members >= LARGE_MEMBERS
+}
+
+/// Chooses or keeps the shield.
+pub(crate) fn update(
+    shield: Option<LargeShield>,
+    state: &State,
+    weights: &PolicyWeights,
+    now_ms: u64,
+) -> Option<LargeShield> {
+    let kept = shield.filter(|shield| state.pending.contains(&shield.job));
+    if let Some(kept) = &kept
+        && now_ms < kept.chosen_ms + KEPT_MS
+    {
+        return Some(kept.clone());
+    }
+    let job = kept.map(|kept| kept.job).or_else(|| oldest_large(state, weights, now_ms))?;
+    choose(state, job, now_ms)
+}
+
+fn oldest_large(state: &State, weights: &PolicyWeights, now_ms: u64) -> Option<JobKey> {
+    let waiting = state.pending.iter().filter_map(|key| Some((*key, state.jobs.get(key)?)));
+    waiting
+        .filter(|(_, job)| is_large(job))
+        .filter(|(_, job)| now_ms >= job.submitted_ms + weights.shield_after_ms)
+        .filter(|(_, job)| job.not_before_ms <= now_ms)
+        .min_by_key(|(key, job)| (job.submitted_ms, *key))
+        .map(|(key, _)| key)
+}
+
+/// The earliest time, among the likely ends of placed work, at which the job finds room.
+fn choose(state: &State, key: JobKey, now_ms: u64) -> Option<LargeShield> {
+    let job = state.jobs.get(&key)?;
+    let mut ends: Vec<u64> = state
+        .placed
+        .iter()
+        .filter_map(|placed| state.likely_end_ms(state.jobs.get(placed)?))
+        .map(|end_ms| end_ms.max(now_ms))
+        .collect();
+    ends.sort_unstable();
+    ends.dedup();
+    let room_at = |time_ms: u64| {
+        pack(&state.racks, &job.spec.shape, |worker| offer_at(state, job, worker, time_ms, now_ms))
+    };
+    let mut low = 0;
+    let mut high = ends.len();
+    let mut found: Option<(u64, Vec<Member>)> = None;
+    while low < high {
+        let middle = low + (high - low) / 2;
+        match room_at(ends[middle]) {
+            None => low = middle + 1,
+            Some(members) => {
+                found = Some((ends[middle], members));
+                high = middle;
+            }
+        }
+    }
+    let (start_ms, members) = found?;
+    Some(LargeShield { job: key, members, start_ms, chosen_ms: now_ms })
+}
+
+/// What a worker offers the job once all work that likely ends by then has ended.
+fn offer_at(
+    state: &State,
+    job: &JobState,
+    key: WorkerKey,
+    time_ms: u64,
+    now_ms: u64,
+) -> Option<Offer> {
+    let worker = state.worker(key)?;
+    if !worker.takes_reservations() {
+        return None;
+    }
+    let mut offer = if job.is_preemptible() {
+        worker.unreserved_offer(job.team)
+    } else {
+        worker.firm_offer(job.team)
+    };
+    for attempt in &worker.attempts {
+        let Some(placed) = state.jobs.get(&attempt.job) else { continue };
+        let end_ms = state.likely_end_ms(placed).unwrap_or(u64::MAX).max(now_ms);
+        if end_ms <= time_ms {
+            let held = held_on(placed, key);
+            offer.free = offer.free.plus(&held.free);
+            offer.accelerators = offer.accelerators.union(held.accelerators);
+        }
+    }
+    let reserved = worker.holds.iter().filter(|hold| hold.team != job.team);
+    for hold in reserved {
+        offer.accelerators = offer.accelerators.difference(hold.reserved_accelerators);
+    }
+    Some(offer)
+}
--- /dev/null
+++ b/crates/policy/src/plan_round.rs
@@ -0,0 +1,273 @@
+//! One round: tries to place jobs, one after the other, on what is left.
+
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_ledger::pack::pack;
+use cuminbarrow_ledger::reservation::Reservation;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_ledger::worker_state::WorkerState;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::ReservationKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::shape::Shape;
+
+use crate::placement_policy::Decision;
+use crate::placement_policy::PlaceReason;
+use crate::room_overlay::RoomOverlay;
+use crate::victim_choice::held_on;
+use crate::victim_choice::lost_work;
+use crate::victim_choice::may_move;
+use crate::victim_choice::may_stop;
+use crate::victim_choice::victims_for;
+
+/// A place that was found.
+pub(crate) struct FoundPlace {
+    pub(crate) members: Vec<Member>,
+    pub(crate) reservation: Option<ReservationKey>,
+    pub(crate) reason: PlaceReason,
+}
+
+impl FoundPlace {
+    pub(crate) fn decision(self, key: JobKey, job: &JobState) -> Decision {
+        Decision::Place {
+            attempt: AttemptKey { job: key, attempt: job.attempts + 1 },
+            members: self.members,
+            reservation: self.reservation,
+            reason: self.reason,
+        }
+    }
+}
+
+/// Work to stop in favour of a job.
+pub(crate) struct FoundVictims {
+    pub(crate) members: Vec<Member>,
+    pub(crate) reservation: Option<ReservationKey>,
+    pub(crate) victims: Vec<AttemptKey>,
+    /// Work lost, in accelerator-ms.
+    pub(crate) lost: u64,
+}
+
+/// One round over a state.
+pub(crate) struct PlanRound<'a> {
+    pub(crate) state: &'a State,
+    pub(crate) now_ms: u64,
+    pub(crate) overlay: RoomOverlay,
+    /// Reservations given out in this round.
+    pub(crate) used: Vec<ReservationKey>,
+}
+
+impl<'a> PlanRound<'a> {
+    pub(crate) fn new(state: &'a State, now_ms: u64, overlay: RoomOverlay) -> Self {
+        Self { state, now_ms, overlay, used: Vec::new() }
+    }
+
+    /// Notes a place that was given out.
+    pub(crate) fn take(&mut self, place: &FoundPlace, shape: &Shape) {
+        self.overlay.take(&place.members, &shape.per_member);
+        self.used.extend(place.reservation);
+    }
+
+    /// The best place that is free now.
+    pub(crate) fn find_place(&self, key: JobKey, job: &JobState) -> Option<FoundPlace> {
+        if !job.is_preemptible() {
+            return self.own_reservation(key, job, false).or_else(|| self.firm_place(job));
+        }
+        self.own_reservation(key, job, true)
+            .or_else(|| self.unreserved_place(job))
+            .or_else(|| self.own_reservation(key, job, false))
+            .or_else(|| self.lent_place(job))
+    }
+
+    /// Reservations of the job's team that nobody uses and that hold its shape, smallest first.
+    fn idle_reservations(
+        &self,
+        key: JobKey,
+        job: &JobState,
+    ) -> Vec<(ReservationKey, &'a Reservation)> {
+        let state: &'a State = self.state;
+        let mut idle: Vec<_> = state
+            .reservations
+            .iter()
+            .filter(|(reservation_key, reservation)| {
+                reservation.team == job.team
+                    && reservation.holder.is_none()
+                    && reservation.members.is_some()
+                    && reservation.reclaim_for.is_none_or(|other| other == key)
+                    && !self.used.contains(reservation_key)
+                    && reservation.shape.holds(&job.spec.shape)
+            })
+            .map(|(key, reservation)| (*key, reservation))
+            .collect();
+        idle.sort_by_key(|(key, reservation)| (reservation.shape.accelerators(), *key));
+        idle
+    }
+
+    /// A free reservation of the team; with `is_tight` only one that the job mostly fills.
+    fn own_reservation(&self, key: JobKey, job: &JobState, is_tight: bool) -> Option<FoundPlace> {
+        let shape = &job.spec.shape;
+        let idle = self.idle_reservations(key, job);
+        idle.into_iter()
+            .filter(|(_, held)| !is_tight || held.shape.accelerators() <= 2 * shape.accelerators())
+            .find_map(|(reservation, held)| {
+                let members = members_within(held.members.as_deref()?, shape)?;
+                self.is_free(&members, shape).then_some(FoundPlace {
+                    members,
+                    reservation: Some(reservation),
+                    reason: PlaceReason::OwnReservation,
+                })
+            })
+    }
+
+    fn is_free(&self, members: &[Member], shape: &Shape) -> bool {
+        let mut trial = self.overlay.clone();
+        members.iter().all(|member| {
+            let Some(worker) = self.state.worker(member.worker) else { return false };
+            let offer = trial.reduce(member.worker, worker.free_offer());
+            trial.take(std::slice::from_ref(member), &shape.per_member);
+            worker.takes_reservations()
+                && offer.free.covers(&shape.per_member)
+                && offer.accelerators.contains(member.accelerators)
+        })
+    }
+
+    fn firm_place(&self, job: &JobState) -> Option<FoundPlace> {
+        let members = self.pack(job, |worker| worker.firm_offer(job.team))?;
+        let reason = PlaceReason::Unreserved;
+        Some(FoundPlace { members, reservation: None, reason })
+    }
+
+    fn unreserved_place(&self, job: &JobState) -> Option<FoundPlace> {
+        let members = self.pack(job, |worker| worker.unreserved_offer(job.team))?;
+        let reason = PlaceReason::Unreserved;
+        Some(FoundPlace { members, reservation: None, reason })
+    }
+
+    fn lent_place(&self, job: &JobState) -> Option<FoundPlace> {
+        let members = self.pack(job, |worker| worker.free_offer())?;
+        let reason = PlaceReason::Lent;
+        Some(FoundPlace { members, reservation: None, reason })
+    }
+
+    fn pack<O>(&self, job: &JobState, offer: O) -> Option<Vec<Member>>
+    where
+        O: Fn(&WorkerState) -> Offer,
+    {
+        pack(&self.state.racks, &job.spec.shape, |key| {
+            let worker = self.state.worker(key)?;
+            let is_usable = worker.is_open() && self.state.may_probe(key, job);
+            is_usable.then(|| self.overlay.reduce(key, offer(worker)))
+        })
+    }
+
+    /// Lent work to stop so that the team gets a reservation back: the least of it.
+    pub(crate) fn find_reclaim(&self, key: JobKey, job: &JobState) -> Option<FoundVictims> {
+        let shape = &job.spec.shape;
+        let found = self.idle_reservations(key, job).into_iter().filter_map(|(own, held)| {
+            let members = members_within(held.members.as_deref()?, shape)?;
+            let victims =
+                victims_for(self.state, &members, &shape.per_member, self.now_ms, may_stop)?;
+            Some(self.victims(members, Some(own), victims))
+        });
+        found.min_by_key(|found| found.lost)
+    }
+
+    /// Work to stop, wherever it runs, so that an urgent job finds room: none that is urgent
+    /// itself, the work that loses little first.
+    pub(crate) fn find_urgent_victims(&self, job: &JobState) -> Option<FoundVictims> {
+        self.find_victims(job, |placed| may_stop(placed) && !placed.spec.urgent)
+    }
+
+    /// Work to move out of a large job's way.
+    pub(crate) fn find_moves(&self, job: &JobState) -> Option<FoundVictims> {
+        self.find_victims(job, |placed| may_move(placed, job, self.now_ms))
+    }
+
+    fn find_victims<P>(&self, job: &JobState, may_end: P) -> Option<FoundVictims>
+    where
+        P: Fn(&JobState) -> bool,
+    {
+        let shape = &job.spec.shape;
+        let placed = self.state.placed.iter().filter_map(|key| self.state.jobs.get(key));
+        let mut losses: Vec<u64> = placed
+            .filter(|placed| may_end(placed))
+            .map(|placed| lost_work(placed, self.now_ms))
+            .collect();
+        losses.sort_unstable();
+        for quarter in 1..=4 {
+            let index = (losses.len() * quarter / 4).checked_sub(1)?;
+            let limit = losses[index];
+            let is_cheap =
+                |placed: &JobState| may_end(placed) && lost_work(placed, self.now_ms) <= limit;
+            let members = pack(&self.state.racks, &job.spec.shape, |key| {
+                let worker = self.state.worker(key)?;
+                let is_usable = worker.takes_reservations();
+                is_usable.then(|| {
+                    self.overlay.reduce(key, self.offer_without(job, key, worker, &is_cheap))
+                })
+            });
+            let Some(members) = members else { continue };
+            let victims =
+                victims_for(self.state, &members, &shape.per_member, self.now_ms, is_cheap)?;
+            return Some(self.victims(members, None, victims));
+        }
+        None
+    }
+
+    /// What a worker would offer the job without some of the work there.
+    fn offer_without<P>(
+        &self,
+        job: &JobState,
+        key: WorkerKey,
+        worker: &WorkerState,
+        may_end: &P,
+    ) -> Offer
+    where
+        P: Fn(&JobState) -> bool,
+    {
+        let may_borrow = job.is_preemptible() && job.spec.checkpointable;
+        let mut offer = match (may_borrow, job.is_preemptible()) {
+            (true, _) => worker.free_offer(),
+            (false, true) => worker.unreserved_offer(job.team),
+            (false, false) => worker.firm_offer(job.team),
+        };
+        for attempt in &worker.attempts {
+            let Some(placed) = self.state.jobs.get(&attempt.job) else { continue };
+            if may_end(placed) {
+                let held = held_on(placed, key);
+                offer.free = offer.free.plus(&held.free);
+                offer.accelerators = offer.accelerators.union(held.accelerators);
+            }
+        }
+        for hold in worker.holds.iter().filter(|hold| hold.team != job.team && !may_borrow) {
+            offer.accelerators = offer.accelerators.difference(hold.reserved_accelerators);
+        }
+        offer
+    }
+
+    fn victims(
+        &self,
+        members: Vec<Member>,
+        reservation: Option<ReservationKey>,
+        victims: Vec<AttemptKey>,
+    ) -> FoundVictims {
+        let jobs = victims.iter().filter_map(|attempt| self.state.jobs.get(&attempt.job));
+        let lost = jobs.map(|job| lost_work(job, self.now_ms)).sum();
+        FoundVictims { members, reservation, victims, lost }
+    }
+}
+
+/// Members of a shape inside the held members of a reservation.
+pub(crate) fn members_within(held: &[Member], shape: &Shape) -> Option<Vec<Member>> {
+    let count = shape.per_member.accelerators;
+    let members: Option<Vec<Member>> = held
+        .iter()
+        .take(usize::from(shape.members))
+        .map(|member| {
+            let accelerators = member.accelerators.adjacent_run(count)?;
+            Some(Member { worker: member.worker, accelerators })
+        })
+        .collect();
+    members.filter(|members| members.len() == usize::from(shape.members))
+}
--- /dev/null
+++ b/crates/policy/src/queue_order.rs
@@ -0,0 +1,79 @@
+//! The order in which waiting jobs are looked at.
+//!
+//! Highest response ratio next: the wait against the expected run time, so that short jobs go
+//! first and every job's turn comes. Urgent jobs go before all others, a deadline that comes
+//! close raises a job, and a team's use beyond its reservations lowers its jobs.
+
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::keys::JobKey;
+
+use crate::policy_weights::PolicyWeights;
+
+/// Most jobs looked at in one round.
+pub(crate) const MAX_LOOKED_AT: usize = 256;
+/// Raise of a job whose deadline can just be met, or has passed.
+const DEADLINE_RAISE: f64 = 4.0;
+/// Raise of an urgent job, above all others.
+const URGENT_RAISE: f64 = 1e12;
+
+#[derive(Clone, Copy, Debug)]
+struct QueuePlace {
+    score: f64,
+    job: JobKey,
+}
+
+/// The jobs to look at, the first ones first, at most [`MAX_LOOKED_AT`].
+pub(crate) fn queue_order(state: &State, weights: &PolicyWeights, now_ms: u64) -> Vec<JobKey> {
+    let overuse = team_overuse(state);
+    let mut places: Vec<QueuePlace> = state
+        .pending
+        .iter()
+        .filter_map(|key| {
+            let job = state.jobs.get(key)?;
+            let overuse = overuse.get(usize::from(job.team.0)).copied().unwrap_or_default();
+            Some(QueuePlace { score: score(state, job, weights, overuse, now_ms), job: *key })
+        })
+        .collect();
+    let by_score = |left: &QueuePlace, right: &QueuePlace| {
+        right.score.total_cmp(&left.score).then(left.job.cmp(&right.job))
+    };
+    if places.len() > MAX_LOOKED_AT {
+        places.select_nth_unstable_by(MAX_LOOKED_AT, by_score);
+        places.truncate(MAX_LOOKED_AT);
+    }
+    places.sort_unstable_by(by_score);
+    places.into_iter().map(|place| place.job).collect()
+}
+
+fn score(state: &State, job: &JobState, weights: &PolicyWeights, overuse: f64, now_ms: u64) -> f64 {
+    let run_ms = state.estimate(job).likely_ms(state.declared_rest_ms(job));
+    let wait_ms = now_ms.saturating_sub(job.submitted_ms);
+    let ratio = (wait_ms + run_ms) as f64 / run_ms as f64;
+    let size = f64::from(job.spec.shape.accelerators().max(1));
+    let sized = ratio * size.powf(weights.size_weight);
+    let fair = sized / (1.0 + overuse);
+    let raise = if job.spec.urgent { URGENT_RAISE } else { 0.0 };
+    fair * deadline_raise(job, run_ms, now_ms) + raise
+}
+
+/// 1 while there is time, rising as the slack shrinks below the run time.
+fn deadline_raise(job: &JobState, run_ms: u64, now_ms: u64) -> f64 {
+    let Some(deadline_ms) = job.spec.deadline_ms else { return 1.0 };
+    let slack_ms = deadline_ms.saturating_sub(now_ms + run_ms);
+    let closeness = 1.0 - (slack_ms as f64 / run_ms as f64).min(1.0);
+    1.0 + closeness * (DEADLINE_RAISE - 1.0)
+}
+
+/// For each team, accelerators in use beyond its reservations, as a share of all.
+fn team_overuse(state: &State) -> Vec<f64> {
+    let total = f64::from(state.known_accelerators().max(1));
+    let mut used = vec![0_i64; state.teams.len()];
+    for job in state.placed.iter().filter_map(|key| state.jobs.get(key)) {
+        used[usize::from(job.team.0)] += i64::from(job.spec.shape.accelerators());
+    }
+    for reservation in state.reservations.values() {
+        used[usize::from(reservation.team.0)] -= i64::from(reservation.shape.accelerators());
+    }
+    used.into_iter().map(|used| used.max(0) as f64 / total).collect()
+}
--- a/crates/policy/src/room_overlay.rs
+++ b/crates/policy/src/room_overlay.rs
@@ -9,7 +9,7 @@
 use cuminbarrow_model::resources::Resources;
 
 /// Room taken by decisions that are not in the state yet.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RoomOverlay {
     taken: BTreeMap<WorkerKey, (Resources, AcceleratorSet)>,
 }
--- /dev/null
+++ b/crates/policy/src/victim_choice.rs
@@ -0,0 +1,128 @@
+//! Which preemptible work to stop: the least of it that opens the room.
+
+use std::collections::BTreeSet;
+
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::accelerator_set::AcceleratorSet;
+use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::resources::Resources;
+
+/// Time that stopping and going on from a checkpoint costs, in ms.
+const CHECKPOINT_COST_MS: u64 = 30_000;
+
+/// Times that a job is moved out of the way of larger ones at most.
+const MAX_MOVES: u8 = 3;
+/// Time for which a placed job is left alone by larger ones, in ms.
+const SETTLED_MS: u64 = 600_000;
+
+/// Work in accelerator-ms that stopping a placed job loses; a job without accelerators counts as
+/// one with a quarter.
+pub(crate) fn lost_work(job: &JobState, now_ms: u64) -> u64 {
+    let Some(placement) = job.placement() else { return 0 };
+    let size = u64::from(job.spec.shape.accelerators()) * 4;
+    let size = size.max(u64::from(job.spec.shape.members));
+    let run_ms = placement.started_ms.map_or(0, |started_ms| now_ms.saturating_sub(started_ms));
+    let lost_ms = if job.spec.checkpointable { CHECKPOINT_COST_MS.min(run_ms) } else { run_ms };
+    size * lost_ms / 4
+}
+
+/// Whether a placed job may be stopped in favour of a job of `team`: it is preemptible, it does
+/// not use its own team's reservation, and it is not stopping already.
+pub(crate) fn may_stop(job: &JobState) -> bool {
+    let Some(placement) = job.placement() else { return false };
+    job.is_preemptible() && placement.reservation.is_none() && placement.stop.is_none()
+}
+
+/// Whether a placed job may be moved out of the way of a larger one. It has run for a while and
+/// was not moved often, so that no two jobs keep stopping one another.
+pub(crate) fn may_move(placed: &JobState, larger: &JobState, now_ms: u64) -> bool {
+    let since_ms = placed.placement().map_or(now_ms, |placement| placement.placed_ms);
+    may_stop(placed)
+        && !placed.spec.urgent
+        && placed.preemptions < MAX_MOVES
+        && now_ms >= since_ms + SETTLED_MS
+        && placed.spec.shape.accelerators() < larger.spec.shape.accelerators()
+}
+
+/// The attempts to stop so that all members find room, the least work first; nothing when that
+/// can't be had.
+pub(crate) fn victims_for<P>(
+    state: &State,
+    members: &[Member],
+    each: &Resources,
+    now_ms: u64,
+    may_end: P,
+) -> Option<Vec<AttemptKey>>
+where
+    P: Fn(&JobState) -> bool,
+{
+    let mut victims = BTreeSet::new();
+    let mut workers: Vec<WorkerKey> = members.iter().map(|member| member.worker).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    for worker in workers {
+        let own: Vec<&Member> = members.iter().filter(|member| member.worker == worker).collect();
+        victims_on(state, worker, &own, each, now_ms, &may_end, &mut victims)?;
+    }
+    Some(victims.into_iter().collect())
+}
+
+fn victims_on<P>(
+    state: &State,
+    key: WorkerKey,
+    members: &[&Member],
+    each: &Resources,
+    now_ms: u64,
+    may_end: &P,
+    victims: &mut BTreeSet<AttemptKey>,
+) -> Option<()>
+where
+    P: Fn(&JobState) -> bool,
+{
+    let worker = state.worker(key)?;
+    let mut offer = worker.free_offer();
+    let needed = members.iter().fold(Resources::default(), |sum, _| sum.plus(each));
+    let wanted =
+        members.iter().fold(AcceleratorSet::EMPTY, |set, member| set.union(member.accelerators));
+    let mut candidates = Vec::new();
+    for &attempt in &worker.attempts {
+        let job = state.jobs.get(&attempt.job)?;
+        let held = held_on(job, key);
+        let is_in_the_way = !held.accelerators.intersection(wanted).is_empty();
+        let is_chosen = victims.contains(&attempt);
+        if is_chosen || (is_in_the_way && may_end(job)) {
+            offer.free = offer.free.plus(&held.free);
+            offer.accelerators = offer.accelerators.union(held.accelerators);
+            victims.insert(attempt);
+        } else if is_in_the_way {
+            return None;
+        } else if may_end(job) {
+            candidates.push((lost_work(job, now_ms), attempt, held));
+        }
+    }
+    candidates.sort_unstable_by_key(|(lost, attempt, _)| (*lost, *attempt));
+    for (_, attempt, held) in candidates {
+        if offer.free.covers(&needed) {
+            break;
+        }
+        offer.free = offer.free.plus(&held.free);
+        victims.insert(attempt);
+    }
+    offer.free.covers(&needed).then_some(())
+}
+
+/// What a placed job holds on one worker.
+pub(crate) fn held_on(job: &JobState, worker: WorkerKey) -> Offer {
+    let mut held = Offer::default();
+    for member in job.placement().iter().flat_map(|placement| &placement.members) {
+        if member.worker == worker {
+            held.free = held.free.plus(&job.spec.shape.per_member);
+            held.accelerators = held.accelerators.union(member.accelerators);
+        }
+    }
+    held
+}
