Count a member's lease from what the lead has heard of it

Change: each message of a member carries its own clock, and go and renewals echo the latest that the lead has heard. The member counts its lease from there, so that a late message gives no more time than a fresh one and needs no common clock. Ready is repeated until the go comes. Found by the new tests of the gang table: a member's end waited up to a second behind its last ready; it is now sent at once.

Conclusion: the bound of one lease holds from the lead's start on.

--- a/crates/agent/src/gang_table.rs
+++ b/crates/agent/src/gang_table.rs
@@ -3,7 +3,8 @@
 //! A member holds its place and reports ready. The lead asks for the start once every member is
 //! ready, and sends go only when the log has the start under its own incarnation, addressed to
 //! the incarnations that were ready. From then on the lead renews the gang's lease for all
-//! members or for none: a new round begins only when every member answered the last one.
+//! members or for none: a new round begins only when every member answered the last one. A member
+//! counts its lease from its own last message that the lead has heard.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use cuminbarrow_protocol::message::AssignmentPhase;
 use cuminbarrow_protocol::message::GangMessage;
 use cuminbarrow_protocol::message::MemberEnd;
+use cuminbarrow_protocol::message::RenewedAttempt;
 use smol_str::SmolStr;
 
 use crate::agent_action::AgentAction;
@@ -37,7 +39,7 @@
     round: u32,
     gangs: BTreeMap<AttemptKey, GangEntry>,
     actions: Vec<AgentAction>,
-    renewals: BTreeMap<SocketAddr, Vec<AttemptKey>>,
+    renewals: BTreeMap<SocketAddr, Vec<RenewedAttempt>>,
 }
 
 impl GangTable {
@@ -160,9 +162,9 @@
         for order in gang.handle(event) {
             match order {
                 MemberOrder::Start => {
-                    gang.lease_until_ms = now_ms + self.timing.lease_ms;
+                    let lease_ms = gang.lease_until_ms.saturating_sub(now_ms);
                     for index in gang.indices(self.own) {
-                        let start = gang.task_start(index, self.timing.lease_ms);
+                        let start = gang.task_start(index, lease_ms);
                         self.actions.push(AgentAction::StartTask(start));
                     }
                 }
@@ -186,8 +188,12 @@
                     self.drive(attempt, MemberEvent::Abandoned, now_ms);
                 }
             }
-            GangMessage::Go { attempt, incarnation } => self.go(attempt, incarnation, now_ms),
-            GangMessage::GoAck { attempt, worker } => self.go_acked(attempt, worker),
+            GangMessage::Go { attempt, incarnation, heard_ms } => {
+                self.go(attempt, incarnation, heard_ms, now_ms);
+            }
+            GangMessage::GoAck { attempt, worker, sent_ms } => {
+                self.go_acked(attempt, worker, sent_ms);
+            }
             GangMessage::MemberDone { attempt, worker, end } => {
                 self.member_done(attempt, worker, end, now_ms);
             }
@@ -196,33 +202,41 @@
                     gang.is_noted_by_lead = true;
                 }
             }
-            GangMessage::Ready { attempt, worker, incarnation } => {
-                self.member_ready(attempt, worker, incarnation, now_ms);
+            GangMessage::Ready { attempt, worker, incarnation, sent_ms } => {
+                self.member_ready(attempt, worker, incarnation, sent_ms);
+                self.lead_tick(attempt, now_ms);
             }
             GangMessage::Renew { attempts, round } => self.renewed(attempts, round, now_ms),
-            GangMessage::RenewAck { attempts, round, worker } => {
-                self.renew_acked(&attempts, round, worker);
+            GangMessage::RenewAck { attempts, round, worker, sent_ms } => {
+                self.renew_acked(&attempts, round, worker, sent_ms);
             }
         }
     }
 
-    fn go(&mut self, attempt: AttemptKey, incarnation: u64, now_ms: u64) {
-        if incarnation != self.incarnation || !self.gangs.contains_key(&attempt) {
+    fn go(&mut self, attempt: AttemptKey, incarnation: u64, heard_ms: u64, now_ms: u64) {
+        let lease_until_ms = heard_ms + self.timing.lease_ms;
+        let is_fresh = heard_ms <= now_ms && lease_until_ms > now_ms;
+        if incarnation != self.incarnation || !is_fresh {
             return;
         }
-        self.drive(attempt, MemberEvent::Go, now_ms);
+        let Some(gang) = self.gangs.get_mut(&attempt) else { return };
+        if matches!(gang.state(), State::Holding {}) {
+            gang.lease_until_ms = lease_until_ms;
+            self.drive(attempt, MemberEvent::Go, now_ms);
+        }
         let Some(gang) = self.gangs.get(&attempt) else { return };
         let is_started = gang.is_occupying() || !gang.ends.is_empty();
         if let Some(address) = gang.lead_address().filter(|_| is_started) {
-            let message = GangMessage::GoAck { attempt, worker: self.own };
+            let message = GangMessage::GoAck { attempt, worker: self.own, sent_ms: now_ms };
             self.actions.push(AgentAction::SendGang { address, message });
         }
     }
 
-    fn go_acked(&mut self, attempt: AttemptKey, worker: WorkerKey) {
+    fn go_acked(&mut self, attempt: AttemptKey, worker: WorkerKey, sent_ms: u64) {
         if let Some(lead) = self.lead_mut(attempt) {
             lead.go_acked.insert(worker);
             lead.renew_acked.insert(worker);
+            lead.hear(worker, sent_ms);
         }
     }
 
@@ -235,47 +249,73 @@
         attempt: AttemptKey,
         worker: WorkerKey,
         incarnation: u64,
-        now_ms: u64,
+        sent_ms: u64,
     ) {
         let Some(lead) = self.lead_mut(attempt) else { return };
-        if lead.started_ms.is_some() {
+        let is_known = lead.ready.get(&worker) == Some(&incarnation);
+        if lead.started_ms.is_some() && !is_known {
             return;
         }
-        let before = lead.ready.insert(worker, incarnation);
-        if before.is_none() {
-            self.lead_tick(attempt, now_ms);
+        if !is_known {
+            lead.heard_ms.remove(&worker);
         }
+        lead.ready.insert(worker, incarnation);
+        lead.hear(worker, sent_ms);
     }
 
-    fn renewed(&mut self, attempts: Vec<AttemptKey>, round: u32, now_ms: u64) {
+    fn renewed(&mut self, renewals: Vec<RenewedAttempt>, round: u32, now_ms: u64) {
         let mut renewed = Vec::new();
-        let mut tasks = Vec::new();
         let mut address = None;
-        for attempt in attempts {
-            let Some(gang) = self.gangs.get_mut(&attempt) else { continue };
-            let is_live = gang.is_over() && !gang.has_lapsed || gang.lease_until_ms > now_ms;
-            if !is_live {
-                continue;
+        for RenewedAttempt { attempt, heard_ms } in renewals {
+            if self.extend_lease(attempt, heard_ms, now_ms) {
+                address = self.gangs.get(&attempt).and_then(GangEntry::lead_address);
+                renewed.push(attempt);
             }
-            gang.lease_until_ms = now_ms + self.timing.lease_ms;
-            tasks.extend(gang.open_tasks(self.own));
-            address = gang.lead_address();
-            renewed.push(attempt);
-        }
-        if !tasks.is_empty() {
-            let lease_ms = self.timing.lease_ms;
-            self.actions.push(AgentAction::RenewTasks { tasks, lease_ms });
         }
         if let Some(address) = address {
-            let message = GangMessage::RenewAck { attempts: renewed, round, worker: self.own };
+            let message = GangMessage::RenewAck {
+                attempts: renewed,
+                round,
+                worker: self.own,
+                sent_ms: now_ms,
+            };
             self.actions.push(AgentAction::SendGang { address, message });
         }
     }
 
-    fn renew_acked(&mut self, attempts: &[AttemptKey], round: u32, worker: WorkerKey) {
+    /// Extends a member's lease; false when it is over already.
+    fn extend_lease(&mut self, attempt: AttemptKey, heard_ms: u64, now_ms: u64) -> bool {
+        let lease_until_ms = heard_ms + self.timing.lease_ms;
+        let Some(gang) = self.gangs.get_mut(&attempt) else { return false };
+        if gang.is_over() {
+            return !gang.has_lapsed;
+        }
+        let is_live = gang.lease_until_ms > now_ms && heard_ms <= now_ms;
+        if !gang.is_occupying() || !is_live {
+            return false;
+        }
+        gang.lease_until_ms = gang.lease_until_ms.max(lease_until_ms);
+        let lease_ms = gang.lease_until_ms - now_ms;
+        let tasks = gang.open_tasks(self.own);
+        if !tasks.is_empty() {
+            self.actions.push(AgentAction::RenewTasks { tasks, lease_ms });
+        }
+        true
+    }
+
+    fn renew_acked(
+        &mut self,
+        attempts: &[AttemptKey],
+        round: u32,
+        worker: WorkerKey,
+        sent_ms: u64,
+    ) {
         for attempt in attempts {
-            if let Some(lead) = self.lead_mut(*attempt).filter(|lead| round >= lead.round) {
-                lead.renew_acked.insert(worker);
+            if let Some(lead) = self.lead_mut(*attempt) {
+                lead.hear(worker, sent_ms);
+                if round >= lead.round {
+                    lead.renew_acked.insert(worker);
+                }
             }
         }
     }
@@ -302,6 +342,7 @@
         let has_failed = matches!(report.end, TaskEnd::Failed { .. } | TaskEnd::LeaseLapsed);
         let is_last = gang.open_tasks(own).is_empty();
         if is_last {
+            gang.sent_ms = None;
             self.drive(attempt, MemberEvent::TasksEnded, now_ms);
         } else if has_failed {
             self.drive(attempt, MemberEvent::Abandoned, now_ms);
@@ -382,7 +423,10 @@
     fn report_ready(&mut self, attempt: AttemptKey, now_ms: u64) {
         let Some(gang) = self.gangs.get(&attempt) else { return };
         let is_waiting = matches!(gang.state(), State::Holding {})
-            && gang.assignment.phase == AssignmentPhase::Placed
+            && matches!(
+                gang.assignment.phase,
+                AssignmentPhase::Placed | AssignmentPhase::Started { .. }
+            )
             && is_due(gang.sent_ms, self.timing.resend_ms, now_ms);
         if !is_waiting || self.is_blocked(gang) {
             return;
@@ -393,8 +437,10 @@
         }
         if self.is_own_lead(attempt) {
             self.member_ready(attempt, own, incarnation, now_ms);
+            self.lead_tick(attempt, now_ms);
         } else if let Some(address) = address {
-            let message = GangMessage::Ready { attempt, worker: own, incarnation };
+            let sent_ms = now_ms;
+            let message = GangMessage::Ready { attempt, worker: own, incarnation, sent_ms };
             self.actions.push(AgentAction::SendGang { address, message });
         }
     }
@@ -482,11 +528,13 @@
             let Some(&incarnation) = lead.ready.get(worker) else { continue };
             let address = gang.assignment.members.iter().find(|m| m.member.worker == *worker);
             let Some(address) = address.map(|member| member.address) else { continue };
-            let message = GangMessage::Go { attempt, incarnation };
+            let heard_ms = lead.heard(*worker);
+            let message = GangMessage::Go { attempt, incarnation, heard_ms };
             self.actions.push(AgentAction::SendGang { address, message });
         }
         if unstarted.contains(&own) {
-            self.go_acked(attempt, own);
+            gang.lease_until_ms = now_ms + self.timing.lease_ms;
+            self.go_acked(attempt, own, now_ms);
             self.drive(attempt, MemberEvent::Go, now_ms);
         }
     }
@@ -519,7 +567,9 @@
             let is_done = lead.done.contains_key(worker);
             let address = gang.assignment.members.iter().find(|m| m.member.worker == *worker);
             if let Some(member) = address.filter(|_| !is_done) {
-                self.renewals.entry(member.address).or_default().push(attempt);
+                let heard_ms = lead.heard(*worker);
+                let renewal = RenewedAttempt { attempt, heard_ms };
+                self.renewals.entry(member.address).or_default().push(renewal);
             }
         }
         if is_new_round && gang.lease_until_ms > now_ms {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -119,7 +119,17 @@
     Closing,
 }
 
-/// Among agents.
+/// An attempt whose lease the lead renews.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewedAttempt {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The member's clock when it sent what the lead heard last, in ms.
+    pub heard_ms: u64,
+}
+
+/// Among agents. A member counts its lease from its own last message that the lead has heard, so
+/// that a message which was long under way gives no more time than a fresh one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GangMessage {
     /// A member holds its place.
@@ -130,6 +140,8 @@
         worker: WorkerKey,
         /// Incarnation of its agent.
         incarnation: u64,
+        /// The member's clock, in ms.
+        sent_ms: u64,
     },
     /// The lead starts the members that were ready.
     Go {
@@ -137,6 +149,8 @@
         attempt: AttemptKey,
         /// Incarnation that was ready.
         incarnation: u64,
+        /// The member's clock when it sent what the lead heard last, in ms.
+        heard_ms: u64,
     },
     /// A member started, or had started before.
     GoAck {
@@ -144,11 +158,13 @@
         attempt: AttemptKey,
         /// The member's worker.
         worker: WorkerKey,
+        /// The member's clock, in ms.
+        sent_ms: u64,
     },
     /// The lead renews leases.
     Renew {
         /// The attempts.
-        attempts: Vec<AttemptKey>,
+        attempts: Vec<RenewedAttempt>,
         /// Round of the renewal.
         round: u32,
     },
@@ -160,6 +176,8 @@
         round: u32,
         /// The member's worker.
         worker: WorkerKey,
+        /// The member's clock, in ms.
+        sent_ms: u64,
     },
     /// A member's tasks are over.
     MemberDone {
