--- /dev/null
+++ b/crates/ledger/tests/log_recovery.rs
@@ -0,0 +1,142 @@
+//! The writer and the tail against a log that loses answers, goes down and forgets.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminbarrow_ledger::apply::BatchReport;
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::log_tail::BatchObserver;
+use cuminbarrow_ledger::log_tail::LogTail;
+use cuminbarrow_ledger::log_tail::TailError;
+use cuminbarrow_ledger::log_writer::LogWriter;
+use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::snapshot::write_snapshot;
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_standin::log_service::LogFaults;
+use cuminbarrow_standin::log_service::LogService;
+use smol_str::SmolStr;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Settler(LogWriter);
+
+impl BatchObserver for Settler {
+    fn applied(&self, _: &State, offset: u64, batch: &Batch, report: &BatchReport) {
+        self.0.settle(offset, batch, report);
+    }
+
+    fn replaced(&self, _: &State) {}
+}
+
+struct Instance {
+    writer: LogWriter,
+    tail: Arc<LogTail>,
+}
+
+fn instance(log: &Arc<LogService>, incarnation: u64) -> Instance {
+    let store: Arc<dyn LogStore> = log.clone();
+    let writer = LogWriter::spawn(Arc::clone(&store), incarnation, || 1);
+    let tail = Arc::new(LogTail::default());
+    let (running, observer) = (Arc::clone(&tail), Arc::new(Settler(writer.clone())));
+    tokio::spawn(async move { running.run(store, observer).await });
+    Instance { writer, tail }
+}
+
+fn joined(instance: u64) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(instance).unwrap()));
+    Record::EntryJoined { instance, region: SmolStr::new("r"), address }
+}
+
+async fn follow_only(log: &Arc<LogService>) -> TailError {
+    let store: Arc<dyn LogStore> = log.clone();
+    let writer = LogWriter::spawn(Arc::clone(&store), 99, || 1);
+    LogTail::default().run(store, Arc::new(Settler(writer))).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_are_settled_without_a_second_effect() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    log.set_faults(LogFaults { lose_answers: 3, ..LogFaults::default() });
+    let epoch = Record::PlannerClaimed { epoch: 1, instance: 1 };
+    let settled = own.writer.write(epoch, TIMEOUT).await.unwrap();
+    assert!(settled.result.is_ok());
+    own.writer.write(joined(2), TIMEOUT).await.unwrap();
+    assert_eq!(log.appends(), 5, "one effect, three copies that change nothing, the next record");
+    assert_eq!(own.tail.state().planner.epoch, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_answers_not_written_and_writes_nothing_later() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    log.set_faults(LogFaults { is_down: true, ..LogFaults::default() });
+    let refused = own.writer.write(joined(2), TIMEOUT).await;
+    assert_eq!(refused.unwrap_err(), WriteError::NotWritten);
+    tokio::time::sleep(Duration::from_secs(3_600)).await;
+    log.set_faults(LogFaults::default());
+    own.writer.write(joined(3), TIMEOUT).await.unwrap();
+    let entries: Vec<u64> = own.tail.state().entries.keys().copied().collect();
+    assert_eq!(entries, [3], "what was refused never takes effect");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_waits_goes_into_one_append() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    log.set_faults(LogFaults { delay_ms: 100, ..LogFaults::default() });
+    let records = (1..=1_000).map(joined).collect();
+    let results = own.writer.write_all(records, TIMEOUT).await;
+    assert!(results.iter().all(Result::is_ok));
+    assert!(log.appends() <= 3, "{} appends for 1,000 records", log.appends());
+}
+
+#[tokio::test(start_paused = true)]
+async fn reader_below_the_oldest_record_restores_from_a_snapshot() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    for index in 1..=20 {
+        own.writer.write(joined(index), TIMEOUT).await.unwrap();
+    }
+    let state = own.tail.state().clone();
+    write_snapshot(&*log, 1, &state).await.unwrap();
+    log.append(LogStream::Snapshots, Bytes::from_static(b"\x01broken")).await.unwrap();
+    own.writer.write(joined(21), TIMEOUT).await.unwrap();
+    log.set_faults(LogFaults { retained_entries: 2, ..LogFaults::default() });
+    let restored = instance(&log, 2);
+    let mut offsets = restored.tail.offsets();
+    offsets.wait_for(|offset| *offset == 21).await.unwrap();
+    let digest = own.tail.state().digest().unwrap();
+    assert_eq!(restored.tail.state().digest().unwrap(), digest);
+}
+
+#[tokio::test(start_paused = true)]
+async fn reader_below_the_oldest_record_without_a_snapshot_never_guesses() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    for index in 1..=5 {
+        own.writer.write(joined(index), TIMEOUT).await.unwrap();
+    }
+    log.set_faults(LogFaults { retained_entries: 2, ..LogFaults::default() });
+    let error = follow_only(&log).await;
+    assert!(matches!(error, TailError::Gap { needed: 0, oldest: 3 }), "{error}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_of_a_newer_format_stops_a_replica() {
+    let log = Arc::new(LogService::default());
+    log.append(LogStream::Records, Bytes::from_static(b"\x02newer")).await.unwrap();
+    let error = follow_only(&log).await;
+    assert_eq!(
+        error.to_string(),
+        "the record at offset 0 can't be read: the record has format version 2, this program \
+         reads up to 1"
+    );
+}
