--- a/crates/entry/src/api_operators.rs
+++ b/crates/entry/src/api_operators.rs
@@ -85,11 +85,7 @@
     identity: CallerIdentity,
     Path(name): Path<SmolStr>,
 ) -> Result<StatusCode, ApiError> {
-    require_operator(&identity)?;
-    let worker = worker_key(&core, &name)?;
-    core.write(Record::WorkerDrained { worker }).await?;
-    log::info!("drain: worker={worker} by={:?}", identity.name);
-    Ok(StatusCode::NO_CONTENT)
+    act_on(&core, &identity, &name, |worker| Record::WorkerDrained { worker }).await
 }
 
 pub(crate) async fn resume(
@@ -97,10 +93,23 @@
     identity: CallerIdentity,
     Path(name): Path<SmolStr>,
 ) -> Result<StatusCode, ApiError> {
-    require_operator(&identity)?;
-    let worker = worker_key(&core, &name)?;
-    core.write(Record::WorkerResumed { worker }).await?;
-    log::info!("resume: worker={worker} by={:?}", identity.name);
+    act_on(&core, &identity, &name, |worker| Record::WorkerResumed { worker }).await
+}
+
+/// Writes an operator's record on a worker.
+async fn act_on<R>(
+    core: &EntryCore,
+    identity: &CallerIdentity,
+    name: &str,
+    record: R,
+) -> Result<StatusCode, ApiError>
+where
+    R: FnOnce(WorkerKey) -> Record,
+{
+    require_operator(identity)?;
+    let record = record(worker_key(core, name)?);
+    log::info!("operator: {record:?} by={:?}", identity.name);
+    core.write(record).await?;
     Ok(StatusCode::NO_CONTENT)
 }
 
