Tell a refusal that is under way at the deadline as not run

The writer marks a record as sent while a try is under way; when the caller's deadline fell into that moment, the answer was "unknown", though the log then refused.

Change: at its deadline a caller gives a try under way a second to be refused or settled. An answer that was really lost is still told as unknown.

Conclusion: "unknown" is left for what is not known.

--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -42,6 +42,11 @@
 /// Longest wait after a failed append, in ms.
 const BACKOFF_CAP_MS: u64 = 2_000;
 
+/// Time that a try under way at a caller's deadline has to be settled.
+const SETTLE_GRACE: Duration = Duration::from_secs(1);
+/// Time between looks at it.
+const SETTLE_LOOK: Duration = Duration::from_millis(10);
+
 const QUEUED: u8 = 0;
 const SENT: u8 = 1;
 const ABANDONED: u8 = 2;
@@ -182,15 +187,30 @@
 }
 
 impl WriteTicket {
-    async fn settled(self, deadline: Instant) -> Result<Settled, WriteError> {
-        if let Ok(Ok(settled)) = tokio::time::timeout_at(deadline, self.receiver).await {
+    async fn settled(mut self, deadline: Instant) -> Result<Settled, WriteError> {
+        if let Ok(Ok(settled)) = tokio::time::timeout_at(deadline, &mut self.receiver).await {
             return Ok(settled);
         }
-        let is_unsent = self
-            .stage
-            .compare_exchange(QUEUED, ABANDONED, Ordering::AcqRel, Ordering::Acquire)
-            .is_ok();
-        Err(if is_unsent { WriteError::NotWritten } else { WriteError::Unknown })
+        self.abandoned(deadline + SETTLE_GRACE).await
+    }
+
+    /// Takes the record back once it is certainly not under way. A try under way at the deadline
+    /// gets a short time to be refused, so that a refusal is not told as unknown.
+    async fn abandoned(&mut self, until: Instant) -> Result<Settled, WriteError> {
+        loop {
+            let is_unsent = self
+                .stage
+                .compare_exchange(QUEUED, ABANDONED, Ordering::AcqRel, Ordering::Acquire)
+                .is_ok();
+            if is_unsent {
+                return Err(WriteError::NotWritten);
+            }
+            match tokio::time::timeout(SETTLE_LOOK, &mut self.receiver).await {
+                Err(_) if Instant::now() < until => {}
+                Err(_) | Ok(Err(_)) => return Err(WriteError::Unknown),
+                Ok(Ok(settled)) => return Ok(settled),
+            }
+        }
     }
 }
 
--- a/crates/ledger/tests/log_recovery.rs
+++ b/crates/ledger/tests/log_recovery.rs
@@ -87,6 +87,18 @@
     assert_eq!(entries, [3], "what was refused never takes effect");
 }
 
+/// A log that takes 40 ms to refuse has a try under way at most deadlines.
+#[tokio::test(start_paused = true)]
+async fn refusal_under_way_at_the_deadline_is_not_told_as_unknown() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    log.set_faults(LogFaults { is_down: true, delay_ms: 40, ..LogFaults::default() });
+    for wait_ms in 1..=200 {
+        let refused = own.writer.write(joined(2), Duration::from_millis(wait_ms)).await;
+        assert_eq!(refused.unwrap_err(), WriteError::NotWritten, "after {wait_ms} ms");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_waits_goes_into_one_append() {
     let log = Arc::new(LogService::default());
