Use one way into a reservation, and drop a fault that did nothing

First fit picked members inside a reservation with its own copy of the loop; a fault of the stand-in's workers was a setting without an effect; a test looped over a wait that loops itself.

Change: first fit calls `members_within`; `usage_lag_ms` is gone until usage reports exist; the test waits once, with the same assertions.

--- a/crates/cuminbarrow/tests/integration/many_callers.rs
+++ b/crates/cuminbarrow/tests/integration/many_callers.rs
@@ -30,8 +30,7 @@
             assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
             let reader = if index % 3 == 0 { reader } else { submitter };
             let path = job_path(TEAM, &key);
-            let own = cuminbarrow_entry::api_types::JobView::is_ended;
-            while !own(&reader.wait(TEAM, &key).await.unwrap()) {}
+            reader.wait(TEAM, &key).await.unwrap();
             let answer = reader.get_bytes(&format!("{path}/answer")).await.unwrap();
             let expected: Vec<u8> =
                 format!("{payload};").bytes().cycle().take(100 + index).collect();
--- a/crates/policy/src/first_fit.rs
+++ b/crates/policy/src/first_fit.rs
@@ -19,6 +19,7 @@
 use crate::placement_policy::Plan;
 use crate::placement_policy::WaitNote;
 use crate::placement_policy::WaitReason;
+use crate::plan_round::members_within;
 use crate::room_overlay::RoomOverlay;
 
 /// First come, first served, at the first place that fits.
@@ -98,15 +99,7 @@
                 && !self.used.contains(key)
                 && reservation.shape.holds(shape);
             let held = reservation.members.as_ref().filter(|_| is_idle)?;
-            let members: Vec<Member> = held
-                .iter()
-                .take(usize::from(shape.members))
-                .filter_map(|member| {
-                    let count = shape.per_member.accelerators;
-                    let accelerators = member.accelerators.adjacent_run(count)?;
-                    Some(Member { worker: member.worker, accelerators })
-                })
-                .collect();
+            let members = members_within(held, shape)?;
             self.is_free(&members, shape).then_some((*key, members))
         })
     }
--- a/crates/standin/src/worker_fleet.rs
+++ b/crates/standin/src/worker_fleet.rs
@@ -33,8 +33,6 @@
     pub fail_starts: u32,
     /// Refuses every start.
     pub fail_all: bool,
-    /// Delay of usage reports, in ms.
-    pub usage_lag_ms: u64,
 }
 
 struct RunningTask {
