Let a worker that was declared lost by mistake join again

Cause: the process tests could hang for ever in outage_refuses_new_work_and_keeps_running_work. An entry announced itself up to 1 s after its start, while its agents' joins were written at once. A log outage in between left workers under an entry that the log did not know; when the log came back the planner declared all of them lost. Their sessions were alive, so no agent ever joined again, and the job waited for ever. Ruled out: a port taken twice, a lost report of the end (it was refused, since the attempt had been interrupted).

Change: a join waits for the entry's own announcement, which is looked at each 200 ms; a session whose worker the log calls lost ends, and the agent joins with the next one; the planner counts an orphan's time only while the log can be read. Agents' repeats of a report that still waits for the log are dropped, so an outage fills the writer's queue with one record per attempt.

The new test of a mistaken loss failed before (waited 30 s in vain) and passes.

Conclusion: a loss that the log tells is never final for a live agent.

--- a/crates/cuminbarrow/tests/integration/bad_input.rs
+++ b/crates/cuminbarrow/tests/integration/bad_input.rs
@@ -13,6 +13,7 @@
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 
 struct BadRequest {
     name: &'static str,
@@ -95,7 +96,7 @@
     let cluster = ClusterBuilder::new().agents(2).start().await;
     let known = body(1, 1, "x");
     cluster.caller().submit("known", &known).await.unwrap();
-    cluster.caller().wait(TEAM, "known").await.unwrap();
+    ended(&cluster.caller(), "known").await;
     let caller = HttpCaller::new(cluster.urls()[0].clone());
     let mut found = String::new();
     for bad in bad_requests() {
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -169,7 +169,7 @@
 
 impl Cluster {
     async fn wait_for_platform(&self) {
-        let caller = HttpCaller::new(format!("http://{}", self.platform));
+        let caller = HttpCaller::new(self.platform_url());
         eventually("the platform answers", async || {
             let request = CallRequest::get("/v1/admin/spans");
             caller.call(request, Duration::from_secs(1)).await.is_ok().then_some(())
@@ -283,6 +283,11 @@
         ApiClient::new(&self.urls()[entry..=entry], token)
     }
 
+    /// Address of the platform's stand-in.
+    pub(crate) fn platform_url(&self) -> String {
+        format!("http://{}", self.platform)
+    }
+
     /// Makes the log service misbehave.
     pub(crate) async fn set_log_faults(&self, faults: LogFaults) {
         let body = serde_json::to_vec(&faults).expect("faults have a JSON form");
@@ -290,7 +295,7 @@
     }
 
     async fn admin(&self, path: &str, body: Vec<u8>) {
-        let caller = HttpCaller::new(format!("http://{}", self.platform));
+        let caller = HttpCaller::new(self.platform_url());
         let request = CallRequest::post(path, body).with_header("content-type", "application/json");
         let response = caller.call(request, PATIENCE).await.expect("the stand-in answers");
         assert!(response.status.is_success(), "{path}: {}", response.status);
@@ -298,7 +303,7 @@
 
     /// Every span of time in which a task ran at a worker.
     pub(crate) async fn spans(&self) -> Vec<TaskSpan> {
-        let caller = HttpCaller::new(format!("http://{}", self.platform));
+        let caller = HttpCaller::new(self.platform_url());
         let request = CallRequest::get("/v1/admin/spans");
         let response = caller.call(request, PATIENCE).await.expect("the stand-in answers");
         serde_json::from_slice(&response.body).expect("spans are JSON")
@@ -363,3 +368,9 @@
     body.job.repeatable = false;
     body
 }
+
+/// Waits until a job of the team ended.
+pub(crate) async fn ended(caller: &ApiClient, key: &str) -> JobView {
+    let view = tokio::time::timeout(PATIENCE, caller.wait(TEAM, key)).await;
+    view.unwrap_or_else(|_| panic!("{key} did not end in {PATIENCE:?}")).expect("some entry tells")
+}
--- a/crates/cuminbarrow/tests/integration/entry_failover.rs
+++ b/crates/cuminbarrow/tests/integration/entry_failover.rs
@@ -3,8 +3,8 @@
 use cuminbarrow_entry::api_types::PhaseName;
 
 use crate::cluster_builder::ClusterBuilder;
-use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_is_served_by_another_entry() {
@@ -12,14 +12,14 @@
     let caller = cluster.caller();
     caller.submit("long", &body(2, 8, "run_ms=3000")).await.unwrap();
     cluster.wait_for_phase("long", PhaseName::Running).await;
-    let waiting = tokio::spawn(async move { caller.wait(TEAM, "long").await });
+    let waiting = tokio::spawn(async move { ended(&caller, "long").await });
     cluster.entries[0].kill();
-    let view = waiting.await.unwrap().unwrap();
+    let view = waiting.await.unwrap();
     assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
     assert_eq!(view.attempts, 1);
 
     let caller = cluster.caller();
     caller.submit("after", &body(2, 8, "run_ms=50")).await.unwrap();
-    let view = caller.wait(TEAM, "after").await.unwrap();
+    let view = ended(&caller, "after").await;
     assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
 }
--- a/crates/cuminbarrow/tests/integration/gang_failures.rs
+++ b/crates/cuminbarrow/tests/integration/gang_failures.rs
@@ -14,8 +14,8 @@
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::LEASE_MS;
-use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 use crate::cluster_builder::eventually;
 use crate::cluster_builder::once;
 use crate::cluster_builder::worker_index;
@@ -60,7 +60,7 @@
     eventually("three tasks run", async || (cluster.spans().await.len() == 3).then_some(())).await;
     let member = worker_index(&view.members[2].worker);
     cluster.agents[member].signal(Signal::SIGSTOP);
-    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    let view = ended(&cluster.caller(), "gang").await;
     cluster.agents[member].signal(Signal::SIGCONT);
     assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
     let spans = all_ended(&cluster, payload).await;
@@ -77,7 +77,7 @@
     eventually("three tasks run", async || (cluster.spans().await.len() == 3).then_some(())).await;
     let lead = Cluster::lead_of(&view);
     cluster.agents[lead].kill();
-    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    let view = ended(&cluster.caller(), "gang").await;
     assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
     let spans = all_ended(&cluster, payload).await;
     assert_ends_together(&spans, payload);
@@ -101,7 +101,7 @@
         let view = cluster.wait_for_phase(&key, PhaseName::Running).await;
         let member = worker_index(&view.members[2].worker);
         cluster.agent_proxies[member].set(faults);
-        let view = cluster.caller().wait(TEAM, &key).await.unwrap();
+        let view = ended(&cluster.caller(), &key).await;
         cluster.agent_proxies[member].set(ProxyFaults::default());
         assert_eq!(view.phase, PhaseName::MayHaveRun, "under {faults:?}: {view:?}");
         let spans = all_ended(&cluster, &payload).await;
@@ -119,7 +119,7 @@
     let lead = Cluster::lead_of(&view);
     cluster.agents[lead].kill();
     cluster.restart_agent(lead);
-    let view = cluster.caller().wait(TEAM, "gang").await.unwrap();
+    let view = ended(&cluster.caller(), "gang").await;
     assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
     assert!(view.attempts >= 2, "{view:?}");
     assert_ends_together(&all_ended(&cluster, payload).await, payload);
@@ -135,7 +135,7 @@
         cluster.set_log_faults(LogFaults { lose_answers: 3, ..LogFaults::default() }).await;
         caller.submit(&key, &once(body(2, 4, &payload))).await.unwrap();
         cluster.set_log_faults(LogFaults { lose_answers: 2, ..LogFaults::default() }).await;
-        let view = caller.wait(TEAM, &key).await.unwrap();
+        let view = ended(&caller, &key).await;
         assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
         let spans = all_ended(&cluster, &payload).await;
         assert_eq!(started_attempts(&spans, &payload), 1);
@@ -154,7 +154,7 @@
     assert!(text.contains("outcome: NotRun"), "{text}");
     tokio::time::sleep(Duration::from_secs(4)).await;
     cluster.set_log_faults(LogFaults::default()).await;
-    let view = caller.wait(TEAM, "before").await.unwrap();
+    let view = ended(&caller, "before").await;
     assert_eq!((view.phase, view.attempts), (PhaseName::Completed, 1), "{view:?}");
     let jobs: Vec<serde_json::Value> = cluster.operator().get("/v1/jobs").await.unwrap();
     assert_eq!(jobs.len(), 1, "what was refused as not run is not there");
@@ -173,7 +173,7 @@
     }
     for index in 0..60 {
         let key = format!("job-{index}");
-        let view = caller.wait(TEAM, &key).await.unwrap();
+        let view = ended(&caller, &key).await;
         let payload = format!("run_ms=100,planner={index}");
         assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
         assert_eq!(started_attempts(&all_ended(&cluster, &payload).await, &payload), 1);
--- a/crates/cuminbarrow/tests/integration/gang_path.rs
+++ b/crates/cuminbarrow/tests/integration/gang_path.rs
@@ -10,13 +10,14 @@
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn gang_is_answered_whole() {
     let cluster = ClusterBuilder::new().start().await;
     let caller = cluster.caller();
     caller.submit("gang", &body(3, 8, "run_ms=100,part")).await.unwrap();
-    let view = caller.wait(TEAM, "gang").await.unwrap();
+    let view = ended(&caller, "gang").await;
     assert_eq!(view.phase, PhaseName::Completed);
     let answer = caller.get_bytes(&format!("{}/answer", job_path(TEAM, "gang"))).await.unwrap();
     assert_eq!(answer, b"run_ms=100,part;run_ms=100,part;run_ms=100,part;");
@@ -39,7 +40,7 @@
         cluster.entry_proxies[0].set(faults);
         let key = format!("gang-{index}");
         caller.submit(&key, &body(2, 8, "run_ms=50")).await.unwrap();
-        let view = caller.wait(TEAM, &key).await.unwrap();
+        let view = ended(&caller, &key).await;
         assert_eq!(view.phase, PhaseName::Completed, "under {faults:?}: {view:?}");
         cluster.entry_proxies[0].set(ProxyFaults::default());
     }
--- a/crates/cuminbarrow/tests/integration/graceful_shutdown.rs
+++ b/crates/cuminbarrow/tests/integration/graceful_shutdown.rs
@@ -6,6 +6,7 @@
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 
 /// Requests in flight at the shutdown.
 const REQUESTS: usize = 50;
@@ -38,9 +39,9 @@
 
     let other = cluster.client_of(1, TEAM);
     for index in 0..REQUESTS {
-        let view = other.wait(TEAM, &format!("job-{index}")).await.unwrap();
+        let view = ended(&other, &format!("job-{index}")).await;
         assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
-        let view = other.wait(TEAM, &format!("late-{index}")).await.unwrap();
+        let view = ended(&other, &format!("late-{index}")).await;
         assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
     }
 }
@@ -53,7 +54,7 @@
     let view = cluster.wait_for_phase("job", PhaseName::Running).await;
     let lead = crate::cluster_builder::Cluster::lead_of(&view);
     cluster.agents[lead].signal(Signal::SIGTERM);
-    let view = caller.wait(TEAM, "job").await.unwrap();
+    let view = ended(&caller, "job").await;
     assert_eq!((view.phase, view.attempts), (PhaseName::Completed, 1), "{view:?}");
     assert!(cluster.agents[lead].ended(), "the agent ends by itself");
     cluster.wait_for_workers(1).await;
--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod gang_failures;
 mod gang_path;
 mod graceful_shutdown;
+mod lost_worker;
 mod many_callers;
 mod settings_files;
 mod worker_drain;
--- a/crates/cuminbarrow/tests/integration/worker_drain.rs
+++ b/crates/cuminbarrow/tests/integration/worker_drain.rs
@@ -5,8 +5,8 @@
 use cuminbarrow_entry::api_types::PhaseName;
 
 use crate::cluster_builder::ClusterBuilder;
-use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 
 /// Time after which a draining worker gets nothing new, in ms.
 const PROMISED_MS: u64 = 3_000;
@@ -37,7 +37,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     for key in keys {
-        let view = caller.wait(TEAM, &key).await.unwrap();
+        let view = ended(&caller, &key).await;
         assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
     }
     let last_ms = latest_start_ms(&cluster, "w0").await;
--- a/crates/entry/src/agent_server.rs
+++ b/crates/entry/src/agent_server.rs
@@ -4,6 +4,7 @@
 
 use cuminbarrow_ledger::apply::Effect;
 use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::worker_state::WorkerStatus;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_model::worker::WorkerSpec;
 use cuminbarrow_protocol::link::Link;
@@ -15,6 +16,8 @@
 use tokio::time::Instant;
 
 use crate::entry_core::SharedCore;
+use crate::report_queue::ReportQueue;
+use crate::report_queue::ReportSubject;
 
 /// Messages that may wait for one agent.
 const QUEUE_MESSAGES: usize = 256;
@@ -25,6 +28,9 @@
 /// Wait between tries of a record that must get into the log.
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
+/// Time between looks at whether this entry is announced.
+const ANNOUNCED_LOOK: Duration = Duration::from_millis(50);
+
 type AgentLink = Link<EntryMessage, AgentMessage>;
 
 /// Who is connected.
@@ -46,8 +52,13 @@
     let (joined_sender, joined) = oneshot::channel();
     let joining = join(core.clone(), identity.clone(), joined_sender);
     let joining = tokio::spawn(joining);
-    let mut session =
-        AgentSession { core: core.clone(), identity: identity.clone(), worker: None, queue: None };
+    let mut session = AgentSession {
+        core: core.clone(),
+        identity: identity.clone(),
+        worker: None,
+        queue: None,
+        reports: ReportQueue::default(),
+    };
     let error = session.run(&mut link, joined).await;
     joining.abort();
     log::info!("the session of agent {:?} ended: {error}", identity.spec.name);
@@ -57,8 +68,12 @@
     }
 }
 
-/// Puts the announcement into the log, however long that takes.
+/// Puts the announcement into the log, however long that takes. This entry's own announcement
+/// goes first: the planner takes the worker of an unknown entry for lost.
 async fn join(core: SharedCore, identity: AgentIdentity, joined: oneshot::Sender<WorkerKey>) {
+    while !core.tail.state().entries.contains_key(&core.instance) {
+        tokio::time::sleep(ANNOUNCED_LOOK).await;
+    }
     loop {
         let record = Record::WorkerJoined {
             spec: identity.spec.clone(),
@@ -107,6 +122,7 @@
     identity: AgentIdentity,
     worker: Option<WorkerKey>,
     queue: Option<mpsc::Receiver<EntryMessage>>,
+    reports: ReportQueue,
 }
 
 impl AgentSession {
@@ -183,31 +199,47 @@
         link: &mut AgentLink,
         message: AgentMessage,
     ) -> Result<(), LinkError> {
-        let Some(record) = self.record_of(message) else {
-            return link.sender.send(&EntryMessage::HeartbeatAck).await;
-        };
-        let core = self.core.clone();
-        tokio::spawn(async move {
-            if let Err(error) = core.write(record).await {
-                log::debug!("an agent's record was not applied: {}", error.detail);
-            }
-        });
-        Ok(())
+        if let Some((subject, record)) = self.report_of(message) {
+            self.reports.write(self.core.clone(), subject, record);
+            return Ok(());
+        }
+        if self.is_declared_lost() {
+            return Err(LinkError::Closed);
+        }
+        link.sender.send(&EntryMessage::HeartbeatAck).await
+    }
+
+    /// Whether the log says that the worker of this live session is lost. The session ends then,
+    /// and the agent joins again with the next one.
+    fn is_declared_lost(&self) -> bool {
+        let Some(worker) = self.worker else { return false };
+        let state = self.core.tail.state();
+        state.worker(worker).is_some_and(|known| {
+            known.status == WorkerStatus::Lost
+                && known.incarnation == self.identity.incarnation
+                && known.session == self.identity.session
+        })
     }
 
     /// The record that a message asks for; a heartbeat asks for none.
-    fn record_of(&self, message: AgentMessage) -> Option<Record> {
+    fn report_of(&self, message: AgentMessage) -> Option<(ReportSubject, Record)> {
         let worker = self.worker?;
         let incarnation = self.identity.incarnation;
         match message {
-            AgentMessage::Draining => Some(Record::WorkerDrained { worker }),
+            AgentMessage::Draining => {
+                Some((ReportSubject::Draining(worker), Record::WorkerDrained { worker }))
+            }
             AgentMessage::Ended { attempt, end } => {
-                Some(Record::JobEnded { attempt, lead_incarnation: incarnation, end })
+                let record = Record::JobEnded { attempt, lead_incarnation: incarnation, end };
+                Some((ReportSubject::Ended(attempt), record))
             }
             AgentMessage::Heartbeat | AgentMessage::Hello { .. } => None,
-            AgentMessage::Leaving => Some(Record::WorkerLeft { worker, incarnation }),
+            AgentMessage::Leaving => {
+                Some((ReportSubject::Leaving(worker), Record::WorkerLeft { worker, incarnation }))
+            }
             AgentMessage::StartWanted { attempt } => {
-                Some(Record::JobStarted { attempt, lead_incarnation: incarnation })
+                let record = Record::JobStarted { attempt, lead_incarnation: incarnation };
+                Some((ReportSubject::Started(attempt), record))
             }
         }
     }
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -63,7 +63,7 @@
 /// Time between telling the balancer and refusing new connections.
 const UNREADY_WAIT: Duration = Duration::from_millis(500);
 /// Time between looks at this entry's own record.
-const ANNOUNCE_LOOK: Duration = Duration::from_secs(1);
+const ANNOUNCE_LOOK: Duration = Duration::from_millis(200);
 
 /// Why an entry can't run.
 #[derive(Debug, Snafu)]
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,5 +15,6 @@
 mod peer_server;
 mod planner_loop;
 mod planner_role;
+mod report_queue;
 mod session_table;
 mod wait_table;
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -264,7 +264,13 @@
         records
     }
 
+    /// Workers whose entry is gone. An outage of the log does not count against them, since
+    /// nobody can join another entry in it.
     fn look_at_workers(&mut self, core: &SharedCore) -> Vec<Record> {
+        if !core.tail.is_current() {
+            self.orphans.clear();
+            return Vec::new();
+        }
         let state = core.tail.state();
         let mut orphans = BTreeMap::new();
         let mut records = Vec::new();
