--- a/crates/cuminbarrow/src/command.rs
+++ b/crates/cuminbarrow/src/command.rs
@@ -9,9 +9,14 @@
 use crate::client_error::RuntimeSnafu;
 use crate::client_options::ClientOptions;
 use crate::client_options::client_options;
+use crate::command_audit;
 use crate::command_demo;
+use crate::command_explain::ExplainOptions;
+use crate::command_explain::explain_options;
 use crate::command_job::JobCommand;
 use crate::command_job::job_command;
+use crate::command_report::ReportOptions;
+use crate::command_report::report_options;
 use crate::command_sheet::SheetCommand;
 use crate::command_sheet::sheet_command;
 use crate::command_status;
@@ -38,16 +43,25 @@
 /// One command.
 #[derive(Clone, Debug, Bpaf)]
 pub enum Command {
+    /// Show who put which sheet in force
+    #[bpaf(command)]
+    Audit,
     /// Show the whole path on an embedded platform, and exit
     #[bpaf(command)]
     Demo,
-    /// Submit, list, show, wait for, cancel and explain jobs
+    /// Tell why a job waits, or runs where it does
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
+    /// Submit, list, show, wait for and cancel jobs
     #[bpaf(command)]
     Job(#[bpaf(external(job_command))] JobCommand),
+    /// Show what each team was promised, used, lent and took back
+    #[bpaf(command)]
+    Report(#[bpaf(external(report_options))] ReportOptions),
     /// Check, compare and apply sheets
     #[bpaf(command)]
     Sheet(#[bpaf(external(sheet_command))] SheetCommand),
-    /// Show the state of the entry that answers
+    /// Show the state, and how far each entry is
     #[bpaf(command)]
     Status,
     /// List teams and their guarantees
@@ -78,8 +92,11 @@
         .context(RuntimeSnafu)?;
     runtime.block_on(async {
         match command {
+            Command::Audit => command_audit::run(options).await,
             Command::Demo => command_demo::run().await,
+            Command::Explain(explain) => explain.run(options).await,
             Command::Job(command) => command.run(options).await,
+            Command::Report(report) => report.run(options).await,
             Command::Sheet(command) => command.run(options).await,
             Command::Status => command_status::run(options).await,
             Command::Team(command) => command.run(options).await,
--- /dev/null
+++ b/crates/cuminbarrow/src/command_explain.rs
@@ -0,0 +1,76 @@
+//! `cuminbarrow explain`.
+
+use bpaf::Bpaf;
+use cuminbarrow_entry::api_types::ExplainView;
+use smol_str::SmolStr;
+
+use crate::api_client::job_path;
+use crate::client_error::ClientError;
+use crate::client_options::ClientOptions;
+use crate::client_output::job_table;
+use crate::client_output::print_json;
+use crate::client_output::table;
+use crate::command_audit::time_text;
+
+/// Which job to explain.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ExplainOptions {
+    /// Team that owns it
+    #[bpaf(argument("TEAM"))]
+    team: SmolStr,
+    /// Its idempotency key
+    #[bpaf(positional("JOB"))]
+    key: SmolStr,
+}
+
+impl ExplainOptions {
+    pub(crate) async fn run(self, options: &ClientOptions) -> Result<(), ClientError> {
+        let path = format!("{}/explain", job_path(&self.team, &self.key));
+        let view: ExplainView = options.client()?.get(&path).await?;
+        if options.json {
+            return print_json(&view);
+        }
+        print!("{}", explain_text(&view));
+        Ok(())
+    }
+}
+
+/// The explanation for people.
+pub fn explain_text(view: &ExplainView) -> String {
+    let mut text = job_table(std::slice::from_ref(&view.job));
+    text.push('\n');
+    if let Some(position) = view.queue_position {
+        text.push_str(&format!("queue position    {position}\n"));
+    }
+    text.push_str(&format!("explanation       {}\n", view.explanation));
+    if let Some(reservation) = &view.reservation {
+        text.push_str(&format!("reservation       {reservation}\n"));
+    }
+    if !view.past.is_empty() {
+        text.push_str("\nAttempts that are over:\n");
+        let rows: Vec<[String; 5]> = view
+            .past
+            .iter()
+            .map(|past| {
+                [
+                    past.attempt.to_string(),
+                    past.lead.to_string(),
+                    if past.was_started { "yes" } else { "no" }.to_owned(),
+                    time_text(past.at_ms),
+                    past.reason.to_string(),
+                ]
+            })
+            .collect();
+        text.push_str(&table(["ATTEMPT", "LEAD", "STARTED", "ENDED", "OUTCOME"], &rows));
+    }
+    if !view.candidates.is_empty() {
+        text.push_str("\nWorkers for one member:\n");
+        let rows: Vec<[String; 2]> = view
+            .candidates
+            .iter()
+            .map(|candidate| [candidate.worker.to_string(), candidate.reason.to_string()])
+            .collect();
+        text.push_str(&table(["WORKER", "STATE"], &rows));
+    }
+    text
+}
--- a/crates/cuminbarrow/src/command_job.rs
+++ b/crates/cuminbarrow/src/command_job.rs
@@ -93,9 +93,6 @@
     /// Cancel a job
     #[bpaf(command)]
     Cancel(#[bpaf(external(job_name))] JobName),
-    /// Tell why a job waits, or runs where it does
-    #[bpaf(command)]
-    Explain(#[bpaf(external(job_name))] JobName),
     /// List jobs, the newest first
     #[bpaf(command)]
     List {
@@ -157,10 +154,6 @@
                 let view = client.send(http::Method::POST, &path, &Value::Null).await?;
                 print_job(options, &view)
             }
-            Self::Explain(name) => {
-                let path = format!("{}/explain", job_path(&name.team, &name.key));
-                print_json(&client.get::<Value>(&path).await?)
-            }
             Self::List { team } => {
                 let query = team.map(|team| format!("?team={}", escape(&team)));
                 let path = format!("/v1/jobs{}", query.unwrap_or_default());
--- a/crates/cuminbarrow/src/command_sheet.rs
+++ b/crates/cuminbarrow/src/command_sheet.rs
@@ -1,22 +1,34 @@
 //! `cuminbarrow sheet`.
 
+use std::fmt;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 use std::time::Instant;
 
 use bpaf::Bpaf;
+use cuminbarrow_entry::api_types::InstanceView;
 use cuminbarrow_entry::api_types::SheetBody;
 use cuminbarrow_entry::api_types::SheetView;
+use cuminbarrow_ledger::sheet_preview::SheetPreview;
 use cuminbarrow_sheet::sheet_diff::SheetDiff;
 use cuminbarrow_sheet::sheet_parser;
 use cuminbarrow_sheet::sheet_parser::ParsedSheet;
+use serde::Serialize;
+use smol_str::SmolStr;
 use snafu::ResultExt;
 
+use crate::api_client::ApiClient;
 use crate::client_error::ClientError;
 use crate::client_error::FileSnafu;
 use crate::client_options::ClientOptions;
 use crate::client_output::print_json;
 
+/// Time within which a sheet is to be in force on every instance.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+/// Time between looks at the instances.
+const IN_FORCE_LOOK: Duration = Duration::from_millis(20);
+
 /// A command on sheets.
 #[derive(Clone, Debug, Bpaf)]
 pub enum SheetCommand {
@@ -91,16 +103,75 @@
 
 async fn diff(options: &ClientOptions, file: &Path) -> Result<(), ClientError> {
     let parsed = read_sheet(options, file)?;
-    let in_force: SheetView = options.client()?.get("/v1/sheet").await?;
-    let diff = SheetDiff::new(&in_force.teams, &parsed.sheet.teams);
+    let client = options.client()?;
+    let in_force: SheetView = client.get("/v1/sheet").await?;
+    let teams = SheetDiff::new(&in_force.teams, &parsed.sheet.teams);
+    let base = parsed.sheet.base;
+    let body = SheetBody { sheet: parsed.sheet, allow_removals: false };
+    let preview: SheetPreview = client.send(http::Method::POST, "/v1/sheet/preview", &body).await?;
+    let output = DiffOutput { base, teams, preview };
     if options.json {
-        return print_json(&diff);
+        return print_json(&output);
     }
-    println!("based on version {}, version {} is in force", parsed.sheet.base, in_force.version);
-    print!("{diff}");
+    print!("{output}");
     Ok(())
 }
 
+/// What a sheet would change, and its effects.
+#[derive(Clone, Debug, Serialize)]
+pub struct DiffOutput {
+    /// Version that the sheet is based on.
+    pub base: u64,
+    /// Teams and guarantees.
+    pub teams: SheetDiff,
+    /// Jobs, reservations and running work.
+    pub preview: SheetPreview,
+}
+
+impl fmt::Display for DiffOutput {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let preview = &self.preview;
+        writeln!(
+            formatter,
+            "based on version {}, version {} is in force",
+            self.base, preview.in_force
+        )?;
+        if let Some(refusal) = &preview.refusal {
+            writeln!(formatter, "it would be REFUSED: {refusal}")?;
+        }
+        write!(formatter, "{}", self.teams)?;
+        for job in &preview.jobs_added {
+            writeln!(formatter, "+ job {job}")?;
+        }
+        if !preview.jobs_known.is_empty() {
+            let count = preview.jobs_known.len();
+            writeln!(formatter, "= {count} jobs were accepted before and go on as they are")?;
+        }
+        for moved in &preview.reservations_moved {
+            let (before, after) = (place(&moved.before), place(&moved.after));
+            let (team, guarantee) = (&moved.team, &moved.guarantee);
+            writeln!(formatter, "~ place of {team}/{guarantee}: {before} -> {after}")?;
+        }
+        for job in &preview.jobs_on_new_promises {
+            writeln!(formatter, "! {job} runs on newly promised room and may be stopped for it")?;
+        }
+        Ok(())
+    }
+}
+
+fn place(workers: &[SmolStr]) -> String {
+    if workers.is_empty() { "none".to_owned() } else { workers.join(",") }
+}
+
+/// What an application did.
+#[derive(Serialize)]
+struct ApplyOutput {
+    version: u64,
+    seconds: f64,
+    in_force_on: usize,
+    instances: usize,
+}
+
 async fn apply(
     options: &ClientOptions,
     file: &Path,
@@ -111,9 +182,40 @@
     let body = SheetBody { sheet: parsed.sheet, allow_removals };
     let client = options.client()?;
     let view: SheetView = client.send(http::Method::PUT, "/v1/sheet", &body).await?;
+    let instances = wait_until_in_force(&client, view.version, began).await?;
+    let in_force_on = instances.iter().filter(|instance| has_version(instance, view.version));
+    let output = ApplyOutput {
+        version: view.version,
+        seconds: began.elapsed().as_secs_f64(),
+        in_force_on: in_force_on.count(),
+        instances: instances.len(),
+    };
     if options.json {
-        return print_json(&view);
+        return print_json(&output);
     }
-    println!("version {} is in force after {:.3} s", view.version, began.elapsed().as_secs_f64());
+    let ApplyOutput { version, seconds, in_force_on, instances } = output;
+    println!(
+        "version {version} is in force on {in_force_on} of {instances} instances after {seconds:.3} s"
+    );
     Ok(())
 }
+
+fn has_version(view: &InstanceView, version: u64) -> bool {
+    view.sheet_version.is_some_and(|known| known >= version)
+}
+
+/// Waits until every instance has the version, or the time for it is up.
+async fn wait_until_in_force(
+    client: &ApiClient,
+    version: u64,
+    began: Instant,
+) -> Result<Vec<InstanceView>, ClientError> {
+    loop {
+        let instances: Vec<InstanceView> = client.get("/v1/instances").await?;
+        let is_everywhere = instances.iter().all(|view| has_version(view, version));
+        if is_everywhere || began.elapsed() >= IN_FORCE_LIMIT {
+            return Ok(instances);
+        }
+        tokio::time::sleep(IN_FORCE_LOOK).await;
+    }
+}
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -95,6 +95,14 @@
     }
 }
 
+/// A run of the client's program.
+#[derive(Debug)]
+pub(crate) struct ClientRun {
+    pub(crate) exit_code: Option<i32>,
+    pub(crate) output: String,
+    pub(crate) errors: String,
+}
+
 /// How large a deployment is.
 pub(crate) struct ClusterBuilder {
     agents: usize,
@@ -177,19 +185,23 @@
         .await;
     }
 
-    async fn start_entry(&mut self) {
+    /// Starts one more entry, which may ask the earlier ones for their state.
+    pub(crate) async fn start_entry(&mut self) {
         let listen = free_address().expect("loopback has ports");
         let link = free_address().expect("loopback has ports");
         let proxy = FaultProxy::start(link).await.expect("loopback has ports");
+        let peers: Vec<String> =
+            self.entry_proxies.iter().map(|proxy| proxy.address.to_string()).collect();
         let (operator, team) = (Digest::of(b"operator"), Digest::of(TEAM.as_bytes()));
         let text = format!(
             "region: zapad\nlisten: {listen}\nlink_listen: {link}\n\
              platform: http://{}\nshared_key: test\nsession_timeout_ms: 2000\n\
              planner_timeout_ms: 1500\nteam_submissions_per_s: 100000\nlog: {{level: error}}\n\
-             log_timeout_ms: 1000\ntokens:\n\
+             peers: [{}]\nlog_timeout_ms: 1000\ntokens:\n\
              - {{name: operator, token_sha256: \"{operator}\", role: operator}}\n\
              - {{name: caller, token_sha256: \"{team}\", role: team, team: {TEAM}}}\n",
-            self.platform
+            self.platform,
+            peers.join(", ")
         );
         let file = self.folder.join(format!("entry-{}.yaml", self.entries.len()));
         std::fs::write(&file, text).expect("the temporary folder can be written");
@@ -200,6 +212,13 @@
         self.entry_proxies.push(proxy);
     }
 
+    /// Starts an entry's process again, as a new instance without state.
+    pub(crate) fn restart_entry(&mut self, index: usize) {
+        let config = self.folder.join(format!("entry-{index}.yaml")).display().to_string();
+        let program = env!("CARGO_BIN_EXE_cuminbarrow-entry");
+        self.entries[index] = Process::spawn(program, &["--config", &config]);
+    }
+
     async fn start_agent(&mut self, index: usize) {
         let listen = free_address().expect("loopback has ports");
         let proxy = FaultProxy::start(listen).await.expect("loopback has ports");
@@ -273,6 +292,21 @@
         ApiClient::new(&self.urls(), "operator")
     }
 
+    /// Runs the client's program as an operator; gives its exit code and what it printed.
+    pub(crate) fn run_client(&self, arguments: &[&str]) -> ClientRun {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cuminbarrow"));
+        command.env("CUMINBARROW_TOKEN", "operator");
+        for url in self.urls() {
+            command.args(["--entry", &url]);
+        }
+        let output = command.args(arguments).output().expect("the client was built for this test");
+        ClientRun {
+            exit_code: output.status.code(),
+            output: String::from_utf8_lossy(&output.stdout).into_owned(),
+            errors: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+
     /// A caller of the team that asks any entry.
     pub(crate) fn caller(&self) -> ApiClient {
         ApiClient::new(&self.urls(), TEAM)
--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -10,5 +10,7 @@
 mod graceful_shutdown;
 mod lost_worker;
 mod many_callers;
+mod operator_commands;
 mod settings_files;
+mod sheet_in_force;
 mod worker_drain;
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/sheet_in_force.rs
@@ -0,0 +1,175 @@
+//! A sheet is in force everywhere or nowhere, and never reverts: operators race, answers are
+//! lost, the log is down, every instance is replaced.
+
+use cuminbarrow::api_client::ApiClient;
+use cuminbarrow::client_error::ClientError;
+use cuminbarrow_entry::api_error::ErrorOutcome;
+use cuminbarrow_entry::api_types::InstanceView;
+use cuminbarrow_entry::api_types::SheetBody;
+use cuminbarrow_entry::api_types::SheetView;
+use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_standin::log_service::LogFaults;
+use http::Method;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::cluster_builder::Cluster;
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::eventually;
+
+/// Operators that apply a sheet at once.
+const OPERATORS: usize = 20;
+
+/// A sheet with the team of the tests and one named for its author.
+fn sheet_of(author: usize, base: u64) -> SheetBody {
+    let team = |name| TeamSpec { name, guarantees: Vec::new(), max_pending: 5_000 };
+    let teams = vec![team(SmolStr::new(TEAM)), team(format_smolstr!("author-{author}"))];
+    SheetBody { sheet: Sheet { base, teams, jobs: Vec::new() }, allow_removals: true }
+}
+
+async fn apply(client: &ApiClient, body: &SheetBody) -> Result<SheetView, ClientError> {
+    client.send(Method::PUT, "/v1/sheet", body).await
+}
+
+/// Applies until the answer is certain.
+async fn apply_until_known(client: &ApiClient, body: &SheetBody) -> SheetView {
+    eventually("the sheet's outcome is known", async || apply(client, body).await.ok()).await
+}
+
+/// The sheet that each entry has in force.
+async fn sheets(cluster: &Cluster) -> Vec<SheetView> {
+    let mut views = Vec::new();
+    for index in 0..cluster.entries.len() {
+        views.push(cluster.client_of(index, "operator").get("/v1/sheet").await.unwrap());
+    }
+    views
+}
+
+async fn wait_for_version(cluster: &Cluster, version: u64) {
+    eventually("every entry has the version", async || {
+        let instances: Vec<InstanceView> = cluster.operator().get("/v1/instances").await.ok()?;
+        let has = |view: &InstanceView| view.sheet_version == Some(version);
+        let count = instances.iter().filter(|view| has(view)).count();
+        (count == cluster.entries.len()).then_some(())
+    })
+    .await;
+}
+
+async fn replace_every_entry(cluster: &mut Cluster) {
+    for index in 0..cluster.entries.len() {
+        cluster.entries[index].kill();
+    }
+    for index in 0..cluster.entries.len() {
+        cluster.restart_entry(index);
+    }
+    cluster.wait_for_workers(6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_racing_operators_wins() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let mut racers = Vec::new();
+    for author in 0..OPERATORS {
+        let client = cluster.client_of(author % 2, "operator");
+        let body = sheet_of(author, 1);
+        racers.push(tokio::spawn(async move { (author, apply(&client, &body).await) }));
+    }
+    let mut winners = Vec::new();
+    for racer in racers {
+        match racer.await.unwrap() {
+            (author, Ok(view)) => winners.push((author, view.version)),
+            (_, Err(ClientError::Refused { error })) => {
+                assert_eq!((error.status, error.outcome), (409, ErrorOutcome::NotRun), "{error:?}");
+                let names_both = error.detail.contains("version 1") && error.detail.contains('2');
+                assert!(names_both, "{}", error.detail);
+            }
+            (author, Err(error)) => panic!("{author}: {error}"),
+        }
+    }
+    let [(winner, 2)] = winners[..] else { panic!("one is to win with version 2: {winners:?}") };
+    wait_for_version(&cluster, 2).await;
+    let wanted = sheet_of(winner, 1).sheet.teams;
+    for view in sheets(&cluster).await {
+        assert_eq!(view.teams, wanted);
+    }
+    replace_every_entry(&mut cluster).await;
+    for view in sheets(&cluster).await {
+        assert_eq!((view.version, &view.teams), (2, &wanted), "nothing reverts");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_apply_a_sheet_once() {
+    let cluster = ClusterBuilder::new().start().await;
+    let client = cluster.operator();
+    for version in 2..6 {
+        let faults = LogFaults { lose_answers: 2, ..LogFaults::default() };
+        cluster.set_log_faults(faults).await;
+        let body = sheet_of(version, version as u64 - 1);
+        let view = apply_until_known(&client, &body).await;
+        assert_eq!(view.version, version as u64, "applied once, whatever was lost");
+        let again = apply_until_known(&client, &body).await;
+        assert_eq!(again.version, version as u64, "the same sheet again changes nothing");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_and_restart_leave_one_outcome() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let client = cluster.operator();
+    cluster.set_log_faults(LogFaults { is_down: true, ..LogFaults::default() }).await;
+    let error = apply(&client, &sheet_of(1, 1)).await.unwrap_err();
+    let ClientError::Refused { error } = error else { panic!("{error}") };
+    assert_eq!(error.outcome, ErrorOutcome::NotRun, "{error:?}");
+    for view in sheets(&cluster).await {
+        assert_eq!(view.version, 1, "the last one stays in force");
+    }
+    let racing = sheet_of(2, 1);
+    let asking = client_task(cluster.operator(), racing.clone());
+    cluster.entries[0].kill();
+    cluster.restart_entry(0);
+    cluster.set_log_faults(LogFaults::default()).await;
+    let _ = asking.await;
+    cluster.entries[1].kill();
+    cluster.restart_entry(1);
+    cluster.wait_for_workers(6).await;
+    let view = apply_until_known(&client, &racing).await;
+    assert_eq!(view.version, 2, "not applied twice, and not lost");
+    wait_for_version(&cluster, 2).await;
+    for view in sheets(&cluster).await {
+        assert_eq!(view.teams, racing.sheet.teams);
+    }
+}
+
+fn client_task(client: ApiClient, body: SheetBody) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        let _ = apply(&client, &body).await;
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_started_in_an_outage_takes_the_state_of_a_peer() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    apply(&cluster.operator(), &sheet_of(1, 1)).await.unwrap();
+    wait_for_version(&cluster, 2).await;
+    cluster.set_log_faults(LogFaults { is_down: true, ..LogFaults::default() }).await;
+    cluster.start_entry().await;
+    let newcomer = cluster.client_of(2, "operator");
+    let status = eventually("the newcomer has the state", async || {
+        let status: StatusView = newcomer.get("/v1/status").await.ok()?;
+        (status.sheet_version == 2).then_some(status)
+    })
+    .await;
+    assert!(!status.is_current, "it says that it is cut off: {status:?}");
+    assert_eq!((status.workers, status.entries), (6, 2));
+    let refused = apply(&newcomer, &sheet_of(2, 2)).await.unwrap_err();
+    let ClientError::Refused { error } = refused else { panic!("{refused}") };
+    assert_eq!(error.outcome, ErrorOutcome::NotRun, "{error:?}");
+    cluster.set_log_faults(LogFaults::default()).await;
+    let view = apply_until_known(&newcomer, &sheet_of(3, 2)).await;
+    assert_eq!(view.version, 3);
+    wait_for_version(&cluster, 3).await;
+}
--- /dev/null
+++ b/crates/entry/src/api_explain.rs
@@ -0,0 +1,137 @@
+//! Why a job waits, or runs where it does.
+
+use axum::Json;
+use axum::extract::Path;
+use axum::extract::State;
+use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::state::State as LedgerState;
+use cuminbarrow_ledger::worker_state::WorkerState;
+use cuminbarrow_ledger::worker_state::WorkerStatus;
+use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::resources::Resources;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::access::CallerIdentity;
+use crate::api_error::ApiError;
+use crate::api_jobs::find;
+use crate::api_types::CandidateView;
+use crate::api_types::ExplainView;
+use crate::api_types::JobView;
+use crate::api_types::PastAttemptView;
+use crate::entry_core::EntryCore;
+use crate::entry_core::SharedCore;
+use crate::planner_loop::policy_of;
+
+/// Most workers that are explained.
+const MAX_CANDIDATES: usize = 64;
+
+pub(crate) async fn explain(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    Path((team, name)): Path<(SmolStr, SmolStr)>,
+) -> Result<Json<ExplainView>, ApiError> {
+    let key = find(&core, &identity, &team, &name)?;
+    let state = core.tail.state().clone();
+    let job = state.jobs.get(&key).ok_or_else(|| ApiError::not_found("the job"))?;
+    let queue_position = state.pending.iter().position(|pending| *pending == key);
+    let explanation = match queue_position {
+        None => "it does not wait".to_owned(),
+        Some(_) => {
+            let plan = policy_of(&core.settings).plan(&state, EntryCore::wall_ms());
+            let note = plan.waits.iter().find(|note| note.job == key);
+            note.map_or_else(
+                || "the next round looks at it or places it".to_owned(),
+                |note| note.reason.to_string(),
+            )
+        }
+    };
+    let reservation = job.placement().and_then(|placement| placement.reservation);
+    let reservation = reservation.and_then(|key| state.reservations.get(&key));
+    let candidates = if job.is_pending() { candidates(&state, job) } else { Vec::new() };
+    Ok(Json(ExplainView {
+        job: JobView::new(&state, key, job),
+        queue_position: queue_position.map(|position| position + 1),
+        explanation,
+        reservation: reservation.map(|held| held.guarantee.clone()),
+        failed_workers: job.failed_workers.iter().map(|key| name_of(&state, *key)).collect(),
+        past: past_attempts(&state, job),
+        candidates,
+    }))
+}
+
+fn name_of(state: &LedgerState, key: WorkerKey) -> SmolStr {
+    state.worker(key).map(|worker| worker.spec.name.clone()).unwrap_or_default()
+}
+
+fn past_attempts(state: &LedgerState, job: &JobState) -> Vec<PastAttemptView> {
+    let views = job.past.iter().map(|past| PastAttemptView {
+        attempt: past.attempt,
+        lead: name_of(state, past.lead),
+        was_started: past.was_started,
+        reason: past.reason.clone(),
+        at_ms: past.at_ms,
+    });
+    views.collect()
+}
+
+fn candidates(state: &LedgerState, job: &JobState) -> Vec<CandidateView> {
+    let views = state.workers().map(|(key, worker)| CandidateView {
+        worker: worker.spec.name.clone(),
+        reason: obstacle(state, job, key, worker),
+    });
+    let mut views: Vec<CandidateView> = views.collect();
+    views.sort_by(|left, right| left.worker.cmp(&right.worker));
+    views.truncate(MAX_CANDIDATES);
+    views
+}
+
+/// The resources that are short.
+fn shortage(free: &Resources, each: &Resources) -> SmolStr {
+    let resources = [
+        ("cores", free.cores, each.cores),
+        ("GiB", free.memory_gib, each.memory_gib),
+        ("accelerators", free.accelerators.into(), each.accelerators.into()),
+        ("slots", free.slots.into(), each.slots.into()),
+        ("connections", free.connections.into(), each.connections.into()),
+    ];
+    let short = resources.iter().filter(|(_, free, wanted)| free < wanted);
+    let parts: Vec<String> =
+        short.map(|(name, free, wanted)| format!("{free} of {wanted} {name} free")).collect();
+    SmolStr::new(parts.join(", "))
+}
+
+/// What keeps a worker from taking one member of the job.
+fn obstacle(state: &LedgerState, job: &JobState, key: WorkerKey, worker: &WorkerState) -> SmolStr {
+    match worker.status {
+        WorkerStatus::Draining => return SmolStr::new_static("it is draining"),
+        WorkerStatus::Left => return SmolStr::new_static("it has left"),
+        WorkerStatus::Lost => return SmolStr::new_static("it is lost"),
+        WorkerStatus::Up => {}
+    }
+    if worker.quarantined_ms.is_some() {
+        return SmolStr::new_static("it is in quarantine");
+    }
+    if job.failed_workers.contains(&key) {
+        return SmolStr::new_static("the job failed there");
+    }
+    let each = &job.spec.shape.per_member;
+    let free = worker.free_offer();
+    if !free.free.covers(each) {
+        return shortage(&free.free, each);
+    }
+    if free.accelerators.adjacent_run(each.accelerators).is_none() {
+        let count = free.accelerators.count();
+        return format_smolstr!("{count} accelerators free, not {} adjacent", each.accelerators);
+    }
+    let is_firm = !job.is_preemptible();
+    let firm = worker.firm_offer(job.team);
+    let has_firm_room =
+        firm.free.covers(each) && firm.accelerators.adjacent_run(each.accelerators).is_some();
+    if is_firm && !has_firm_room {
+        let owners = worker.holds.iter().filter(|hold| hold.team != job.team);
+        let owners: Vec<SmolStr> = owners.map(|hold| state.team_name(hold.team)).collect();
+        return format_smolstr!("its room is promised to {}", owners.join(", "));
+    }
+    SmolStr::new_static("has room for a member")
+}
--- a/crates/entry/src/api_jobs.rs
+++ b/crates/entry/src/api_jobs.rs
@@ -18,7 +18,6 @@
 use cuminbarrow_model::job::JobSpec;
 use cuminbarrow_model::keys::JobKey;
 use serde::Deserialize;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
@@ -29,7 +28,6 @@
 use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
 use crate::entry_metrics::EntryMetrics;
-use crate::planner_loop::policy_of;
 
 /// Header that carries a submission's key.
 const KEY_HEADER: &str = "idempotency-key";
@@ -132,7 +130,7 @@
 }
 
 /// The job's key, when the caller may see it.
-fn find(
+pub(crate) fn find(
     core: &EntryCore,
     identity: &CallerIdentity,
     team: &str,
@@ -242,46 +240,3 @@
         None | Some(_) => Err(ApiError::not_found("an answer of the job")),
     }
 }
-
-/// Why a job waits, or runs where it does.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ExplainView {
-    /// The job.
-    pub job: JobView,
-    /// Its place among the jobs that wait, from 1.
-    pub queue_position: Option<usize>,
-    /// Why it waits, or what the next round would do with it.
-    pub explanation: String,
-    /// Workers on which it failed.
-    pub failed_workers: Vec<SmolStr>,
-}
-
-pub(crate) async fn explain(
-    State(core): State<SharedCore>,
-    identity: CallerIdentity,
-    Path((team, name)): Path<(SmolStr, SmolStr)>,
-) -> Result<Json<ExplainView>, ApiError> {
-    let key = find(&core, &identity, &team, &name)?;
-    let state = core.tail.state();
-    let job = state.jobs.get(&key).ok_or_else(|| ApiError::not_found("the job"))?;
-    let queue_position = state.pending.iter().position(|pending| *pending == key);
-    let plan = policy_of(&core.settings).plan(&state, EntryCore::wall_ms());
-    let note = plan.waits.iter().find(|note| note.job == key);
-    let explanation = match (queue_position, note) {
-        (None, _) => "it does not wait".to_owned(),
-        (Some(_), None) => "the next round looks at it or places it".to_owned(),
-        (Some(_), Some(note)) => note.reason.to_string(),
-    };
-    let failed_workers = job
-        .failed_workers
-        .iter()
-        .filter_map(|worker| Some(state.worker(*worker)?.spec.name.clone()))
-        .collect();
-    Ok(Json(ExplainView {
-        job: JobView::new(&state, key, job),
-        queue_position: queue_position.map(|position| position + 1),
-        explanation,
-        failed_workers,
-    }))
-}
--- a/crates/entry/src/api_operators.rs
+++ b/crates/entry/src/api_operators.rs
@@ -1,34 +1,30 @@
-//! Resources of operators: teams, workers, the sheet, status.
+//! Resources of operators: teams, workers, status, how far each entry is.
 
 use axum::Json;
-use axum::body::Bytes;
 use axum::extract::Path;
 use axum::extract::State;
 use axum::http::StatusCode;
-use cuminbarrow_ledger::apply::Effect;
 use cuminbarrow_ledger::record::Record;
-use cuminbarrow_ledger::state::AuditEntry;
+use cuminbarrow_ledger::state::EntryState;
 use cuminbarrow_model::keys::TeamKey;
 use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_protocol::message::PeerRequest;
+use cuminbarrow_protocol::message::PeerResponse;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
 use crate::access::CallerIdentity;
 use crate::api_error::ApiError;
-use crate::api_jobs::parse_body;
+use crate::api_types::InstanceView;
 use crate::api_types::ReservationView;
-use crate::api_types::SheetBody;
-use crate::api_types::SheetView;
 use crate::api_types::StatusView;
 use crate::api_types::TeamView;
 use crate::api_types::WorkerView;
 use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
+use crate::peer_server;
 
-/// A sheet that may remove anything.
-const ANY_SHARE_PERMILLE: u16 = 1_000;
-
-fn require_operator(identity: &CallerIdentity) -> Result<(), ApiError> {
+pub(crate) fn require_operator(identity: &CallerIdentity) -> Result<(), ApiError> {
     if identity.is_operator() { Ok(()) } else { Err(ApiError::forbidden()) }
 }
 
@@ -113,41 +109,6 @@
     Ok(StatusCode::NO_CONTENT)
 }
 
-pub(crate) async fn apply_sheet(
-    State(core): State<SharedCore>,
-    identity: CallerIdentity,
-    body: Bytes,
-) -> Result<Json<SheetView>, ApiError> {
-    require_operator(&identity)?;
-    let SheetBody { sheet, allow_removals } = parse_body(&body)?;
-    let max_removed_permille =
-        if allow_removals { ANY_SHARE_PERMILLE } else { core.settings.max_removed_permille };
-    let author = identity.name.clone();
-    let record = Record::SheetApplied { author, sheet, max_removed_permille };
-    let effect = core.write(record).await?;
-    let Effect::Sheet { version } = effect else {
-        return Err(ApiError::not_found("the sheet's version"));
-    };
-    log::info!("sheet: version={version} by={:?}", identity.name);
-    Ok(Json(SheetView::new(&core.tail.state())))
-}
-
-pub(crate) async fn sheet(
-    State(core): State<SharedCore>,
-    identity: CallerIdentity,
-) -> Result<Json<SheetView>, ApiError> {
-    require_operator(&identity)?;
-    Ok(Json(SheetView::new(&core.tail.state())))
-}
-
-pub(crate) async fn audit(
-    State(core): State<SharedCore>,
-    identity: CallerIdentity,
-) -> Result<Json<Vec<AuditEntry>>, ApiError> {
-    require_operator(&identity)?;
-    Ok(Json(core.tail.state().audit.iter().cloned().collect()))
-}
-
 pub(crate) async fn status(
     State(core): State<SharedCore>,
     identity: CallerIdentity,
@@ -172,3 +133,50 @@
             .collect(),
     }))
 }
+
+/// How far each entry that the log knows has got; all are asked at once.
+pub(crate) async fn instances(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+) -> Result<Json<Vec<InstanceView>>, ApiError> {
+    require_operator(&identity)?;
+    let entries = core.tail.state().entries.clone();
+    let mut asked = Vec::new();
+    for (instance, entry) in entries {
+        let core = core.clone();
+        let asking = tokio::spawn(async move { ask_progress(&core, instance, &entry).await });
+        asked.push(asking);
+    }
+    let mut views = Vec::new();
+    for view in asked {
+        if let Ok(view) = view.await {
+            views.push(view);
+        }
+    }
+    let newest = views.iter().filter_map(|view| view.offset).max().unwrap_or(0);
+    for view in &mut views {
+        view.behind = view.offset.map(|offset| newest - offset);
+    }
+    Ok(Json(views))
+}
+
+async fn ask_progress(core: &EntryCore, instance: u64, entry: &EntryState) -> InstanceView {
+    let progress = if instance == core.instance {
+        Some(core.progress())
+    } else {
+        let asked = peer_server::ask(&core.dialer, entry.address, PeerRequest::FetchProgress);
+        match asked.await {
+            Ok(PeerResponse::Progress { progress }) => Some(progress),
+            Ok(_) | Err(_) => None,
+        }
+    };
+    InstanceView {
+        instance,
+        region: entry.region.clone(),
+        address: entry.address,
+        is_current: progress.is_some_and(|progress| progress.is_current),
+        offset: progress.map(|progress| progress.offset),
+        behind: None,
+        sheet_version: progress.map(|progress| progress.sheet_version),
+    }
+}
--- a/crates/entry/src/api_types.rs
+++ b/crates/entry/src/api_types.rs
@@ -1,7 +1,10 @@
 //! What callers and operators send and get, in JSON.
 
+use std::net::SocketAddr;
+
 use cuminbarrow_ledger::job_state::JobPhase;
 use cuminbarrow_ledger::job_state::JobState;
+use cuminbarrow_ledger::room_sample::RoomSample;
 use cuminbarrow_ledger::state::State;
 use cuminbarrow_ledger::worker_state::WorkerStatus;
 use cuminbarrow_model::job::JobOutcome;
@@ -137,7 +140,7 @@
             attempts: job.attempts,
             progress_permille: job.progress_permille,
             members: member_views(state, job),
-            reason: reason(job),
+            reason: job.outcome().and_then(JobOutcome::reason).cloned(),
             answer_sha256,
             has_answer,
             submitted_ms: job.submitted_ms,
@@ -173,15 +176,6 @@
     }
 }
 
-fn reason(job: &JobState) -> Option<SmolStr> {
-    match job.outcome()? {
-        JobOutcome::Completed { .. } => None,
-        JobOutcome::Failed { reason }
-        | JobOutcome::MayHaveRun { reason }
-        | JobOutcome::NotRun { reason } => Some(reason.clone()),
-    }
-}
-
 fn member_views(state: &State, job: &JobState) -> Vec<MemberView> {
     let members = job.placement().map(|placement| placement.members.as_slice());
     let members = members.unwrap_or_default().iter();
@@ -275,3 +269,109 @@
     /// Guaranteed shapes for which no place is held, by team and name.
     pub unheld_guarantees: Vec<SmolStr>,
 }
+
+/// How far an entry has followed the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceView {
+    /// Instance.
+    pub instance: u64,
+    /// Region that it stands in.
+    pub region: SmolStr,
+    /// Where agents and other entries reach it.
+    pub address: SocketAddr,
+    /// Whether it has reached the end of a log that answers.
+    pub is_current: bool,
+    /// Offset of the next batch to apply; nothing when it did not answer.
+    pub offset: Option<u64>,
+    /// Batches that it is behind the entry that is furthest.
+    pub behind: Option<u64>,
+    /// Version of the sheet in force there.
+    pub sheet_version: Option<u64>,
+}
+
+/// A team's use of accelerators since it was first named.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamReport {
+    /// Team.
+    pub team: SmolStr,
+    /// Accelerators of its guaranteed shapes.
+    pub promised: u32,
+    /// Accelerators that its jobs hold now.
+    pub holding: u32,
+    /// Accelerator-hours that its jobs held, the running ones included.
+    pub used_hours: f64,
+    /// Of these, on other teams' reservations, in attempts that are over.
+    pub borrowed_hours: f64,
+    /// Accelerator-hours that other teams' attempts held on its reservations.
+    pub lent_hours: f64,
+    /// Times that one of its reservations was reclaimed.
+    pub reclaims: u32,
+    /// Attempts of its jobs that were stopped for other jobs.
+    pub preempted: u32,
+    /// Jobs that completed.
+    pub completed: u32,
+    /// Completed jobs that were late.
+    pub late: u32,
+    /// Jobs that ended otherwise.
+    pub not_completed: u32,
+}
+
+/// Use and fragmentation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReportView {
+    /// Latest clock of the log, in ms since the Unix epoch.
+    pub at_ms: u64,
+    /// Active teams.
+    pub teams: Vec<TeamReport>,
+    /// Free accelerators over time, oldest first.
+    pub samples: Vec<RoomSample>,
+}
+
+/// A past attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PastAttemptView {
+    /// Number of the attempt.
+    pub attempt: u16,
+    /// Worker that led the gang.
+    pub lead: SmolStr,
+    /// Whether it had started.
+    pub was_started: bool,
+    /// How it ended.
+    pub reason: SmolStr,
+    /// When it ended, in ms since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// Why a worker can't take a member of a waiting job now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CandidateView {
+    /// Worker.
+    pub worker: SmolStr,
+    /// What stands in the way; "has room" where nothing does.
+    pub reason: SmolStr,
+}
+
+/// Why a job waits, or runs where it does.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExplainView {
+    /// The job.
+    pub job: JobView,
+    /// Its place among the jobs that wait, from 1.
+    pub queue_position: Option<usize>,
+    /// Why it waits, or what the next round would do with it.
+    pub explanation: String,
+    /// Guarantee whose reservation it uses.
+    pub reservation: Option<SmolStr>,
+    /// Workers on which it failed.
+    pub failed_workers: Vec<SmolStr>,
+    /// Attempts that are over, the latest ones.
+    pub past: Vec<PastAttemptView>,
+    /// For a job that waits, what each worker lacks for one member.
+    pub candidates: Vec<CandidateView>,
+}
--- a/crates/entry/src/entry_core.rs
+++ b/crates/entry/src/entry_core.rs
@@ -20,7 +20,9 @@
 use cuminbarrow_ledger::state::State;
 use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::message::EntryMessage;
+use cuminbarrow_protocol::message::LogProgress;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -41,6 +43,7 @@
     pub(crate) instance: u64,
     pub(crate) tail: LogTail,
     pub(crate) writer: LogWriter,
+    pub(crate) dialer: LinkDialer,
     pub(crate) waits: WaitTable,
     pub(crate) sessions: SessionTable,
     pub(crate) tokens: TokenTable,
@@ -91,6 +94,16 @@
         is_fresh.then(|| "no state yet: the log does not answer and no peer has one".to_owned())
     }
 
+    /// How far this entry has followed the log.
+    pub(crate) fn progress(&self) -> LogProgress {
+        let state = self.tail.state();
+        LogProgress {
+            offset: state.offset,
+            is_current: self.tail.is_current(),
+            sheet_version: state.sheet.version,
+        }
+    }
+
     /// Wall clock, in ms since the Unix epoch.
     pub(crate) fn wall_ms() -> u64 {
         let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -42,8 +42,11 @@
 use crate::access::TokenTable;
 use crate::agent_server;
 use crate::api_error::ApiError;
+use crate::api_explain;
 use crate::api_jobs;
 use crate::api_operators;
+use crate::api_report;
+use crate::api_sheet;
 use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
 use crate::entry_core::lock;
@@ -109,17 +112,16 @@
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let address = settings.link_listen;
     let link_listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let core = build_core(settings, Arc::clone(&store))?;
     let counter = Arc::new(ByteCounter::default());
+    let core = build_core(settings, Arc::clone(&store), Arc::clone(&counter))?;
     let registry = MeterRegistry::new().context(MetricsSnafu)?;
     entry_metrics::register(&core, &registry, &counter);
 
     let key = core.settings.shared_key.clone();
-    let dialer = LinkDialer::new(key.clone(), Arc::clone(&counter));
-    tokio::spawn(follow_log(core.clone(), Arc::clone(&store), dialer.clone()));
+    tokio::spawn(follow_log(core.clone(), Arc::clone(&store)));
     tokio::spawn(announce(core.clone()));
     tokio::spawn(accept_links(link_listener, key, counter, link_handler(core.clone())));
-    let planner = tokio::spawn(planner_loop::run(core.clone(), store, dialer));
+    let planner = tokio::spawn(planner_loop::run(core.clone(), store));
 
     let closing = core.clone();
     let is_closed = async move {
@@ -155,13 +157,18 @@
     }
 }
 
-fn build_core(settings: EntrySettings, store: Arc<dyn LogStore>) -> Result<SharedCore, EntryError> {
+fn build_core(
+    settings: EntrySettings,
+    store: Arc<dyn LogStore>,
+    counter: Arc<ByteCounter>,
+) -> Result<SharedCore, EntryError> {
     settings.check().context(SettingsSnafu)?;
     let tokens = TokenTable::new(&settings.tokens).context(SettingsSnafu)?;
     let instance = rand::random();
     let writer = LogWriter::spawn(store, instance, EntryCore::wall_ms);
     Ok(Arc::new(EntryCore {
         limiter: TeamLimiter::new(settings.team_submissions_per_s),
+        dialer: LinkDialer::new(settings.shared_key.clone(), counter),
         settings,
         instance,
         tail: LogTail::default(),
@@ -178,12 +185,12 @@
 }
 
 /// Follows the log; while it does not answer at the start, asks peers for their state.
-async fn follow_log(core: SharedCore, store: Arc<dyn LogStore>, dialer: LinkDialer) {
+async fn follow_log(core: SharedCore, store: Arc<dyn LogStore>) {
     let asking = core.clone();
     let asker = tokio::spawn(async move {
         tokio::time::sleep(ANNOUNCE_LOOK).await;
         while asking.unready_reason().is_some() && !asking.is_closing() {
-            peer_server::take_peer_state(&asking, &dialer).await;
+            peer_server::take_peer_state(&asking).await;
             tokio::time::sleep(ANNOUNCE_LOOK).await;
         }
     });
@@ -234,21 +241,27 @@
         .route("/v1/jobs/{team}/{key}", get(api_jobs::show))
         .route("/v1/jobs/{team}/{key}/answer", get(api_jobs::answer))
         .route("/v1/jobs/{team}/{key}/cancel", post(api_jobs::cancel))
-        .route("/v1/jobs/{team}/{key}/explain", get(api_jobs::explain))
+        .route("/v1/jobs/{team}/{key}/explain", get(api_explain::explain))
         .route("/v1/jobs/{team}/{key}/wait", get(api_jobs::wait))
+        .route("/v1/instances", get(api_operators::instances))
+        .route("/v1/report", get(api_report::report))
         .route("/v1/status", get(api_operators::status))
         .route("/v1/teams", get(api_operators::teams))
-        .route("/v1/audit", get(api_operators::audit))
+        .route("/v1/audit", get(api_sheet::audit))
         .route("/v1/workers", get(api_operators::workers))
         .route("/v1/workers/{name}/drain", post(api_operators::drain))
         .route("/v1/workers/{name}/resume", post(api_operators::resume))
         .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .route(
             "/v1/sheet",
-            get(api_operators::sheet)
-                .put(api_operators::apply_sheet)
+            get(api_sheet::sheet)
+                .put(api_sheet::apply_sheet)
                 .layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
         )
+        .route(
+            "/v1/sheet/preview",
+            post(api_sheet::preview_sheet).layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
+        )
         .fallback(|| async { ApiError::not_found("the resource") })
         .layer(middleware::from_fn(move |request: Request, next: Next| {
             limit_requests(Arc::clone(&permits), request, next)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,11 @@
 pub mod access;
 mod agent_server;
 pub mod api_error;
+mod api_explain;
 mod api_jobs;
 mod api_operators;
+mod api_report;
+mod api_sheet;
 pub mod api_types;
 mod assignment;
 pub mod entry_core;
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -22,6 +22,7 @@
 pub(crate) async fn serve(core: SharedCore, mut link: Link<PeerResponse, PeerRequest>) {
     while let Ok(request) = link.receiver.receive().await {
         let response = match request {
+            PeerRequest::FetchProgress => PeerResponse::Progress { progress: core.progress() },
             PeerRequest::FetchState => PeerResponse::State { body: state_bytes(&core) },
             PeerRequest::Ping => PeerResponse::Pong,
         };
@@ -56,9 +57,10 @@
 
 /// Takes the state of a peer while the log does not answer. The state carries its offset, so
 /// that nothing is skipped once the log is back.
-pub(crate) async fn take_peer_state(core: &SharedCore, dialer: &LinkDialer) {
+pub(crate) async fn take_peer_state(core: &SharedCore) {
     for &address in &core.settings.peers {
-        let Ok(PeerResponse::State { body }) = ask(dialer, address, PeerRequest::FetchState).await
+        let Ok(PeerResponse::State { body }) =
+            ask(&core.dialer, address, PeerRequest::FetchState).await
         else {
             continue;
         };
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -17,7 +17,6 @@
 use cuminbarrow_policy::placement_policy::Decision;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
 use cuminbarrow_policy::policy_weights::PolicyWeights;
-use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::message::PeerRequest;
 use smol_str::SmolStr;
 use statig::blocking::IntoStateMachineExt;
@@ -57,7 +56,7 @@
 }
 
 /// Runs the planner's side of an entry until the entry closes.
-pub(crate) async fn run(core: SharedCore, store: Arc<dyn LogStore>, dialer: LinkDialer) {
+pub(crate) async fn run(core: SharedCore, store: Arc<dyn LogStore>) {
     let snapshot_offset = core.tail.state().offset;
     let mut planner = PlannerLoop {
         policy: policy_of(&core.settings),
@@ -69,7 +68,6 @@
         watch: MemberWatch::default(),
         core,
         store,
-        dialer,
     };
     loop {
         let core = planner.core.clone();
@@ -86,7 +84,6 @@
 struct PlannerLoop {
     core: SharedCore,
     store: Arc<dyn LogStore>,
-    dialer: LinkDialer,
     policy: Box<dyn PlacementPolicy>,
     role: StateMachine<PlannerRole>,
     planned: Instant,
@@ -202,7 +199,7 @@
             return;
         }
         self.watch.looked = Instant::now();
-        for record in self.watch.look(&self.core, &self.dialer).await {
+        for record in self.watch.look(&self.core).await {
             if let Err(error) = self.core.write(record).await {
                 log::debug!("a member's loss was not applied: {}", error.detail);
             }
@@ -236,13 +233,13 @@
 
 impl MemberWatch {
     /// Records of what is lost by now.
-    async fn look(&mut self, core: &SharedCore, dialer: &LinkDialer) -> Vec<Record> {
-        let mut records = self.look_at_entries(core, dialer).await;
+    async fn look(&mut self, core: &SharedCore) -> Vec<Record> {
+        let mut records = self.look_at_entries(core).await;
         records.extend(self.look_at_workers(core));
         records
     }
 
-    async fn look_at_entries(&mut self, core: &SharedCore, dialer: &LinkDialer) -> Vec<Record> {
+    async fn look_at_entries(&mut self, core: &SharedCore) -> Vec<Record> {
         let others: Vec<_> = {
             let state = core.tail.state();
             let others = state.entries.iter().filter(|(instance, _)| **instance != core.instance);
@@ -251,7 +248,7 @@
         self.silent.retain(|instance, _| others.iter().any(|(other, _)| other == instance));
         let mut records = Vec::new();
         for (instance, address) in others {
-            if peer_server::ask(dialer, address, PeerRequest::Ping).await.is_ok() {
+            if peer_server::ask(&core.dialer, address, PeerRequest::Ping).await.is_ok() {
                 self.silent.remove(&instance);
                 continue;
             }
--- a/crates/ledger/src/apply.rs
+++ b/crates/ledger/src/apply.rs
@@ -80,6 +80,7 @@
             let result = self.apply_record(record, &mut report);
             report.results.push(result);
         }
+        self.sample_room();
         report
     }
 
--- a/crates/ledger/src/apply_ends.rs
+++ b/crates/ledger/src/apply_ends.rs
@@ -186,12 +186,17 @@
         if placement.is_started() && (is_cancelled || !job.spec.repeatable) {
             self.end_job(attempt.job, may_have_run_outcome(reason), report);
         } else {
-            self.return_to_pending(attempt, report);
+            self.return_to_pending(attempt, reason, report);
         }
     }
 
-    pub(crate) fn return_to_pending(&mut self, attempt: AttemptKey, report: &mut BatchReport) {
-        self.give_back_members(attempt.job, report);
+    pub(crate) fn return_to_pending(
+        &mut self,
+        attempt: AttemptKey,
+        reason: &str,
+        report: &mut BatchReport,
+    ) {
+        self.give_back_members(attempt.job, reason, report);
         let Some(job) = self.jobs.get_mut(&attempt.job) else { return };
         job.phase = JobPhase::Pending;
         let team = job.team;
@@ -199,11 +204,19 @@
     }
 
     pub(crate) fn end_job(&mut self, key: JobKey, outcome: JobOutcome, report: &mut BatchReport) {
-        self.give_back_members(key, report);
+        let reason = outcome.reason().map_or("it completed", SmolStr::as_str);
+        self.give_back_members(key, reason, report);
         let at_ms = self.clock_ms;
         let Some(job) = self.jobs.get_mut(&key) else { return };
+        let is_completed = matches!(outcome, JobOutcome::Completed { .. });
+        let is_late = job.spec.deadline_ms.is_some_and(|deadline_ms| at_ms > deadline_ms);
         job.phase = JobPhase::Ended { outcome, at_ms };
         let team = job.team;
+        if let Some(usage) = self.usage_mut(team) {
+            usage.completed += u32::from(is_completed);
+            usage.late += u32::from(is_completed && is_late);
+            usage.not_completed += u32::from(!is_completed);
+        }
         self.dequeue(key, team);
         self.placed.remove(&key);
         self.forget_reclaims(key);
@@ -212,9 +225,19 @@
         self.forget_old_jobs();
     }
 
-    pub(crate) fn give_back_members(&mut self, key: JobKey, report: &mut BatchReport) {
-        let Some(job) = self.jobs.get(&key) else { return };
+    pub(crate) fn give_back_members(
+        &mut self,
+        key: JobKey,
+        reason: &str,
+        report: &mut BatchReport,
+    ) {
+        let clock_ms = self.clock_ms;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(placement) = job.placement().cloned() else { return };
+        job.note_past(reason, clock_ms);
+        let owner = job.team;
+        self.account_attempt(owner, &placement);
+        let Some(job) = self.jobs.get(&key) else { return };
         let (team, each, is_firm) = (job.team, job.spec.shape.per_member, !job.is_preemptible());
         let attempt = AttemptKey { job: key, attempt: placement.attempt };
         for member in &placement.members {
--- a/crates/ledger/src/apply_placements.rs
+++ b/crates/ledger/src/apply_placements.rs
@@ -274,17 +274,25 @@
         for &attempt in victims {
             if let Some(victim) = self.jobs.get_mut(&attempt.job) {
                 victim.preemptions = victim.preemptions.saturating_add(1);
+                let team = victim.team;
+                if let Some(usage) = self.usage_mut(team) {
+                    usage.preempted += 1;
+                }
             }
             let is_started = self.placement(attempt).is_some_and(Placement::is_started);
             if is_started {
                 let cause = StopCause::Preempted { beneficiary: key };
                 self.request_stop(attempt, cause, report);
             } else {
-                self.return_to_pending(attempt, report);
+                self.return_to_pending(attempt, "it was preempted before its start", report);
             }
         }
         if let Some(reservation) = reservation.and_then(|key| self.reservations.get_mut(&key)) {
             reservation.reclaim_for = Some(key);
+            let team = reservation.team;
+            if let Some(usage) = self.usage_mut(team) {
+                usage.reclaims += 1;
+            }
         }
         Ok(Effect::Job { job: key })
     }
--- a/crates/ledger/src/apply_sheet.rs
+++ b/crates/ledger/src/apply_sheet.rs
@@ -124,6 +124,7 @@
                     is_active: true,
                     pending: 0,
                     estimates: Default::default(),
+                    usage: Default::default(),
                 }),
                 Some(team) => {
                     team.spec = spec.clone();
--- a/crates/ledger/src/apply_workers.rs
+++ b/crates/ledger/src/apply_workers.rs
@@ -138,7 +138,7 @@
     fn recall_unstarted_on(&mut self, key: WorkerKey, report: &mut BatchReport) {
         for attempt in self.attempts_on(key) {
             if self.placement(attempt).is_some_and(|placement| !placement.is_started()) {
-                self.return_to_pending(attempt, report);
+                self.return_to_pending(attempt, "its worker is draining", report);
             }
         }
     }
--- a/crates/ledger/src/job_state.rs
+++ b/crates/ledger/src/job_state.rs
@@ -15,6 +15,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::past_attempt::MAX_PAST_ATTEMPTS;
+use crate::past_attempt::PastAttempt;
+
 /// Why a running gang is asked to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -102,6 +105,8 @@
     pub submitted_ms: u64,
     /// Earliest time of the next placement, in ms since the Unix epoch.
     pub not_before_ms: u64,
+    /// Attempts that are over, the latest ones.
+    pub past: Vec<PastAttempt>,
 }
 
 impl JobState {
@@ -131,6 +136,22 @@
         }
     }
 
+    /// Notes that the current attempt is over.
+    pub(crate) fn note_past(&mut self, reason: &str, at_ms: u64) {
+        let Some(placement) = self.placement() else { return };
+        let past = PastAttempt {
+            attempt: placement.attempt,
+            lead: placement.lead(),
+            was_started: placement.is_started(),
+            reason: SmolStr::new(reason),
+            at_ms,
+        };
+        self.past.push(past);
+        if self.past.len() > MAX_PAST_ATTEMPTS {
+            self.past.remove(0);
+        }
+    }
+
     /// Whether the job waits to be placed.
     pub fn is_pending(&self) -> bool {
         matches!(self.phase, JobPhase::Pending)
--- /dev/null
+++ b/crates/ledger/src/room_sample.rs
@@ -0,0 +1,68 @@
+//! Samples of the free accelerators over time, and of how many of them no waiting shape can use.
+
+use cuminbarrow_model::shape::Shape;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::pack::pack;
+use crate::state::State;
+use crate::worker_state::WorkerState;
+
+/// Time between samples, in ms.
+pub const SAMPLE_EVERY_MS: u64 = 600_000;
+/// Samples kept: two days.
+const MAX_SAMPLES: usize = 288;
+/// Waiting jobs whose shapes a sample looks at.
+const SAMPLED_JOBS: usize = 256;
+
+/// Free accelerators at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomSample {
+    /// When, in ms since the Unix epoch.
+    pub at_ms: u64,
+    /// Accelerators in use.
+    pub used: u32,
+    /// Accelerators free on open workers.
+    pub free: u32,
+    /// Free ones that no waiting shape could use, though their count would fit one.
+    pub fragmented: u32,
+}
+
+impl State {
+    /// Takes a sample when one is due by the latest clock of the log.
+    pub(crate) fn sample_room(&mut self) {
+        let slot = self.clock_ms / SAMPLE_EVERY_MS;
+        let is_due = self.samples.back().is_none_or(|last| last.at_ms / SAMPLE_EVERY_MS < slot);
+        if !is_due || self.workers.is_empty() {
+            return;
+        }
+        let sample = self.room_sample();
+        self.samples.push_back(sample);
+        if self.samples.len() > MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    fn room_sample(&self) -> RoomSample {
+        let open = self.workers.iter().filter(|worker| worker.is_open());
+        let free = open.map(|worker| u32::from(worker.free_offer().accelerators.count())).sum();
+        let used =
+            self.workers.iter().map(|worker| u32::from(worker.used_accelerators.count())).sum();
+        let fragmented = if self.is_fragmented(free) { free } else { 0 };
+        RoomSample { at_ms: self.clock_ms, used, free, fragmented }
+    }
+
+    /// Whether waiting shapes would fit by count and none of them fits anywhere.
+    fn is_fragmented(&self, free: u32) -> bool {
+        let jobs = self.pending.iter().take(SAMPLED_JOBS).filter_map(|key| self.jobs.get(key));
+        let mut shapes: Vec<Shape> = Vec::new();
+        for shape in jobs.map(|job| job.spec.shape) {
+            let would_fit = shape.accelerators() > 0 && shape.accelerators() <= free;
+            if would_fit && !shapes.contains(&shape) {
+                shapes.push(shape);
+            }
+        }
+        let offer = |key| self.worker(key).map(WorkerState::free_offer);
+        !shapes.is_empty() && shapes.iter().all(|shape| pack(&self.racks, shape, offer).is_none())
+    }
+}
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -24,8 +24,10 @@
 use crate::job_state::Placement;
 use crate::pack::RackState;
 use crate::reservation::Reservation;
+use crate::room_sample::RoomSample;
 use crate::run_estimate::JOB_KINDS;
 use crate::run_estimate::RunEstimate;
+use crate::usage_account::UsageAccount;
 use crate::worker_state::WorkerState;
 
 /// Most jobs that may wait at once.
@@ -75,6 +77,8 @@
     pub pending: u32,
     /// How long its jobs of each kind really run.
     pub estimates: [RunEstimate; JOB_KINDS],
+    /// What it used, lent and borrowed.
+    pub usage: UsageAccount,
 }
 
 /// The sheet in force.
@@ -116,6 +120,8 @@
     pub sheet: SheetMark,
     /// Changes of the sheet, oldest first.
     pub audit: VecDeque<AuditEntry>,
+    /// Free accelerators over time, oldest first.
+    pub samples: VecDeque<RoomSample>,
     /// Entries that serve.
     pub entries: BTreeMap<u64, EntryState>,
     /// Teams, by key.
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -53,6 +53,18 @@
     },
 }
 
+impl JobOutcome {
+    /// Why the job did not complete; nothing where it did.
+    pub fn reason(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Completed { .. } => None,
+            Self::Failed { reason } | Self::MayHaveRun { reason } | Self::NotRun { reason } => {
+                Some(reason)
+            }
+        }
+    }
+}
+
 /// A job's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -238,6 +238,19 @@
     Ping,
     /// Asks for the whole state.
     FetchState,
+    /// Asks how far the entry is.
+    FetchProgress,
+}
+
+/// How far an entry has followed the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogProgress {
+    /// Offset of the next batch to apply.
+    pub offset: u64,
+    /// Whether it has reached the end of a log that answers.
+    pub is_current: bool,
+    /// Version of the sheet in force there.
+    pub sheet_version: u64,
 }
 
 /// Answer to a [`PeerRequest`].
@@ -250,4 +263,9 @@
         /// Its bytes.
         body: Vec<u8>,
     },
+    /// How far the entry is.
+    Progress {
+        /// Its progress.
+        progress: LogProgress,
+    },
 }
