Let one entry of a region read the log for the others

Cause: each entry of the region without the log read every batch over the link that is paid for by volume; nothing tested what a cut region shows.

Change: entries that are not in log_region read from the entry of their region with the lowest instance number, which answers from its latest 4 MiB of batches; a reader that does not answer is passed over for 5 s. The fault proxy counts what it carries. New tests: the reader dies, the region is cut and says so, one reader carries less than half of what four entries do. Benchmarks for the time in force between real processes and for the region link.

Conclusion: the far side follows as before when the reader dies.

--- a/crates/cuminbarrow/benches/processes.rs
+++ b/crates/cuminbarrow/benches/processes.rs
@@ -2,7 +2,10 @@
 //! losing an entry or an agent to service by another, with the short times of the tests (session
 //! timeout 1.6 s to 2 s, planner timeout 1.5 s, gang lease 2 s).
 //!
-//! `cargo bench -p cuminbarrow --bench processes`
+//! Also the time until a sheet is in force on all entries, and what crosses the region link.
+//!
+//! `cargo bench -p cuminbarrow --bench processes` runs everything; an argument runs one part:
+//! `idle`, `loss`, `config` or `region`.
 
 #![allow(clippy::unwrap_used, reason = "a measurement may fail where it stands")]
 
@@ -14,6 +17,13 @@
 use std::time::Instant;
 
 use cuminbarrow_entry::api_types::PhaseName;
+use cuminbarrow_entry::api_types::SheetBody;
+use cuminbarrow_entry::api_types::SheetView;
+use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::team::TeamSpec;
+use http::Method;
+use smol_str::SmolStr;
 
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
@@ -25,22 +35,98 @@
 const IDLE: Duration = Duration::from_secs(20);
 /// Clock ticks a second in `/proc/PID/stat`.
 const TICKS_PER_S: f64 = 100.0;
+/// Changes of the sheet in a measurement.
+const CHANGES: u64 = 200;
 /// Losses measured of each kind.
 const LOSSES: usize = 3;
 
 fn main() {
+    let part = std::env::args().nth(1).filter(|argument| !argument.starts_with('-'));
+    let runs = |name: &str| part.as_deref().is_none_or(|part| part == name);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
-        idle().await;
-        for _ in 0..LOSSES {
-            lose_entry().await;
+        if runs("idle") {
+            idle().await;
+        }
+        if runs("loss") {
+            for _ in 0..LOSSES {
+                lose_entry().await;
+            }
+            for _ in 0..LOSSES {
+                lose_agent().await;
+            }
+        }
+        if runs("config") {
+            for agents in [6, 60, 300] {
+                configuration(agents).await;
+            }
         }
-        for _ in 0..LOSSES {
-            lose_agent().await;
+        if runs("region") {
+            for far_entries in [2, 4] {
+                let builder = || ClusterBuilder::new().far_entries(far_entries);
+                region(builder(), far_entries, "one reader").await;
+                region(builder().without_region_reader(), far_entries, "no reader").await;
+            }
         }
     });
 }
 
+/// Puts another sheet in force and waits until every entry has it; gives the time in ms.
+async fn change(cluster: &Cluster, base: u64) -> f64 {
+    let max_pending = 5_000 + u32::try_from(base).unwrap();
+    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
+    let sheet = Sheet { base, teams: vec![team], jobs: Vec::new() };
+    let body = SheetBody { sheet, allow_removals: false };
+    let began = Instant::now();
+    let view: SheetView = cluster.operator().send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    for entry in 0..cluster.entries.len() {
+        let client = cluster.client_of(entry, "operator");
+        while client.get::<StatusView>("/v1/status").await.unwrap().sheet_version < view.version {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    began.elapsed().as_secs_f64() * 1e3
+}
+
+/// Time until a change is in force on both entries, over real processes.
+async fn configuration(agents: usize) {
+    let cluster = ClusterBuilder::new().agents(agents).start().await;
+    let mut times = Vec::new();
+    for base in 1..=CHANGES {
+        times.push(change(&cluster, base).await);
+    }
+    times.sort_by(f64::total_cmp);
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "config: 2 entries, {agents} agents, {CHANGES} changes: in force on all after p50 {:.1} \
+         ms, p99 {:.1} ms, at most {:.1} ms",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+/// Bytes over the region link when idle and for each change.
+async fn region(builder: ClusterBuilder, far_entries: usize, reader: &str) {
+    let cluster = builder.start().await;
+    let link = &cluster.region_link;
+    let before = link.carried_bytes();
+    tokio::time::sleep(IDLE).await;
+    let idle = (link.carried_bytes() - before) as f64 / IDLE.as_secs_f64();
+    let (before, began) = (link.carried_bytes(), Instant::now());
+    let mut slowest = 0.0_f64;
+    for base in 1..=CHANGES {
+        slowest = slowest.max(change(&cluster, base).await);
+    }
+    let idle_bytes = idle * began.elapsed().as_secs_f64();
+    let bytes = (link.carried_bytes() - before) as f64 - idle_bytes;
+    println!(
+        "region: {far_entries} far entries, {reader}: {idle:.0} B/s idle, {:.0} B a change, in \
+         force on all after at most {slowest:.0} ms",
+        bytes / CHANGES as f64
+    );
+}
+
 /// Processor time in s and memory in MiB.
 fn process_use(process: &Process) -> (f64, f64) {
     let id = process.id();
--- a/crates/cuminbarrow/src/demo_cluster.rs
+++ b/crates/cuminbarrow/src/demo_cluster.rs
@@ -187,6 +187,7 @@
         platform: String::new(),
         shared_key: SharedKey::new("demo"),
         tokens: vec![operator],
+        log_region: None,
         peers: Vec::new(),
         log_timeout_ms: 2_000,
         write_timeout_ms: 5_000,
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -107,11 +107,30 @@
 pub(crate) struct ClusterBuilder {
     agents: usize,
     entries: usize,
+    far_entries: usize,
+    has_region_reader: bool,
 }
 
 impl ClusterBuilder {
     pub(crate) fn new() -> Self {
-        Self { agents: 6, entries: 2 }
+        Self { agents: 6, entries: 2, far_entries: 0, has_region_reader: true }
+    }
+
+    pub(crate) fn entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Adds entries in another region, whose way to the platform is the cluster's region link.
+    pub(crate) fn far_entries(mut self, entries: usize) -> Self {
+        self.far_entries = entries;
+        self
+    }
+
+    /// Lets each far entry read the log itself.
+    pub(crate) fn without_region_reader(mut self) -> Self {
+        self.has_region_reader = false;
+        self
     }
 
     pub(crate) fn agents(mut self, agents: usize) -> Self {
@@ -132,9 +151,12 @@
             env!("CARGO_BIN_EXE_cuminbarrow-standin"),
             &["--listen", &platform.to_string()],
         );
+        let region_link = FaultProxy::start(platform).await.expect("loopback has ports");
         let mut cluster = Cluster {
             folder,
             platform,
+            region_link,
+            has_region_reader: self.has_region_reader,
             _platform_process: platform_process,
             entries: Vec::new(),
             entry_addresses: Vec::new(),
@@ -146,6 +168,9 @@
         for _ in 0..self.entries {
             cluster.start_entry().await;
         }
+        for _ in 0..self.far_entries {
+            cluster.start_far_entry().await;
+        }
         for index in 0..self.agents {
             cluster.start_agent(index).await;
         }
@@ -159,6 +184,9 @@
 pub(crate) struct Cluster {
     folder: PathBuf,
     platform: SocketAddr,
+    /// Between far entries and the platform.
+    pub(crate) region_link: FaultProxy,
+    has_region_reader: bool,
     _platform_process: Process,
     pub(crate) entries: Vec<Process>,
     entry_addresses: Vec<SocketAddr>,
@@ -187,20 +215,28 @@
 
     /// Starts one more entry, which may ask the earlier ones for their state.
     pub(crate) async fn start_entry(&mut self) {
+        self.add_entry("zapad", self.platform).await;
+    }
+
+    async fn start_far_entry(&mut self) {
+        self.add_entry("vychod", self.region_link.address).await;
+    }
+
+    async fn add_entry(&mut self, region: &str, platform: SocketAddr) {
         let listen = free_address().expect("loopback has ports");
         let link = free_address().expect("loopback has ports");
         let proxy = FaultProxy::start(link).await.expect("loopback has ports");
         let peers: Vec<String> =
             self.entry_proxies.iter().map(|proxy| proxy.address.to_string()).collect();
+        let log_region = if self.has_region_reader { "zapad" } else { region };
         let (operator, team) = (Digest::of(b"operator"), Digest::of(TEAM.as_bytes()));
         let text = format!(
-            "region: zapad\nlisten: {listen}\nlink_listen: {link}\n\
-             platform: http://{}\nshared_key: test\nsession_timeout_ms: 2000\n\
+            "region: {region}\nlisten: {listen}\nlink_listen: {link}\n\
+             platform: http://{platform}\nlog_region: {log_region}\nshared_key: test\nsession_timeout_ms: 2000\n\
              planner_timeout_ms: 1500\nteam_submissions_per_s: 100000\nlog: {{level: error}}\n\
              peers: [{}]\nlog_timeout_ms: 1000\ntokens:\n\
              - {{name: operator, token_sha256: \"{operator}\", role: operator}}\n\
              - {{name: caller, token_sha256: \"{team}\", role: team, team: {TEAM}}}\n",
-            self.platform,
             peers.join(", ")
         );
         let file = self.folder.join(format!("entry-{}.yaml", self.entries.len()));
--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod lost_worker;
 mod many_callers;
 mod operator_commands;
+mod region_reader;
 mod settings_files;
 mod sheet_in_force;
 mod worker_drain;
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/region_reader.rs
@@ -0,0 +1,107 @@
+//! Entries of a region without the log read it through one of them, and say so when cut off.
+
+use std::time::Duration;
+
+use cuminbarrow_entry::api_types::InstanceView;
+use cuminbarrow_entry::api_types::SheetBody;
+use cuminbarrow_entry::api_types::SheetView;
+use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_standin::fault_proxy::ProxyFaults;
+use http::Method;
+use smol_str::SmolStr;
+
+use crate::cluster_builder::Cluster;
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::eventually;
+
+/// Index of the first far entry.
+const FAR: usize = 1;
+
+async fn apply(cluster: &Cluster, base: u64) {
+    let max_pending = 5_000 + u32::try_from(base).unwrap();
+    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
+    let sheet = Sheet { base, teams: vec![team], jobs: Vec::new() };
+    let body = SheetBody { sheet, allow_removals: false };
+    let near = cluster.client_of(0, "operator");
+    let view: SheetView = near.send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    assert_eq!(view.version, base + 1);
+}
+
+async fn wait_for_version(cluster: &Cluster, entry: usize, version: u64) {
+    let client = cluster.client_of(entry, "operator");
+    eventually(&format!("entry {entry} has version {version}"), async || {
+        let status: StatusView = client.get("/v1/status").await.ok()?;
+        (status.sheet_version == version).then_some(())
+    })
+    .await;
+}
+
+/// The far entry that reads the log for its region, by index, and the other one.
+async fn reader_and_follower(cluster: &Cluster) -> (usize, usize) {
+    let mut instances = Vec::new();
+    for index in [FAR, FAR + 1] {
+        let status: StatusView =
+            cluster.client_of(index, "operator").get("/v1/status").await.unwrap();
+        instances.push((status.instance, index));
+    }
+    instances.sort_unstable();
+    (instances[0].1, instances[1].1)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn region_reader_is_replaced_when_it_dies() {
+    let mut cluster = ClusterBuilder::new().entries(1).far_entries(2).start().await;
+    let (reader, follower) = reader_and_follower(&cluster).await;
+    apply(&cluster, 1).await;
+    wait_for_version(&cluster, reader, 2).await;
+    wait_for_version(&cluster, follower, 2).await;
+    cluster.entries[reader].kill();
+    apply(&cluster, 2).await;
+    wait_for_version(&cluster, follower, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_region_keeps_the_last_sheet_and_says_so() {
+    let cluster = ClusterBuilder::new().entries(1).far_entries(2).start().await;
+    apply(&cluster, 1).await;
+    wait_for_version(&cluster, FAR, 2).await;
+    wait_for_version(&cluster, FAR + 1, 2).await;
+    cluster.region_link.set(ProxyFaults::HALF_OPEN);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    apply(&cluster, 2).await;
+    let near = cluster.client_of(0, "operator");
+    eventually("both far entries are shown as cut off", async || {
+        let views: Vec<InstanceView> = near.get("/v1/instances").await.ok()?;
+        let cut = views.iter().filter(|view| !view.is_current).collect::<Vec<_>>();
+        let keep = cut.iter().all(|view| view.sheet_version == Some(2) && view.behind > Some(0));
+        (cut.len() == 2 && keep).then_some(())
+    })
+    .await;
+    cluster.region_link.set(ProxyFaults::default());
+    wait_for_version(&cluster, FAR, 3).await;
+    wait_for_version(&cluster, FAR + 1, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_reader_saves_the_region_link() {
+    let shared = bytes_of_changes(ClusterBuilder::new().entries(1).far_entries(4)).await;
+    let apart = ClusterBuilder::new().entries(1).far_entries(4).without_region_reader();
+    let apart = bytes_of_changes(apart).await;
+    assert!(shared < apart / 2, "{shared} bytes with one reader, {apart} with four");
+}
+
+/// Bytes over the region link for some changes of the sheet.
+async fn bytes_of_changes(builder: ClusterBuilder) -> u64 {
+    let cluster = builder.start().await;
+    let before = cluster.region_link.carried_bytes();
+    for base in 1..=40 {
+        apply(&cluster, base).await;
+    }
+    for entry in FAR..FAR + 4 {
+        wait_for_version(&cluster, entry, 41).await;
+    }
+    cluster.region_link.carried_bytes() - before
+}
--- a/crates/entry/src/entry_core.rs
+++ b/crates/entry/src/entry_core.rs
@@ -34,6 +34,7 @@
 use crate::assignment::assignments;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_settings::EntrySettings;
+use crate::recent_batches::RecentBatches;
 use crate::session_table::SessionTable;
 use crate::wait_table::WaitTable;
 
@@ -44,6 +45,7 @@
     pub(crate) tail: LogTail,
     pub(crate) writer: LogWriter,
     pub(crate) dialer: LinkDialer,
+    pub(crate) recent: Mutex<RecentBatches>,
     pub(crate) waits: WaitTable,
     pub(crate) sessions: SessionTable,
     pub(crate) tokens: TokenTable,
@@ -141,6 +143,9 @@
 impl BatchObserver for EntryCore {
     fn applied(&self, state: &State, offset: u64, batch: &Batch, report: &BatchReport) {
         self.writer.settle(offset, batch, report);
+        if self.settings.is_far_from_log() {
+            lock(&self.recent).push(offset, batch);
+        }
         for job in &report.ended {
             self.waits.wake(*job);
         }
@@ -152,6 +157,7 @@
     }
 
     fn replaced(&self, state: &State) {
+        lock(&self.recent).clear();
         for worker in self.sessions.workers() {
             self.sessions.send(worker, self.sync_message(state, worker));
         }
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -56,6 +56,7 @@
 use crate::entry_settings::EntrySettingsError;
 use crate::peer_server;
 use crate::planner_loop;
+use crate::region_log::RegionLog;
 use crate::session_table::SessionTable;
 use crate::wait_table::WaitTable;
 
@@ -173,6 +174,7 @@
         instance,
         tail: LogTail::default(),
         writer,
+        recent: Mutex::default(),
         waits: WaitTable::default(),
         sessions: SessionTable::default(),
         tokens,
@@ -194,7 +196,8 @@
             tokio::time::sleep(ANNOUNCE_LOOK).await;
         }
     });
-    let error = core.tail.run(store, core.clone()).await;
+    let log = Arc::new(RegionLog::new(core.clone(), store));
+    let error = core.tail.run(log, core.clone()).await;
     asker.abort();
     log::error!("this entry can't go on: {error}");
     *lock(&core.failure) = Some(error.to_string());
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -134,6 +134,10 @@
     pub shared_key: SharedKey,
     /// Tokens of callers and operators.
     pub tokens: Vec<TokenSettings>,
+    /// Region that the log service stands in. Entries of another region read the log through one
+    /// of them; without this, each entry reads it itself.
+    #[serde(default)]
+    pub log_region: Option<SmolStr>,
     /// Other entries to ask for the state while the log is down.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
@@ -177,6 +181,11 @@
 }
 
 impl EntrySettings {
+    /// Whether the log service stands in another region.
+    pub(crate) fn is_far_from_log(&self) -> bool {
+        self.log_region.as_ref().is_some_and(|region| *region != self.region)
+    }
+
     /// Checks what the types can't say.
     ///
     /// # Errors
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,8 @@
 mod peer_server;
 mod planner_loop;
 mod planner_role;
+mod recent_batches;
+mod region_log;
 mod report_queue;
 mod session_table;
 mod wait_table;
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -14,6 +14,7 @@
 use cuminbarrow_protocol::message::PeerResponse;
 
 use crate::entry_core::SharedCore;
+use crate::entry_core::lock;
 
 /// Longest time that a peer has to answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -25,6 +26,9 @@
             PeerRequest::FetchProgress => PeerResponse::Progress { progress: core.progress() },
             PeerRequest::FetchState => PeerResponse::State { body: state_bytes(&core) },
             PeerRequest::Ping => PeerResponse::Pong,
+            PeerRequest::ReadLog { from, limit, wait_ms } => {
+                read_log(&core, from, limit, wait_ms).await
+            }
         };
         if link.sender.send(&response).await.is_err() {
             return;
@@ -32,6 +36,21 @@
     }
 }
 
+/// Batches that another entry of the region asks for, once there are any.
+async fn read_log(core: &SharedCore, from: u64, limit: u32, wait_ms: u32) -> PeerResponse {
+    let wait = Duration::from_millis(wait_ms.into()).min(PEER_TIMEOUT);
+    let mut offsets = core.tail.offsets();
+    let _ = tokio::time::timeout(wait, offsets.wait_for(|offset| *offset > from)).await;
+    let next = core.tail.state().offset;
+    let page = lock(&core.recent).page(from, limit).filter(|_| core.tail.is_current());
+    match page {
+        Some(entries) if !entries.is_empty() || next <= from => {
+            PeerResponse::Log { oldest: core.tail.oldest(), next, entries }
+        }
+        None | Some(_) => PeerResponse::NoLog,
+    }
+}
+
 fn state_bytes(core: &SharedCore) -> Vec<u8> {
     let state = core.tail.state();
     if state.offset == 0 {
--- /dev/null
+++ b/crates/entry/src/recent_batches.rs
@@ -0,0 +1,60 @@
+//! The latest batches of the log, kept for other entries of the same region.
+
+use std::collections::VecDeque;
+
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::codec;
+
+/// Most bytes kept.
+const MAX_KEPT_BYTES: usize = 4 * 1024 * 1024;
+/// Most bytes in one page.
+const MAX_PAGE_BYTES: usize = 1024 * 1024;
+
+/// The latest batches, as the log holds them.
+#[derive(Debug, Default)]
+pub(crate) struct RecentBatches {
+    first: u64,
+    bodies: VecDeque<Vec<u8>>,
+    bytes: usize,
+}
+
+impl RecentBatches {
+    /// Keeps the batch at `offset`; one that does not follow the last begins anew.
+    pub(crate) fn push(&mut self, offset: u64, batch: &Batch) {
+        let Ok(body) = codec::encode(batch) else { return self.clear() };
+        if offset != self.first + self.bodies.len() as u64 {
+            self.clear();
+            self.first = offset;
+        }
+        self.bytes += body.len();
+        self.bodies.push_back(body);
+        while self.bytes > MAX_KEPT_BYTES
+            && let Some(body) = self.bodies.pop_front()
+        {
+            self.bytes -= body.len();
+            self.first += 1;
+        }
+    }
+
+    /// Forgets everything.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Batches from offset `from` on, as many as a page may have; nothing when an earlier one
+    /// than those kept is asked for.
+    pub(crate) fn page(&self, from: u64, limit: u32) -> Option<Vec<Vec<u8>>> {
+        let skipped = usize::try_from(from.checked_sub(self.first)?).ok()?;
+        if skipped > self.bodies.len() {
+            return None;
+        }
+        let mut bytes = 0;
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let bodies = self.bodies.iter().skip(skipped).take(limit).take_while(|body| {
+            let is_within = bytes == 0 || bytes + body.len() <= MAX_PAGE_BYTES;
+            bytes += body.len();
+            is_within
+        });
+        Some(bodies.cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/region_log.rs
@@ -0,0 +1,119 @@
+//! The log as an entry reads it: in a region without the log service, one entry reads it over the
+//! region link and the others read from that one.
+//!
+//! The reader is the entry of the region with the lowest instance number. An entry that gets no
+//! page from it reads the log itself for a while, so a reader that is gone costs one timeout.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_platform::log_store::LogError;
+use cuminbarrow_platform::log_store::LogPage;
+use cuminbarrow_platform::log_store::LogStore;
+use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkError;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::message::PeerRequest;
+use cuminbarrow_protocol::message::PeerResponse;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use crate::entry_core::SharedCore;
+
+/// Longest wait of the reader for the next batch, in ms.
+const READER_WAIT_MS: u32 = 1_500;
+/// Time that the reader has beyond its wait.
+const READER_GRACE: Duration = Duration::from_secs(1);
+/// Time without the reader after it failed.
+const READER_PAUSE: Duration = Duration::from_secs(5);
+
+/// The link to the region's reader.
+struct ReaderLink {
+    address: SocketAddr,
+    link: Link<PeerRequest, PeerResponse>,
+}
+
+/// The log, read by way of the region's reader where there is one.
+pub(crate) struct RegionLog {
+    core: SharedCore,
+    store: Arc<dyn LogStore>,
+    reader: Mutex<Option<ReaderLink>>,
+    paused_until: Mutex<Instant>,
+}
+
+impl RegionLog {
+    pub(crate) fn new(core: SharedCore, store: Arc<dyn LogStore>) -> Self {
+        Self { core, store, reader: Mutex::new(None), paused_until: Mutex::new(Instant::now()) }
+    }
+
+    /// Where the region's reader is, unless that is this entry or the log is in this region.
+    fn reader_address(&self) -> Option<SocketAddr> {
+        if !self.core.settings.is_far_from_log() {
+            return None;
+        }
+        let state = self.core.tail.state();
+        let region = &self.core.settings.region;
+        let (instance, entry) = state.entries.iter().find(|(_, entry)| entry.region == *region)?;
+        (*instance != self.core.instance).then_some(entry.address)
+    }
+
+    async fn read_from(
+        &self,
+        address: SocketAddr,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<Option<LogPage>, LinkError> {
+        let mut reader = self.reader.lock().await;
+        let mut link = match reader.take() {
+            Some(known) if known.address == address => known.link,
+            Some(_) | None => self.core.dialer.open(address, LinkKind::Peer).await?,
+        };
+        let wait_ms = wait_ms.min(READER_WAIT_MS);
+        link.sender.send(&PeerRequest::ReadLog { from, limit, wait_ms }).await?;
+        let timeout = Duration::from_millis(wait_ms.into()) + READER_GRACE;
+        let answer = tokio::time::timeout(timeout, link.receiver.receive()).await;
+        let answer = answer.map_err(|_| LinkError::TimedOut)??;
+        *reader = Some(ReaderLink { address, link });
+        Ok(match answer {
+            PeerResponse::Log { oldest, next, entries } => {
+                Some(LogPage { oldest, next, first: from, entries })
+            }
+            _ => None,
+        })
+    }
+}
+
+#[async_trait]
+impl LogStore for RegionLog {
+    async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        self.store.append(stream, body).await
+    }
+
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        let address = self.reader_address().filter(|_| stream == LogStream::Records);
+        let Some(address) = address else {
+            return self.store.read(stream, from, limit, wait_ms).await;
+        };
+        if Instant::now() >= *self.paused_until.lock().await {
+            match self.read_from(address, from, limit, wait_ms).await {
+                Err(error) => log::info!("reader at {address} is passed over: {error}"),
+                Ok(Some(page)) => return Ok(page),
+                Ok(None) => log::debug!("reader at {address} has no batch {from}"),
+            }
+            *self.paused_until.lock().await = Instant::now() + READER_PAUSE;
+        }
+        let wait_ms = wait_ms.min(READER_WAIT_MS);
+        self.store.read(stream, from, limit, wait_ms).await
+    }
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -240,6 +240,15 @@
     FetchState,
     /// Asks how far the entry is.
     FetchProgress,
+    /// Asks for batches of the log.
+    ReadLog {
+        /// Offset of the first.
+        from: u64,
+        /// Most batches.
+        limit: u32,
+        /// Longest wait for the first, in ms.
+        wait_ms: u32,
+    },
 }
 
 /// How far an entry has followed the log.
@@ -268,4 +277,15 @@
         /// Its progress.
         progress: LogProgress,
     },
+    /// Batches of the log from the offset asked for, up to the end of the log.
+    Log {
+        /// Oldest offset that the log keeps.
+        oldest: u64,
+        /// Offset of the batch after the last one known to the entry.
+        next: u64,
+        /// Their bytes.
+        entries: Vec<Vec<u8>>,
+    },
+    /// The entry has not all of the batches asked for, or is cut off from the log.
+    NoLog,
 }
--- a/crates/standin/src/fault_proxy.rs
+++ b/crates/standin/src/fault_proxy.rs
@@ -3,6 +3,9 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -47,6 +50,7 @@
     /// Where to connect instead.
     pub address: SocketAddr,
     faults: watch::Sender<ProxyFaults>,
+    carried: Arc<AtomicU64>,
 }
 
 impl FaultProxy {
@@ -58,8 +62,14 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let (faults, receiver) = watch::channel(ProxyFaults::default());
-        tokio::spawn(accept(listener, target, receiver));
-        Ok(Self { address, faults })
+        let carried = Arc::new(AtomicU64::new(0));
+        tokio::spawn(accept(listener, target, receiver, Arc::clone(&carried)));
+        Ok(Self { address, faults, carried })
+    }
+
+    /// Bytes carried so far, both ways.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
     }
 
     /// Injects other faults from now on.
@@ -68,17 +78,23 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, faults: watch::Receiver<ProxyFaults>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    faults: watch::Receiver<ProxyFaults>,
+    carried: Arc<AtomicU64>,
+) {
     loop {
         let faults = faults.clone();
         if faults.has_changed().is_err() {
             return;
         }
         let Ok((client, _)) = listener.accept().await else { continue };
+        let carried = Arc::clone(&carried);
         tokio::spawn(async move {
             let mut resets = faults.clone();
             let _ = tokio::select! {
-                result = carry(client, target, faults) => result,
+                result = carry(client, target, faults, &carried) => result,
                 _ = resets.wait_for(|faults| faults.reset) => Ok(()),
             };
         });
@@ -89,14 +105,16 @@
     client: TcpStream,
     target: SocketAddr,
     faults: watch::Receiver<ProxyFaults>,
+    carried: &AtomicU64,
 ) -> io::Result<()> {
     client.set_nodelay(true)?;
     let server = TcpStream::connect(target).await?;
     server.set_nodelay(true)?;
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let forward = pump(client_read, server_write, faults.clone(), |faults| faults.cut_forward);
-    let backward = pump(server_read, client_write, faults, |faults| faults.cut_backward);
+    let forward =
+        pump(client_read, server_write, faults.clone(), carried, |faults| faults.cut_forward);
+    let backward = pump(server_read, client_write, faults, carried, |faults| faults.cut_backward);
     tokio::select! {
         result = forward => result,
         result = backward => result,
@@ -107,6 +125,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<ProxyFaults>,
+    carried: &AtomicU64,
     is_cut: C,
 ) -> io::Result<()>
 where
@@ -127,6 +146,7 @@
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
+        carried.fetch_add(count as u64, Ordering::Relaxed);
         to.write_all(&buffer[..count]).await?;
     }
 }
