Let reclaims survive a planner, and retries go to other workers

Cause, found by new tests of faults at the border of fold and policy: - A planner that took over in mid reclaim knew nothing of it: the freed room was lent again and the victims were stopped a second time. - A claim on a rack that was lost stayed for 30 s, so the owner's guarantee, which had moved, was not reclaimed until then. - A job that failed was placed again on the very worker where it failed, up to eight times, and ended as failing there; a worker that fails everything was not told from a poisoned job. - first_fit counted two members on one worker once, so the fold refused some of its placements.

Change: a new planner adopts the reclaims that the log shows; a claim ends when its workers close or its reservation moves; for 2 minutes after its backoff a job goes to other workers, a gang only where it finds room there; both policies share one check of free members.

--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -14,4 +14,5 @@
 mod region_reader;
 mod settings_files;
 mod sheet_in_force;
+mod takeover;
 mod worker_drain;
--- /dev/null
+++ b/crates/cuminbarrow/tests/integration/takeover.rs
@@ -0,0 +1,141 @@
+//! A planner or a gang lead dies in the middle of a decision, and others finish it.
+
+use std::time::Duration;
+
+use cuminbarrow_entry::api_types::JobView;
+use cuminbarrow_entry::api_types::PhaseName;
+use cuminbarrow_entry::api_types::SheetBody;
+use cuminbarrow_entry::api_types::SheetView;
+use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_model::shape::Span;
+use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::team::Guarantee;
+use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_standin::log_service::LogFaults;
+use http::Method;
+use nix::sys::signal::Signal;
+use smol_str::SmolStr;
+
+use crate::cluster_builder::Cluster;
+use crate::cluster_builder::ClusterBuilder;
+use crate::cluster_builder::LEASE_MS;
+use crate::cluster_builder::TEAM;
+use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
+use crate::cluster_builder::eventually;
+use crate::cluster_builder::once;
+use crate::cluster_builder::worker_index;
+
+const BORROWER: &str = "borrower";
+
+/// Guarantees all six workers to the team of the tests.
+async fn guarantee_everything(cluster: &Cluster) {
+    let shape = body(6, 8, "").job.shape;
+    let guarantee = Guarantee { name: SmolStr::new("all"), shape, count: 1 };
+    let team =
+        |name, guarantees| TeamSpec { name: SmolStr::new(name), guarantees, max_pending: 100 };
+    let teams = vec![team(TEAM, vec![guarantee]), team(BORROWER, Vec::new())];
+    let sheet = Sheet { base: 1, teams, jobs: Vec::new() };
+    let body = SheetBody { sheet, allow_removals: false };
+    let view: SheetView = cluster.operator().send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    assert_eq!(view.version, 2);
+}
+
+/// Index of the entry that plans.
+async fn planner(cluster: &Cluster) -> usize {
+    eventually("an entry plans", async || {
+        for index in 0..cluster.entries.len() {
+            let client = cluster.client_of(index, "operator");
+            let status: StatusView = client.get("/v1/status").await.ok()?;
+            if status.planner == Some(status.instance) {
+                return Some(index);
+            }
+        }
+        None
+    })
+    .await
+}
+
+async fn borrowers(cluster: &Cluster) -> Vec<JobView> {
+    let path = format!("/v1/jobs?team={BORROWER}");
+    cluster.operator().get(&path).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planner_killed_in_mid_reclaim() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    guarantee_everything(&cluster).await;
+    let operator = cluster.operator();
+    for index in 0..6 {
+        let mut borrowed = body(1, 8, &format!("run_ms=60000,borrowed={index}"));
+        borrowed.team = SmolStr::new(BORROWER);
+        borrowed.job.shape.span = Span::Worker;
+        operator.submit(&format!("borrowed-{index}"), &borrowed).await.unwrap();
+    }
+    eventually("all borrowers run", async || (cluster.spans().await.len() == 6).then_some(()))
+        .await;
+    let stuck = worker_index(&borrowers(&cluster).await[0].members[0].worker);
+    cluster.agents[stuck].signal(Signal::SIGSTOP);
+    cluster.caller().submit("wanted", &body(6, 8, "run_ms=50,wanted")).await.unwrap();
+    eventually("the reclaim is under way", async || {
+        let jobs = borrowers(&cluster).await;
+        jobs.iter().all(|job| job.phase != PhaseName::Running).then_some(())
+    })
+    .await;
+    let index = planner(&cluster).await;
+    cluster.entries[index].kill();
+    tokio::time::sleep(Duration::from_millis(LEASE_MS)).await;
+    cluster.agents[stuck].signal(Signal::SIGCONT);
+    let view = ended(&cluster.caller(), "wanted").await;
+    assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+    let spans = cluster.spans().await;
+    let starts = spans.iter().filter(|span| span.payload.ends_with("wanted"));
+    let start_ms = starts.map(|span| span.from_ms).min().unwrap();
+    let first = spans.iter().filter(|span| span.payload.contains("borrowed")).take(6);
+    for span in first {
+        assert!(span.until_ms.is_some_and(|until_ms| until_ms <= start_ms), "{span:?}");
+    }
+}
+
+/// Kills the lead while its start is on the way to the log, and again just as it is there. "Not
+/// run" is told only of a job of which nothing ran, and no job runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn lead_killed_around_its_start() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    for round in 0..6 {
+        let payload = format!("run_ms=300,start={round}");
+        let key = format!("job-{round}");
+        cluster.set_log_faults(LogFaults { delay_ms: 150, ..LogFaults::default() }).await;
+        cluster.caller().submit(&key, &once(body(3, 8, &payload))).await.unwrap();
+        let phases = [PhaseName::Placed, PhaseName::Running];
+        let wanted = phases[round % 2];
+        let path = cuminbarrow::api_client::job_path(TEAM, &key);
+        let view = eventually("the job is placed or runs", async || {
+            let view: JobView = cluster.caller().get(&path).await.ok()?;
+            let is_there = view.phase == wanted || view.is_ended();
+            is_there.then_some(view)
+        })
+        .await;
+        if !view.is_ended() {
+            let lead = Cluster::lead_of(&view);
+            cluster.agents[lead].kill();
+            cluster.restart_agent(lead);
+        }
+        cluster.set_log_faults(LogFaults::default()).await;
+        let view = ended(&cluster.caller(), &key).await;
+        let spans = eventually("every task ended", async || {
+            let spans = cluster.spans().await;
+            let own: Vec<_> = spans.into_iter().filter(|span| span.payload == payload).collect();
+            own.iter().all(|span| span.until_ms.is_some()).then_some(own)
+        })
+        .await;
+        assert!(spans.len() <= 3, "no member ran twice: {spans:?}");
+        match view.phase {
+            PhaseName::Completed => assert_eq!(spans.len(), 3),
+            PhaseName::MayHaveRun => {}
+            PhaseName::NotRun => assert_eq!(spans.len(), 0, "{spans:?}"),
+            phase => panic!("{phase:?}: {view:?}"),
+        }
+        cluster.wait_for_workers(6).await;
+    }
+}
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -127,7 +127,10 @@
         let result = self.core.write(Record::PlannerClaimed { epoch, instance }).await;
         match result {
             Err(error) => log::info!("the claim of epoch {epoch} failed: {}", error.detail),
-            Ok(_) => log::info!("this instance plans in epoch {epoch}"),
+            Ok(_) => {
+                log::info!("this instance plans in epoch {epoch}");
+                self.policy = policy_of(&self.core.settings);
+            }
         }
         self.renewed = Instant::now();
     }
--- a/crates/ledger/tests/log_recovery.rs
+++ b/crates/ledger/tests/log_recovery.rs
@@ -87,6 +87,46 @@
     assert_eq!(entries, [3], "what was refused never takes effect");
 }
 
+/// What agents report during an hour without the log waits at the entry and is written once.
+#[tokio::test(start_paused = true)]
+async fn backlog_of_an_hour_goes_into_few_appends() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    let hour = Duration::from_secs(3_600);
+    log.set_faults(LogFaults { is_down: true, ..LogFaults::default() });
+    let records: Vec<Record> = (1..=2_000).map(joined).collect();
+    let writer = own.writer.clone();
+    let waiting = tokio::spawn(async move { writer.write_all(records, 2 * hour).await });
+    tokio::time::sleep(hour).await;
+    let tries = log.refused();
+    assert!(tries <= 3_600 + 10, "{tries} tries in an hour are more than one a second");
+    log.set_faults(LogFaults::default());
+    let back = tokio::time::Instant::now();
+    let results = waiting.await.unwrap();
+    assert!(results.iter().all(Result::is_ok));
+    assert!(log.appends() <= 3, "{} appends for 2,000 records", log.appends());
+    assert!(back.elapsed() <= Duration::from_secs(4), "{:?} to drain", back.elapsed());
+    assert_eq!(own.tail.state().entries.len(), 2_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_log_takes_all_that_waits_in_each_append() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    log.set_faults(LogFaults { delay_ms: 2_000, ..LogFaults::default() });
+    let mut writes = Vec::new();
+    for index in 1..=600 {
+        let writer = own.writer.clone();
+        let write = async move { writer.write(joined(index), TIMEOUT).await };
+        writes.push(tokio::spawn(write));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for write in writes {
+        write.await.unwrap().unwrap();
+    }
+    assert!(log.appends() <= 32, "{} appends in a minute of 2 s each", log.appends());
+}
+
 /// A log that takes 40 ms to refuse has a try under way at most deadlines.
 #[tokio::test(start_paused = true)]
 async fn refusal_under_way_at_the_deadline_is_not_told_as_unknown() {
--- a/crates/policy/src/claim_table.rs
+++ b/crates/policy/src/claim_table.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use cuminbarrow_ledger::state::State;
+use cuminbarrow_ledger::worker_state::WorkerState;
 use cuminbarrow_model::attempt::Member;
 use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::ReservationKey;
 
+use crate::plan_round::members_within;
 use crate::room_overlay::RoomOverlay;
 
 /// Longest time for which room is kept, in ms: the grace of a stop and a gang lease.
@@ -21,6 +23,23 @@
     pub(crate) reservation: Option<ReservationKey>,
 }
 
+impl RoomClaim {
+    /// Whether the workers still take work and the reservation is still there.
+    fn is_held(&self, state: &State) -> bool {
+        let is_open = |member: &Member| {
+            state.worker(member.worker).is_some_and(WorkerState::takes_reservations)
+        };
+        let reserved = self.reservation.map(|key| state.reservations.get(&key));
+        let is_there = |member: &Member| match reserved {
+            None => true,
+            Some(held) => held
+                .and_then(|held| held.members.as_ref())
+                .is_some_and(|places| places.iter().any(|place| place.worker == member.worker)),
+        };
+        self.members.iter().all(|member| is_open(member) && is_there(member))
+    }
+}
+
 /// Room kept for jobs.
 #[derive(Debug, Default)]
 pub(crate) struct ClaimTable {
@@ -28,9 +47,11 @@
 }
 
 impl ClaimTable {
-    /// Forgets claims of jobs that no longer wait, and old ones.
+    /// Forgets claims of jobs that no longer wait, old ones, and those whose room is gone.
     pub(crate) fn expire(&mut self, state: &State, now_ms: u64) {
-        self.claims.retain(|job, claim| claim.until_ms > now_ms && state.pending.contains(job));
+        self.claims.retain(|job, claim| {
+            claim.until_ms > now_ms && state.pending.contains(job) && claim.is_held(state)
+        });
     }
 
     /// Keeps room for a job. A team's own reservation goes before room on which another job has
@@ -52,6 +73,17 @@
         self.claims.insert(job, RoomClaim { members, until_ms, reservation });
     }
 
+    /// Takes over the reclaims that an earlier planner left under way.
+    pub(crate) fn adopt_reclaims(&mut self, state: &State, now_ms: u64) {
+        for (key, held) in &state.reservations {
+            let job = held.reclaim_for.and_then(|job| Some((job, state.jobs.get(&job)?)));
+            let (Some((job, known)), Some(place)) = (job, &held.members) else { continue };
+            if let Some(members) = members_within(place, &known.spec.shape) {
+                self.insert(job, members, Some(*key), now_ms);
+            }
+        }
+    }
+
     /// Reservations that other jobs have claimed.
     pub(crate) fn other_reservations(&self, own: Option<JobKey>) -> Vec<ReservationKey> {
         let others = self.claims.iter().filter(|(key, _)| Some(**key) != own);
--- a/crates/policy/src/first_fit.rs
+++ b/crates/policy/src/first_fit.rs
@@ -100,15 +100,8 @@
                 && reservation.shape.holds(shape);
             let held = reservation.members.as_ref().filter(|_| is_idle)?;
             let members = members_within(held, shape)?;
-            self.is_free(&members, shape).then_some((*key, members))
-        })
-    }
-
-    fn is_free(&self, members: &[Member], shape: &Shape) -> bool {
-        members.iter().all(|member| {
-            let Some(worker) = self.state.worker(member.worker) else { return false };
-            let offer = self.overlay.reduce(member.worker, worker.free_offer());
-            offer.free.covers(&shape.per_member) && offer.accelerators.contains(member.accelerators)
+            let is_free = self.overlay.are_free(self.state, &members, &shape.per_member);
+            is_free.then_some((*key, members))
         })
     }
 }
--- a/crates/policy/src/guaranteed.rs
+++ b/crates/policy/src/guaranteed.rs
@@ -44,12 +44,19 @@
     claims: ClaimTable,
     shield: Option<LargeShield>,
     searched: BTreeMap<JobKey, u64>,
+    has_adopted: bool,
 }
 
 impl Guaranteed {
     /// A policy with some weights.
     pub fn new(weights: PolicyWeights) -> Self {
-        Self { weights, claims: ClaimTable::default(), shield: None, searched: BTreeMap::new() }
+        Self {
+            weights,
+            claims: ClaimTable::default(),
+            shield: None,
+            searched: BTreeMap::new(),
+            has_adopted: false,
+        }
     }
 }
 
@@ -63,6 +70,10 @@
             self.shield = None;
             return Plan::default();
         }
+        if !self.has_adopted {
+            self.claims.adopt_reclaims(state, now_ms);
+            self.has_adopted = true;
+        }
         self.claims.expire(state, now_ms);
         self.searched.retain(|job, _| state.pending.contains(job));
         self.shield = large_shield::update(self.shield.take(), state, &self.weights, now_ms);
@@ -190,7 +201,7 @@
 
     /// Remembers the shape when there is no room for it at all.
     fn note_misfit(&mut self, job: &JobState, is_behind_shield: bool) {
-        if !self.round.has_room(job) {
+        if job.failed_workers.is_empty() && !self.round.has_room(job) {
             self.misfits.push(Misfit { shape: job.spec.shape, is_behind_shield });
         }
     }
@@ -280,6 +291,9 @@
     /// Whether moving work out of a large job's way costs little against the job itself.
     fn is_worth_moving(&self, job: &JobState, lost: u64) -> bool {
         let state = self.round.state;
+        if self.round.now_ms >= job.submitted_ms + self.weights.large_limit_ms {
+            return true;
+        }
         let run_ms = state.estimate(job).likely_ms(state.declared_rest_ms(job));
         let work = u64::from(job.spec.shape.accelerators().max(1)) * run_ms;
         lost as f64 <= work as f64 * self.weights.move_loss
--- a/crates/policy/src/plan_round.rs
+++ b/crates/policy/src/plan_round.rs
@@ -10,6 +10,7 @@
 use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::ReservationKey;
+use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_model::shape::Shape;
 
 use crate::placement_policy::Decision;
@@ -20,6 +21,9 @@
 use crate::victim_choice::may_stop;
 use crate::victim_choice::victims_for;
 
+/// Time after its backoff for which a job is kept from workers on which it failed, in ms.
+const AVOID_MS: u64 = 120_000;
+
 /// A place that was found.
 pub(crate) struct FoundPlace {
     pub(crate) members: Vec<Member>,
@@ -115,7 +119,8 @@
             .filter(|(_, held)| !is_tight || held.shape.accelerators() <= 2 * shape.accelerators())
             .find_map(|(reservation, held)| {
                 let members = members_within(held.members.as_deref()?, shape)?;
-                self.is_free(&members, shape).then_some(FoundPlace {
+                let is_free = self.overlay.are_free(self.state, &members, &shape.per_member);
+                is_free.then_some(FoundPlace {
                     members,
                     reservation: Some(reservation),
                     reason: PlaceReason::OwnReservation,
@@ -123,16 +128,9 @@
             })
     }
 
-    fn is_free(&self, members: &[Member], shape: &Shape) -> bool {
-        let mut trial = self.overlay.clone();
-        members.iter().all(|member| {
-            let Some(worker) = self.state.worker(member.worker) else { return false };
-            let offer = trial.reduce(member.worker, worker.free_offer());
-            trial.take(std::slice::from_ref(member), &shape.per_member);
-            worker.takes_reservations()
-                && offer.free.covers(&shape.per_member)
-                && offer.accelerators.contains(member.accelerators)
-        })
+    /// Whether the job failed at a worker lately, and others are tried first.
+    fn avoids(&self, job: &JobState, worker: WorkerKey) -> bool {
+        self.now_ms < job.not_before_ms + AVOID_MS && job.failed_workers.contains(&worker)
     }
 
     /// Room beside all reservations, or on idle ones that find another place.
@@ -158,13 +156,25 @@
         Some(FoundPlace { members, reservation: None, reason })
     }
 
+    /// Members on other workers than those where the job failed lately. A gang takes one of
+    /// those rather than wait, since it has few places to choose from.
     fn pack<O>(&self, job: &JobState, offer: O) -> Option<Vec<Member>>
     where
         O: Fn(&WorkerState) -> Offer,
+    {
+        let elsewhere = self.pack_where(job, &offer, |key| !self.avoids(job, key));
+        let is_gang = job.spec.shape.members > 1 && !job.failed_workers.is_empty();
+        elsewhere.or_else(|| is_gang.then(|| self.pack_where(job, &offer, |_| true))?)
+    }
+
+    fn pack_where<O, A>(&self, job: &JobState, offer: &O, is_allowed: A) -> Option<Vec<Member>>
+    where
+        O: Fn(&WorkerState) -> Offer,
+        A: Fn(WorkerKey) -> bool,
     {
         pack(&self.state.racks, &job.spec.shape, |key| {
             let worker = self.state.worker(key)?;
-            let is_usable = worker.is_open() && self.state.may_probe(key, job);
+            let is_usable = worker.is_open() && self.state.may_probe(key, job) && is_allowed(key);
             is_usable.then(|| self.overlay.reduce(key, offer(worker)))
         })
     }
--- a/crates/policy/src/room_overlay.rs
+++ b/crates/policy/src/room_overlay.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cuminbarrow_ledger::pack::Offer;
+use cuminbarrow_ledger::state::State;
 use cuminbarrow_model::accelerator_set::AcceleratorSet;
 use cuminbarrow_model::attempt::Member;
 use cuminbarrow_model::keys::WorkerKey;
@@ -24,6 +25,19 @@
         }
     }
 
+    /// Whether the members are free on workers that may hold reservations.
+    pub(crate) fn are_free(&self, state: &State, members: &[Member], each: &Resources) -> bool {
+        let mut trial = self.clone();
+        members.iter().all(|member| {
+            let Some(worker) = state.worker(member.worker) else { return false };
+            let offer = trial.reduce(member.worker, worker.free_offer());
+            trial.take(std::slice::from_ref(member), each);
+            worker.takes_reservations()
+                && offer.free.covers(each)
+                && offer.accelerators.contains(member.accelerators)
+        })
+    }
+
     /// The offer less what was taken.
     pub(crate) fn reduce(&self, worker: WorkerKey, offer: Offer) -> Offer {
         match self.taken.get(&worker) {
--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -61,6 +61,7 @@
     faults: LogFaults,
     streams: BTreeMap<LogStream, StreamEntries>,
     appends: u64,
+    refused: u64,
     appended_bytes: u64,
 }
 
@@ -86,7 +87,12 @@
         self.lock().appends
     }
 
-    /// Bytes of those.
+    /// Appends that were refused.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
+    /// Bytes of those that took effect.
     pub fn appended_bytes(&self) -> u64 {
         self.lock().appended_bytes
     }
@@ -119,7 +125,7 @@
 #[async_trait]
 impl LogStore for LogService {
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
-        self.delay().await?;
+        self.delay().await.inspect_err(|_| self.lock().refused += 1)?;
         let offset = {
             let mut state = self.lock();
             let retained = state.faults.retained_entries;
