Look for victims among the cheapest work first, and never beside new loans

An urgent job's victims were looked for in the cheapest quarter of all stoppable work, which has costly work in it already.

Change: a reclaim whose room was lent in the same round waits for the next one, in which the loan is a victim too; victims are looked for in the cheapest 32nd, then 16th, 8th, third, and all.

The new test failed before.

--- a/crates/load/src/policy_report.rs
+++ b/crates/load/src/policy_report.rs
@@ -30,6 +30,8 @@
     pub(crate) completed: usize,
     /// Preemptions.
     pub(crate) preemptions: usize,
+    /// Reclaims whose reservation was held nowhere any more before they ended.
+    pub(crate) reclaims_voided: u64,
     /// Share of the accelerators in use while jobs arrived.
     pub(crate) utilization: f64,
     /// Processor time of a round that decides nothing.
@@ -41,14 +43,14 @@
 impl PolicyReport {
     pub(crate) fn header() -> String {
         "policy      p50    p95    p99    late%  frag ah  recl50 recl99 large_s  urg99_s  lost ah \
-         broken cpu_us  idle_us max_us  done preempt util%"
+         broken cpu_us  idle_us max_us  done preempt void util%"
             .to_owned()
     }
 
     pub(crate) fn row(&self) -> String {
         format!(
             "{:<11} {:<6.2} {:<6.2} {:<6.2} {:<6.1} {:<8.1} {:<6.1} {:<6.1} {:<8.0} {:<8.2} \
-             {:<7.1} {:<6} {:<7.0} {:<7.0} {:<7.0} {:<4} {:<7} {:.0}",
+             {:<7.1} {:<6} {:<7.0} {:<7.0} {:<7.0} {:<4} {:<7} {:<4} {:.0}",
             self.policy,
             self.completion_p50_ratio,
             self.completion_p95_ratio,
@@ -66,6 +68,7 @@
             self.round_cpu_max_us,
             self.completed,
             self.preemptions,
+            self.reclaims_voided,
             self.utilization * 100.0,
         )
     }
--- a/crates/load/src/policy_run.rs
+++ b/crates/load/src/policy_run.rs
@@ -16,6 +16,7 @@
 use cuminbarrow_model::job::JobOutcome;
 use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::ReservationKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
 use smol_str::SmolStr;
@@ -54,7 +55,8 @@
     used_ms: u64,
     starts: BTreeMap<JobKey, u64>,
     runs: BTreeSet<AttemptKey>,
-    reclaims: BTreeMap<JobKey, u64>,
+    reclaims: BTreeMap<JobKey, OpenReclaim>,
+    reclaims_voided: u64,
     reclaim_s: Vec<f64>,
     lost_ms: u64,
     broken: u64,
@@ -66,6 +68,12 @@
     round_max_us: f64,
 }
 
+/// A reclaim under way.
+struct OpenReclaim {
+    since_ms: u64,
+    reservation: ReservationKey,
+}
+
 /// Runs one load through a policy.
 pub(crate) struct PolicyRun<'a> {
     deployment: &'a Deployment,
@@ -164,12 +172,24 @@
             self.measures.broken += self.state.broken_promises().len() as u64;
         }
         self.is_changed = true;
+        self.void_reclaims();
         for moved in &report.moves {
             self.note_stop(moved.attempt);
         }
         report
     }
 
+    /// Drops reclaims of reservations that are held nowhere any more, as after the loss of a
+    /// worker; the deployment then names the guarantee as not held.
+    fn void_reclaims(&mut self) {
+        let before = self.measures.reclaims.len();
+        let reservations = &self.state.reservations;
+        self.measures.reclaims.retain(|_, reclaim| {
+            reservations.get(&reclaim.reservation).is_some_and(|held| held.members.is_some())
+        });
+        self.measures.reclaims_voided += (before - self.measures.reclaims.len()) as u64;
+    }
+
     /// A gang that is newly told to stop stops after a while.
     fn note_stop(&mut self, attempt: AttemptKey) {
         let Some(job) = self.state.jobs.get(&attempt.job) else { return };
@@ -229,8 +249,8 @@
             return;
         }
         self.measures.starts.entry(attempt.job).or_insert(self.now_ms);
-        if let Some(since_ms) = self.measures.reclaims.remove(&attempt.job) {
-            self.measures.reclaim_s.push((self.now_ms - since_ms) as f64 / 1_000.0);
+        if let Some(reclaim) = self.measures.reclaims.remove(&attempt.job) {
+            self.measures.reclaim_s.push((self.now_ms - reclaim.since_ms) as f64 / 1_000.0);
         }
         self.check_once(attempt);
         let after_ms = self.run_time(attempt);
@@ -362,8 +382,9 @@
             }
             Record::JobsPreempted { job, victims, reservation, .. } => {
                 self.measures.preemptions += victims.len();
-                if reservation.is_some() {
-                    self.measures.reclaims.entry(*job).or_insert(self.now_ms);
+                if let Some(reservation) = *reservation {
+                    let reclaim = OpenReclaim { since_ms: self.now_ms, reservation };
+                    self.measures.reclaims.entry(*job).or_insert(reclaim);
                 }
             }
             _ => {}
@@ -450,6 +471,7 @@
             decision_cpu_us: measures.planning_us / measures.decisions.max(1) as f64,
             completed,
             preemptions: measures.preemptions,
+            reclaims_voided: measures.reclaims_voided,
             utilization: measures.used_ms as f64 / total.max(1) as f64,
             idle_round_cpu_us: measures.idle_us / measures.idle_rounds.max(1) as f64,
             round_cpu_max_us: measures.round_max_us,
--- a/crates/policy/src/plan_round.rs
+++ b/crates/policy/src/plan_round.rs
@@ -24,6 +24,10 @@
 /// Time after its backoff for which a job is kept from workers on which it failed, in ms.
 const AVOID_MS: u64 = 120_000;
 
+/// Parts of the stoppable work, the least lost first, among which victims are looked for: a 32nd
+/// of it, then more.
+const LOSS_SHARES: [usize; 5] = [32, 16, 8, 3, 1];
+
 /// A place that was found.
 pub(crate) struct FoundPlace {
     pub(crate) members: Vec<Member>,
@@ -186,7 +190,8 @@
             let members = members_within(held.members.as_deref()?, shape)?;
             let victims =
                 victims_for(self.state, &members, &shape.per_member, self.now_ms, may_stop)?;
-            Some(self.victims(members, Some(own), victims))
+            let is_open = self.overlay.leaves_room(self.state, &members, shape, &victims);
+            is_open.then(|| self.victims(members, Some(own), victims))
         });
         found.min_by_key(|found| found.lost)
     }
@@ -213,8 +218,8 @@
             .map(|placed| lost_work(placed, self.now_ms))
             .collect();
         losses.sort_unstable();
-        for quarter in 1..=4 {
-            let index = (losses.len() * quarter / 4).checked_sub(1)?;
+        for share in LOSS_SHARES {
+            let Some(index) = (losses.len() / share).checked_sub(1) else { continue };
             let limit = losses[index];
             let is_cheap =
                 |placed: &JobState| may_end(placed) && lost_work(placed, self.now_ms) <= limit;
--- a/crates/policy/src/room_overlay.rs
+++ b/crates/policy/src/room_overlay.rs
@@ -6,8 +6,10 @@
 use cuminbarrow_ledger::state::State;
 use cuminbarrow_model::accelerator_set::AcceleratorSet;
 use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::shape::Shape;
 
 /// Room taken by decisions that are not in the state yet.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +40,26 @@
         })
     }
 
+    /// Whether the members find room once the victims have stopped: work that was placed in this
+    /// very round can't be among them.
+    pub(crate) fn leaves_room(
+        &self,
+        state: &State,
+        members: &[Member],
+        shape: &Shape,
+        victims: &[AttemptKey],
+    ) -> bool {
+        let mut trial = self.clone();
+        members.iter().all(|member| {
+            let Some(worker) = state.worker(member.worker) else { return false };
+            let stopped = victims.iter().filter_map(|victim| worker.attempts.get(victim));
+            let open = stopped.fold(worker.free_offer(), |offer, held| offer.plus(held));
+            let offer = trial.reduce(member.worker, open);
+            trial.take(std::slice::from_ref(member), &shape.per_member);
+            offer.free.covers(&shape.per_member) && offer.accelerators.contains(member.accelerators)
+        })
+    }
+
     /// The offer less what was taken.
     pub(crate) fn reduce(&self, worker: WorkerKey, offer: Offer) -> Offer {
         match self.taken.get(&worker) {
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -157,6 +157,23 @@
     assert_eq!(preempted, 3, "each victim was stopped once");
 }
 
+#[test]
+fn work_lent_in_the_round_of_a_reclaim_does_not_hold_it_up() {
+    let mut bench = FaultBench::new(1, 3);
+    bench.submit(BORROWER, spec(1, 8));
+    bench.submit(BORROWER, spec(1, 8));
+    bench.run();
+    bench.submit(BORROWER, JobSpec { urgent: true, ..spec(1, 8) });
+    let wanted = bench.submit(OWNER, spec(3, 8));
+    let began_ms = bench.now_ms;
+    while bench.job(wanted).placement().is_none() {
+        bench.run();
+        bench.stopping().into_iter().for_each(|key| bench.stop(key));
+        bench.now_ms += 1_000;
+        assert!(bench.now_ms <= began_ms + 3_000, "each victim stops at once");
+    }
+}
+
 #[test]
 fn victim_that_does_not_stop_is_lapsed_and_the_reclaim_ends() {
     let mut bench = FaultBench::new(1, 3);
