End a gang whose member's worker takes no renewals

Cause: found by a new test with real processes. While a worker (not its agent) is paused or cut off, its task's lease lapses, but the agent only logged that renewals failed; the other members ran on without that part.

Change: an agent that could not renew a task at its worker for a whole lease reports the task as lapsed, so that the gang ends everywhere. The stand-in's workers can be paused, and report their use with a lag of 2 s, which agents export as a metric.

Conclusion: the worker's own lease and the gang's are now tied both ways.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cuminbarrow_model::worker::WorkerSpec;
+use cuminbarrow_platform::worker_control::TaskEnd;
 use cuminbarrow_platform::worker_control::TaskReport;
 use cuminbarrow_platform::worker_control::WorkerControl;
 use cuminbarrow_protocol::byte_counter::ByteCounter;
@@ -34,6 +35,7 @@
 use crate::entry_session::EntrySession;
 use crate::gang_links::GangLinks;
 use crate::gang_table::GangTable;
+use crate::renewal_watch::RenewalWatch;
 use crate::task_runner;
 use crate::task_runner::TaskOrder;
 
@@ -109,6 +111,8 @@
     worker: Arc<dyn WorkerControl>,
     orders: mpsc::UnboundedSender<TaskOrder>,
     outbox: mpsc::Sender<AgentMessage>,
+    event_sender: mpsc::Sender<AgentEvent>,
+    renewals: Arc<RenewalWatch>,
     events: mpsc::Receiver<AgentEvent>,
     applied: Arc<AtomicU64>,
     metrics: Arc<AgentMetrics>,
@@ -152,15 +156,18 @@
         let runner =
             task_runner::run_orders(Arc::clone(&worker), order_receiver, event_sender.clone());
         tokio::spawn(runner);
-        tokio::spawn(task_runner::follow_reports(Arc::clone(&worker), event_sender));
+        tokio::spawn(task_runner::follow_reports(Arc::clone(&worker), event_sender.clone()));
+        tokio::spawn(task_runner::follow_usage(Arc::clone(&worker), Arc::clone(&metrics)));
         Ok(Self {
             table: GangTable::new(incarnation, settings.timing),
             settings,
             links: GangLinks::new(dialer),
             worker,
+            renewals: Arc::default(),
             orders,
             outbox,
             events,
+            event_sender,
             applied,
             metrics,
             clock: Instant::now(),
@@ -226,11 +233,24 @@
         }
     }
 
+    /// Renews the tasks' leases; those that could not be renewed for a whole lease are over.
     fn renew(&self, tasks: Vec<SmolStr>, lease_ms: u64) {
-        let worker = Arc::clone(&self.worker);
+        let (worker, watch) = (Arc::clone(&self.worker), Arc::clone(&self.renewals));
+        let events = self.event_sender.clone();
+        let lease = Duration::from_millis(lease_ms);
+        watch.begin(&tasks);
         tokio::spawn(async move {
-            if let Err(error) = worker.renew(tasks, lease_ms).await {
-                log::warn!("leases can't be renewed at the worker: {error}");
+            let sent = Instant::now();
+            let renewal = worker.renew(tasks.clone(), lease_ms);
+            match tokio::time::timeout(lease / 2, renewal).await {
+                Ok(Ok(())) => return watch.succeeded(&tasks, sent),
+                Ok(Err(error)) => log::warn!("leases can't be renewed at the worker: {error}"),
+                Err(_) => log::warn!("the worker does not answer renewals"),
+            }
+            for task in watch.take_lapsed(lease) {
+                log::warn!("task {task} is over: its worker took no renewal for {lease_ms} ms");
+                let report = TaskReport { task, end: TaskEnd::LeaseLapsed };
+                let _ = events.send(AgentEvent::TaskEnded(report)).await;
             }
         });
     }
--- a/crates/agent/src/agent_metrics.rs
+++ b/crates/agent/src/agent_metrics.rs
@@ -16,6 +16,8 @@
     pub sessions: AtomicU64,
     /// Offset up to which the agent has acted.
     pub applied: AtomicU64,
+    /// Accelerators in use by the worker's own account, which lags.
+    pub used_accelerators: AtomicU64,
 }
 
 impl AgentMetrics {
@@ -33,6 +35,11 @@
         registry.observe_gauge("agent_applied_offset", "offset acted upon", move || {
             metrics.applied.load(Ordering::Relaxed)
         });
+        let metrics = Arc::clone(self);
+        let description = "accelerators in use by the worker's own account, which lags";
+        registry.observe_gauge("worker_used_accelerators", description, move || {
+            metrics.used_accelerators.load(Ordering::Relaxed)
+        });
         let bytes = Arc::clone(counter);
         registry.observe_counter("link_received_bytes", "bytes received over links", move || {
             bytes.received()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod gang_timing;
 mod lead_side;
 mod member_machine;
+mod renewal_watch;
 mod task_runner;
--- a/crates/agent/src/task_runner.rs
+++ b/crates/agent/src/task_runner.rs
@@ -1,6 +1,7 @@
 //! Carries out the table's orders at the worker and brings back what becomes of tasks.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cuminbarrow_platform::worker_control::TaskStart;
@@ -10,11 +11,14 @@
 use tokio::sync::mpsc;
 
 use crate::agent_daemon::AgentEvent;
+use crate::agent_metrics::AgentMetrics;
 
 /// Tries of a start whose answer was lost; a second start of a task changes nothing.
 const START_TRIES: u32 = 3;
 /// Wait between tries.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
+/// Time between looks at the worker's use.
+const USAGE_EVERY: Duration = Duration::from_secs(10);
 /// Wait for reports at the worker, in ms.
 const REPORT_WAIT_MS: u32 = 10_000;
 
@@ -88,6 +92,21 @@
     }
 }
 
+/// Follows the worker's account of its use, for the metrics; what is granted is accounted from
+/// the log, never from this, since it lags.
+pub(crate) async fn follow_usage(worker: Arc<dyn WorkerControl>, metrics: Arc<AgentMetrics>) {
+    loop {
+        tokio::time::sleep(USAGE_EVERY).await;
+        match worker.usage().await {
+            Err(error) => log::debug!("the worker's use can't be read: {error}"),
+            Ok(usage) => {
+                let count = u64::from(usage.accelerators.count_ones());
+                metrics.used_accelerators.store(count, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
 /// Stops what an earlier incarnation left running.
 pub(crate) async fn stop_leftovers(worker: &dyn WorkerControl) {
     let tasks = match worker.running().await {
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -30,6 +30,7 @@
 use cuminbarrow_standin::fault_proxy::FaultProxy;
 use cuminbarrow_standin::log_service::LogFaults;
 use cuminbarrow_standin::worker_fleet::TaskSpan;
+use cuminbarrow_standin::worker_fleet::WorkerFaults;
 use http::Method;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -364,6 +365,12 @@
         self.admin("/v1/admin/log", body).await;
     }
 
+    /// Makes a worker misbehave.
+    pub(crate) async fn set_worker_faults(&self, worker: &str, faults: WorkerFaults) {
+        let body = serde_json::to_vec(&faults).expect("faults have a JSON form");
+        self.admin(&format!("/v1/admin/workers/{worker}"), body).await;
+    }
+
     async fn admin(&self, path: &str, body: Vec<u8>) {
         let caller = HttpCaller::new(self.platform_url());
         let request = CallRequest::post(path, body).with_header("content-type", "application/json");
--- a/crates/cuminbarrow/tests/integration/gang_failures.rs
+++ b/crates/cuminbarrow/tests/integration/gang_failures.rs
@@ -9,6 +9,7 @@
 use cuminbarrow_standin::fault_proxy::ProxyFaults;
 use cuminbarrow_standin::log_service::LogFaults;
 use cuminbarrow_standin::worker_fleet::TaskSpan;
+use cuminbarrow_standin::worker_fleet::WorkerFaults;
 use nix::sys::signal::Signal;
 
 use crate::cluster_builder::Cluster;
@@ -68,6 +69,23 @@
     assert_eq!(started_attempts(&spans, payload), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_worker_ends_the_gang_within_a_lease() {
+    let cluster = ClusterBuilder::new().start().await;
+    let payload = "run_ms=20000,worker-paused";
+    cluster.caller().submit("gang", &once(body(3, 8, payload))).await.unwrap();
+    let view = cluster.wait_for_phase("gang", PhaseName::Running).await;
+    eventually("three tasks run", async || (cluster.spans().await.len() == 3).then_some(())).await;
+    let worker = view.members[2].worker.clone();
+    let paused = WorkerFaults { is_paused: true, ..WorkerFaults::default() };
+    cluster.set_worker_faults(&worker, paused).await;
+    let view = ended(&cluster.caller(), "gang").await;
+    assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
+    cluster.set_worker_faults(&worker, WorkerFaults::default()).await;
+    let spans = all_ended(&cluster, payload).await;
+    assert_ends_together(&spans, payload);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_lead_ends_the_gang_within_a_lease() {
     let mut cluster = ClusterBuilder::new().start().await;
--- a/crates/platform/src/http_worker.rs
+++ b/crates/platform/src/http_worker.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -14,6 +15,7 @@
 use crate::worker_control::TaskStart;
 use crate::worker_control::WorkerControl;
 use crate::worker_control::WorkerError;
+use crate::worker_control::WorkerUsage;
 
 /// Timeout of a call, beyond any wait asked for.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -86,6 +88,10 @@
             .call(request, timeout)
             .await
             .map_err(|error| WorkerError::Unreachable { reason: error.to_string() })?;
+        if response.status == StatusCode::GATEWAY_TIMEOUT {
+            let reason = String::from_utf8_lossy(&response.body).into_owned();
+            return Err(WorkerError::Unreachable { reason });
+        }
         if !response.status.is_success() {
             let reason = String::from_utf8_lossy(&response.body).into_owned();
             return Err(WorkerError::Refused { reason });
@@ -120,4 +126,8 @@
     async fn running(&self) -> Result<Vec<SmolStr>, WorkerError> {
         self.get(format!("{}/tasks", self.prefix), 0).await
     }
+
+    async fn usage(&self) -> Result<WorkerUsage, WorkerError> {
+        self.get(format!("{}/usage", self.prefix), 0).await
+    }
 }
--- a/crates/platform/src/worker_control.rs
+++ b/crates/platform/src/worker_control.rs
@@ -57,6 +57,16 @@
     pub end: TaskEnd,
 }
 
+/// A worker's own account of its use, as of a while ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerUsage {
+    /// How long ago, in ms.
+    pub lag_ms: u64,
+    /// Accelerator indices in use, as bits.
+    pub accelerators: u32,
+}
+
 /// Why a worker did not do as asked.
 #[derive(Clone, Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -113,4 +123,10 @@
     /// # Errors
     /// [`WorkerError`] when the worker can't be reached.
     async fn running(&self) -> Result<Vec<SmolStr>, WorkerError>;
+
+    /// What the worker used a while ago.
+    ///
+    /// # Errors
+    /// [`WorkerError`] when the worker can't be reached.
+    async fn usage(&self) -> Result<WorkerUsage, WorkerError>;
 }
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -63,6 +63,7 @@
             .route("/v1/workers/{worker}/tasks", get(running).post(start))
             .route("/v1/workers/{worker}/renew", post(renew))
             .route("/v1/workers/{worker}/reports", get(reports))
+            .route("/v1/workers/{worker}/usage", get(usage))
             .route("/v1/workers/{worker}/tasks/{task}/stop", post(stop))
             .route("/v1/workers/{worker}/tasks/{task}/throttle", post(throttle))
             .route("/v1/admin/log", post(set_log_faults))
@@ -124,11 +125,19 @@
 
 fn worker_answer(result: Result<(), WorkerError>) -> Response {
     match result {
-        Err(error) => (StatusCode::CONFLICT, error.to_string()).into_response(),
+        Err(error) => worker_failure(&error),
         Ok(()) => StatusCode::OK.into_response(),
     }
 }
 
+fn worker_failure(error: &WorkerError) -> Response {
+    let status = match error {
+        WorkerError::Refused { .. } => StatusCode::CONFLICT,
+        WorkerError::Unreachable { .. } => StatusCode::GATEWAY_TIMEOUT,
+    };
+    (status, error.to_string()).into_response()
+}
+
 async fn start(
     State(server): State<PlatformServer>,
     Path(worker): Path<SmolStr>,
@@ -165,13 +174,22 @@
     Json(server.fleet.worker(worker).running().await.unwrap_or_default()).into_response()
 }
 
+async fn usage(State(server): State<PlatformServer>, Path(worker): Path<SmolStr>) -> Response {
+    match server.fleet.worker(worker).usage().await {
+        Err(error) => worker_failure(&error),
+        Ok(usage) => Json(usage).into_response(),
+    }
+}
+
 async fn reports(
     State(server): State<PlatformServer>,
     Path(worker): Path<SmolStr>,
     Query(query): Query<ReportQuery>,
 ) -> Response {
-    let reports = server.fleet.worker(worker).reports(query.after, query.wait_ms).await;
-    Json(reports.unwrap_or_default()).into_response()
+    match server.fleet.worker(worker).reports(query.after, query.wait_ms).await {
+        Err(error) => worker_failure(&error),
+        Ok(reports) => Json(reports).into_response(),
+    }
 }
 
 async fn set_log_faults(
--- a/crates/standin/src/worker_fleet.rs
+++ b/crates/standin/src/worker_fleet.rs
@@ -1,6 +1,7 @@
 //! Workers in memory: tasks run on timers, under leases.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +14,7 @@
 use cuminbarrow_platform::worker_control::TaskStart;
 use cuminbarrow_platform::worker_control::WorkerControl;
 use cuminbarrow_platform::worker_control::WorkerError;
+use cuminbarrow_platform::worker_control::WorkerUsage;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -25,6 +27,9 @@
 /// Time between looks at running tasks.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Lag of the usage reports.
+const USAGE_LAG: Duration = Duration::from_secs(2);
+
 /// How a worker misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -33,6 +38,8 @@
     pub fail_starts: u32,
     /// Refuses every start.
     pub fail_all: bool,
+    /// Answers nothing, and its tasks stand still; those whose lease lapsed end when it goes on.
+    pub is_paused: bool,
 }
 
 struct RunningTask {
@@ -85,6 +92,32 @@
     faults: WorkerFaults,
     tasks: BTreeMap<SmolStr, RunningTask>,
     reports: Vec<TaskReport>,
+    usage: VecDeque<UsageMark>,
+}
+
+/// Accelerators in use from some time on.
+struct UsageMark {
+    since: Instant,
+    accelerators: u32,
+}
+
+impl WorkerTasks {
+    /// Notes the accelerators in use, and forgets what no report can tell any more.
+    fn note_usage(&mut self) {
+        let now = Instant::now();
+        let used = self.tasks.values().fold(0, |bits, running| bits | running.start.accelerators);
+        self.usage.push_back(UsageMark { since: now, accelerators: used });
+        while self.usage.len() > 1 && self.usage[1].since + USAGE_LAG <= now {
+            self.usage.pop_front();
+        }
+    }
+
+    /// Accelerators in use a lag ago.
+    fn lagging_usage(&self) -> u32 {
+        let as_of = Instant::now().checked_sub(USAGE_LAG);
+        let known = self.usage.iter().rev().find(|mark| Some(mark.since) <= as_of);
+        known.map(|mark| mark.accelerators).unwrap_or_default()
+    }
 }
 
 #[derive(Default)]
@@ -145,13 +178,15 @@
     fn tick(&self) {
         let now = Instant::now();
         let mut ends = Vec::new();
-        for (name, worker) in &self.lock().workers {
+        let state = self.lock();
+        for (name, worker) in state.workers.iter().filter(|(_, worker)| !worker.faults.is_paused) {
             for (task, running) in &worker.tasks {
                 if let Some(end) = running.end(now) {
                     ends.push((name.clone(), TaskReport { task: task.clone(), end }));
                 }
             }
         }
+        drop(state);
         for (name, report) in ends {
             self.end_task(&name, report);
         }
@@ -166,6 +201,7 @@
         }
         let task = report.task.clone();
         worker.reports.push(report);
+        worker.note_usage();
         let span = state
             .spans
             .iter_mut()
@@ -206,6 +242,7 @@
             start: start.clone(),
         };
         worker.tasks.insert(start.task.clone(), running);
+        worker.note_usage();
         state.spans.push(TaskSpan {
             worker: name.clone(),
             task: start.task,
@@ -250,6 +287,15 @@
         }
     }
 
+    /// Refuses while the worker is paused.
+    fn check_awake(&self, name: &SmolStr) -> Result<(), WorkerError> {
+        let is_paused = self.lock().workers.get(name).is_some_and(|worker| worker.faults.is_paused);
+        if is_paused {
+            return Err(WorkerError::Unreachable { reason: "the worker is paused".to_owned() });
+        }
+        Ok(())
+    }
+
     fn reports_after(&self, name: &SmolStr, after: u64) -> Vec<TaskReport> {
         let skipped = usize::try_from(after).unwrap_or(usize::MAX);
         let state = self.lock();
@@ -267,25 +313,30 @@
 #[async_trait]
 impl WorkerControl for FleetWorker {
     async fn start(&self, task: TaskStart) -> Result<(), WorkerError> {
+        self.fleet.check_awake(&self.name)?;
         self.fleet.start(&self.name, task)
     }
 
     async fn renew(&self, tasks: Vec<SmolStr>, lease_ms: u64) -> Result<(), WorkerError> {
+        self.fleet.check_awake(&self.name)?;
         self.fleet.renew(&self.name, &tasks, lease_ms);
         Ok(())
     }
 
     async fn stop(&self, task: SmolStr, checkpoint: bool) -> Result<(), WorkerError> {
+        self.fleet.check_awake(&self.name)?;
         self.fleet.stop(&self.name, &task, checkpoint);
         Ok(())
     }
 
     async fn throttle(&self, task: SmolStr, share_permille: u16) -> Result<(), WorkerError> {
+        self.fleet.check_awake(&self.name)?;
         self.fleet.throttle(&self.name, &task, share_permille);
         Ok(())
     }
 
     async fn reports(&self, after: u64, wait_ms: u32) -> Result<Vec<TaskReport>, WorkerError> {
+        self.fleet.check_awake(&self.name)?;
         let deadline = Instant::now() + Duration::from_millis(u64::from(wait_ms));
         loop {
             let reported = self.fleet.reported.notified();
@@ -301,4 +352,12 @@
         let tasks = state.workers.get(&self.name).map(|worker| worker.tasks.keys());
         Ok(tasks.map(|tasks| tasks.cloned().collect()).unwrap_or_default())
     }
+
+    async fn usage(&self) -> Result<WorkerUsage, WorkerError> {
+        self.fleet.check_awake(&self.name)?;
+        let state = self.fleet.lock();
+        let accelerators = state.workers.get(&self.name).map(WorkerTasks::lagging_usage);
+        let lag_ms = u64::try_from(USAGE_LAG.as_millis()).unwrap_or(u64::MAX);
+        Ok(WorkerUsage { lag_ms, accelerators: accelerators.unwrap_or_default() })
+    }
 }
