--- a/crates/cuminbarrow/benches/processes.rs
+++ b/crates/cuminbarrow/benches/processes.rs
@@ -5,7 +5,7 @@
 //! Also the time until a sheet is in force on all entries, and what crosses the region link.
 //!
 //! `cargo bench -p cuminbarrow --bench processes` runs everything; an argument runs one part:
-//! `idle`, `loss`, `config` or `region`.
+//! `idle`, `loss`, `config`, `region` or `target`.
 
 #![allow(clippy::unwrap_used, reason = "a measurement may fail where it stands")]
 
@@ -13,17 +13,33 @@
 #[path = "../tests/integration/cluster_builder.rs"]
 mod cluster_builder;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use cuminbarrow::demo_cluster::agent_settings;
+use cuminbarrow::demo_cluster::free_address;
+use cuminbarrow_agent::agent_daemon;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
 use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_model::resources::Resources;
+use cuminbarrow_model::shape::Shape;
+use cuminbarrow_model::shape::Span;
 use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::team::Guarantee;
 use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::message::PeerRequest;
+use cuminbarrow_protocol::message::PeerResponse;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_standin::worker_fleet::WorkerFleet;
 use http::Method;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
@@ -37,6 +53,10 @@
 const TICKS_PER_S: f64 = 100.0;
 /// Changes of the sheet in a measurement.
 const CHANGES: u64 = 200;
+/// Workers for which the target's state is built, in proportion.
+const TARGET_WORKERS: [usize; 3] = [138, 275, 550];
+/// Teams of the target.
+const TARGET_TEAMS: usize = 74;
 /// Losses measured of each kind.
 const LOSSES: usize = 3;
 
@@ -61,6 +81,11 @@
                 configuration(agents).await;
             }
         }
+        if runs("target") {
+            for workers in TARGET_WORKERS {
+                target(workers).await;
+            }
+        }
         if runs("region") {
             for far_entries in [2, 4] {
                 let builder = || ClusterBuilder::new().far_entries(far_entries);
@@ -127,6 +152,111 @@
     );
 }
 
+/// One entry of two with the target's state: `workers` agents, 15 tasks on each and a queue of 9
+/// jobs for each.
+async fn target(workers: usize) {
+    let cluster = ClusterBuilder::new().agents(0).session_timeout_ms(15_000).start().await;
+    let fleet = WorkerFleet::spawn();
+    let (shutdown, receiver) = tokio::sync::watch::channel(false);
+    let links: Vec<_> = cluster.entry_proxies.iter().map(|proxy| proxy.address).collect();
+    for index in 0..workers {
+        let capacity =
+            Resources { cores: 32, memory_gib: 64, accelerators: 1, slots: 16, connections: 60 };
+        let mut settings = agent_settings(index, free_address().unwrap(), capacity, &links);
+        settings.shared_key = SharedKey::new("test");
+        settings.location.data_centre = format_smolstr!("d{}", index * 8 / workers);
+        settings.location.rack = format_smolstr!("d{}-r{}", index * 8 / workers, index / 3);
+        let worker = fleet.worker(settings.worker.clone());
+        let running = agent_daemon::run(settings, worker, Arc::default(), receiver.clone());
+        tokio::spawn(async move { running.await.unwrap() });
+    }
+    cluster.wait_for_workers(workers).await;
+    apply_target_sheet(&cluster).await;
+    submit_target_jobs(&cluster, workers).await;
+    let settled = Duration::from_secs(20);
+    tokio::time::sleep(settled).await;
+    let before: Vec<(f64, u64)> = use_of_entries(&cluster).await;
+    tokio::time::sleep(IDLE).await;
+    let status: StatusView = cluster.operator().get("/v1/status").await.unwrap();
+    println!(
+        "target: {workers} workers, {} jobs placed, {} wait, state {} bytes",
+        status.placed,
+        status.pending,
+        state_bytes(&cluster).await
+    );
+    for (index, (cpu_s, bytes)) in use_of_entries(&cluster).await.into_iter().enumerate() {
+        let (_, mib) = process_use(&cluster.entries[index]);
+        println!(
+            "target: entry {index}: {:.2}% of a core, {mib:.1} MiB, {:.0} B/s over links",
+            (cpu_s - before[index].0) / IDLE.as_secs_f64() * 100.0,
+            (bytes - before[index].1) as f64 / IDLE.as_secs_f64()
+        );
+    }
+    let _ = shutdown.send(true);
+}
+
+async fn apply_target_sheet(cluster: &Cluster) {
+    let shape = shape(2, 1, 1);
+    let team = |index| TeamSpec {
+        name: format_smolstr!("team-{index}"),
+        guarantees: vec![Guarantee { name: SmolStr::new("g"), shape, count: 1 }],
+        max_pending: 5_000,
+    };
+    let mut teams: Vec<TeamSpec> = (0..TARGET_TEAMS).map(team).collect();
+    teams[0].guarantees.clear();
+    teams.push(TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending: 1 });
+    let sheet = Sheet { base: 1, teams, jobs: Vec::new() };
+    let body = SheetBody { sheet, allow_removals: true };
+    let result = cluster.operator().send::<_, SheetView>(Method::PUT, "/v1/sheet", &body).await;
+    result.unwrap();
+}
+
+fn shape(members: u8, cores: u16, accelerators: u8) -> Shape {
+    let per_member = Resources { cores, memory_gib: 1, accelerators, slots: 1, connections: 1 };
+    Shape { members, per_member, span: Span::DataCentre }
+}
+
+/// Jobs of 15 tasks each, as many as fill the slots and a queue behind them.
+async fn submit_target_jobs(cluster: &Cluster, workers: usize) {
+    let operator = cluster.operator();
+    for index in 0..workers * 10 {
+        let mut job = body(15, 0, "run_ms=36000000");
+        job.team = format_smolstr!("team-{}", index % TARGET_TEAMS);
+        job.job.shape = shape(15, 1 + u16::try_from(index % 2).unwrap(), 0);
+        job.job.declared_run_ms = 36_000_000;
+        operator.submit(&format!("target-{index}"), &job).await.unwrap();
+    }
+}
+
+/// Processor time in s and link bytes of each entry.
+async fn use_of_entries(cluster: &Cluster) -> Vec<(f64, u64)> {
+    let mut uses = Vec::new();
+    for index in 0..cluster.entries.len() {
+        let metrics = cluster.client_of(index, "operator").get_bytes("/metrics").await.unwrap();
+        let metrics = String::from_utf8(metrics).unwrap();
+        let lines = metrics.lines().filter(|line| {
+            line.starts_with("link_sent_bytes") || line.starts_with("link_received_bytes")
+        });
+        let bytes =
+            lines.map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap()).sum();
+        uses.push((process_use(&cluster.entries[index]).0, bytes));
+    }
+    uses
+}
+
+/// Size of the whole state as an entry sends it to another.
+async fn state_bytes(cluster: &Cluster) -> usize {
+    let dialer = LinkDialer::new(SharedKey::new("test"), Arc::default());
+    let address = cluster.entry_proxies[0].address;
+    let mut link: Link<PeerRequest, PeerResponse> =
+        dialer.open(address, LinkKind::Peer).await.unwrap();
+    link.sender.send(&PeerRequest::FetchState).await.unwrap();
+    match link.receiver.receive().await.unwrap() {
+        PeerResponse::State { body } => body.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
 /// Processor time in s and memory in MiB.
 fn process_use(process: &Process) -> (f64, f64) {
     let id = process.id();
--- a/crates/cuminbarrow/src/demo_cluster.rs
+++ b/crates/cuminbarrow/src/demo_cluster.rs
@@ -204,7 +204,8 @@
     }
 }
 
-fn agent_settings(
+/// Settings of the agent with some index, three agents to a rack.
+pub fn agent_settings(
     index: usize,
     listen: SocketAddr,
     capacity: Resources,
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -110,11 +110,24 @@
     entries: usize,
     far_entries: usize,
     has_region_reader: bool,
+    session_timeout_ms: u64,
 }
 
 impl ClusterBuilder {
     pub(crate) fn new() -> Self {
-        Self { agents: 6, entries: 2, far_entries: 0, has_region_reader: true }
+        Self {
+            agents: 6,
+            entries: 2,
+            far_entries: 0,
+            has_region_reader: true,
+            session_timeout_ms: 2_000,
+        }
+    }
+
+    /// Sets the entries' session timeout, in ms.
+    pub(crate) fn session_timeout_ms(mut self, session_timeout_ms: u64) -> Self {
+        self.session_timeout_ms = session_timeout_ms;
+        self
     }
 
     pub(crate) fn entries(mut self, entries: usize) -> Self {
@@ -158,6 +171,7 @@
             platform,
             region_link,
             has_region_reader: self.has_region_reader,
+            session_timeout_ms: self.session_timeout_ms,
             _platform_process: platform_process,
             entries: Vec::new(),
             entry_addresses: Vec::new(),
@@ -188,6 +202,7 @@
     /// Between far entries and the platform.
     pub(crate) region_link: FaultProxy,
     has_region_reader: bool,
+    session_timeout_ms: u64,
     _platform_process: Process,
     pub(crate) entries: Vec<Process>,
     entry_addresses: Vec<SocketAddr>,
@@ -229,11 +244,12 @@
         let proxy = FaultProxy::start(link).await.expect("loopback has ports");
         let peers: Vec<String> =
             self.entry_proxies.iter().map(|proxy| proxy.address.to_string()).collect();
+        let session_timeout_ms = self.session_timeout_ms;
         let log_region = if self.has_region_reader { "zapad" } else { region };
         let (operator, team) = (Digest::of(b"operator"), Digest::of(TEAM.as_bytes()));
         let text = format!(
             "region: {region}\nlisten: {listen}\nlink_listen: {link}\n\
-             platform: http://{platform}\nlog_region: {log_region}\nshared_key: test\nsession_timeout_ms: 2000\n\
+             platform: http://{platform}\nlog_region: {log_region}\nshared_key: test\nsession_timeout_ms: {session_timeout_ms}\n\
              planner_timeout_ms: 1500\nteam_submissions_per_s: 100000\nlog: {{level: error}}\n\
              peers: [{}]\nlog_timeout_ms: 1000\ntokens:\n\
              - {{name: operator, token_sha256: \"{operator}\", role: operator}}\n\
--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
 
 mod bad_input;
+#[allow(dead_code, reason = "the benchmarks use the rest of it")]
 mod cluster_builder;
 mod entry_failover;
 mod gang_failures;
--- a/crates/cuminbarrow/tests/integration/sheet_in_force.rs
+++ b/crates/cuminbarrow/tests/integration/sheet_in_force.rs
@@ -173,3 +173,19 @@
     assert_eq!(view.version, 3);
     wait_for_version(&cluster, 3).await;
 }
+
+/// The log keeps so few records that every entry's start needs a snapshot.
+#[tokio::test(flavor = "multi_thread")]
+async fn expiring_log_is_covered_by_snapshots() {
+    let mut cluster = ClusterBuilder::new().start().await;
+    let client = cluster.operator();
+    cluster.set_log_faults(LogFaults { retained_entries: 60, ..LogFaults::default() }).await;
+    for version in 2..122 {
+        let view = apply_until_known(&client, &sheet_of(version, version as u64 - 1)).await;
+        assert_eq!(view.version, version as u64);
+    }
+    replace_every_entry(&mut cluster).await;
+    for view in sheets(&cluster).await {
+        assert_eq!(view.version, 121, "nothing reverts");
+    }
+}
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -184,7 +184,7 @@
     }
 
     async fn keep_snapshot(&mut self, offset: u64) {
-        if offset < self.snapshot_offset + self.core.settings.snapshot_batches {
+        if !self.is_snapshot_due(offset) {
             return;
         }
         let state = self.core.tail.state().clone();
@@ -197,6 +197,15 @@
         }
     }
 
+    /// Whether enough batches came since the last snapshot, or the log has begun to drop records
+    /// and the last snapshot lies in the older half of what it keeps.
+    fn is_snapshot_due(&self, offset: u64) -> bool {
+        let oldest = self.core.tail.oldest();
+        let is_full = offset >= self.snapshot_offset + self.core.settings.snapshot_batches;
+        let middle = oldest + offset.saturating_sub(oldest) / 2;
+        is_full || (oldest > 0 && self.snapshot_offset < middle)
+    }
+
     async fn watch_members(&mut self) {
         if self.watch.looked.elapsed() < MEMBER_LOOK {
             return;
