--- a/crates/agent/src/task_runner.rs
+++ b/crates/agent/src/task_runner.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cuminbarrow_platform::retry_budget::RetryBudget;
 use cuminbarrow_platform::worker_control::TaskStart;
 use cuminbarrow_platform::worker_control::WorkerControl;
 use cuminbarrow_platform::worker_control::WorkerError;
@@ -34,11 +35,12 @@
     mut orders: mpsc::UnboundedReceiver<TaskOrder>,
     events: mpsc::Sender<AgentEvent>,
 ) {
+    let budget = RetryBudget::default();
     while let Some(order) = orders.recv().await {
         match order {
             TaskOrder::Start(start) => {
                 let task = start.task.clone();
-                if let Err(error) = start_task(&*worker, start).await {
+                if let Err(error) = start_task(&*worker, &budget, start).await {
                     let reason = error.to_string();
                     let _ = events.send(AgentEvent::TaskRefused { task, reason }).await;
                 }
@@ -52,12 +54,17 @@
     }
 }
 
-async fn start_task(worker: &dyn WorkerControl, start: TaskStart) -> Result<(), WorkerError> {
+async fn start_task(
+    worker: &dyn WorkerControl,
+    budget: &RetryBudget,
+    start: TaskStart,
+) -> Result<(), WorkerError> {
+    budget.earn();
     let mut tries = 0;
     loop {
         tries += 1;
         match worker.start(start.clone()).await {
-            Err(WorkerError::Unreachable { .. }) if tries < START_TRIES => {
+            Err(WorkerError::Unreachable { .. }) if tries < START_TRIES && budget.try_spend() => {
                 tokio::time::sleep(RETRY_WAIT).await;
             }
             result => return result,
--- a/crates/cuminbarrow/tests/integration/takeover.rs
+++ b/crates/cuminbarrow/tests/integration/takeover.rs
@@ -139,3 +139,53 @@
         cluster.wait_for_workers(6).await;
     }
 }
+
+/// The planner stands still past its term and goes on: what it then writes changes nothing, and
+/// agents that moved to the other entry are served there.
+#[tokio::test(flavor = "multi_thread")]
+async fn planner_paused_past_its_term() {
+    let cluster = ClusterBuilder::new().start().await;
+    let index = planner(&cluster).await;
+    let other = cluster.client_of(1 - index, TEAM);
+    let submit = async |key: String| {
+        let payload = format!("run_ms=200,{key}");
+        other.submit(&key, &once(body(2, 4, &payload))).await.unwrap();
+    };
+    for job in 0..10 {
+        submit(format!("before-{job}")).await;
+    }
+    cluster.entries[index].signal(Signal::SIGSTOP);
+    for job in 0..10 {
+        submit(format!("during-{job}")).await;
+    }
+    for job in 0..10 {
+        let view = ended(&other, &format!("during-{job}")).await;
+        assert_eq!(view.phase, PhaseName::Completed, "{view:?}");
+    }
+    cluster.entries[index].signal(Signal::SIGCONT);
+    for job in 0..10 {
+        submit(format!("after-{job}")).await;
+    }
+    for stage in ["before", "after"] {
+        for job in 0..10 {
+            let view = ended(&other, &format!("{stage}-{job}")).await;
+            let is_told = matches!(view.phase, PhaseName::Completed | PhaseName::MayHaveRun);
+            assert!(is_told, "{view:?}");
+        }
+    }
+    cluster.wait_for_workers(6).await;
+    let spans = cluster.spans().await;
+    for stage in ["before", "during", "after"] {
+        for job in 0..10 {
+            let payload = format!("run_ms=200,{stage}-{job}");
+            let own = spans.iter().filter(|span| span.payload == payload).count();
+            assert!(own <= 2, "{payload}: no member ran twice");
+        }
+    }
+    let status: Vec<StatusView> = vec![
+        cluster.client_of(0, "operator").get("/v1/status").await.unwrap(),
+        cluster.client_of(1, "operator").get("/v1/status").await.unwrap(),
+    ];
+    assert_eq!(status[0].planner_epoch, status[1].planner_epoch);
+    assert!(status[0].planner_epoch >= 2, "the other entry took over");
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod http_log;
 pub mod http_worker;
 pub mod log_store;
+pub mod retry_budget;
 pub mod worker_control;
