Split the load tool's run, and check firm placements worker by worker

Change: measures and job times have modules of their own; a firm placement that fits beside all reservations is checked on its own workers alone.

--- a/crates/ledger/src/apply_placements.rs
+++ b/crates/ledger/src/apply_placements.rs
@@ -150,6 +150,9 @@
     /// Firm work must leave every other team's reservations obtainable; idle ones in its way are
     /// moved where they find another place.
     fn check_promises(&mut self, key: JobKey, members: &[Member]) -> Result<(), Refusal> {
+        if self.fits_beside_reservations(key, members) {
+            return Ok(());
+        }
         let before = (self.workers.clone(), self.reservations.clone());
         let job = self.jobs.get(&key).context(UnknownJobSnafu { job: key })?.clone();
         let is_kept = self.make_way_for_firm(&job, members);
--- a/crates/ledger/src/reservation.rs
+++ b/crates/ledger/src/reservation.rs
@@ -73,6 +73,9 @@
     /// where the idle ones in its way find another place.
     pub fn could_take_firm(&self, key: JobKey, members: &[Member]) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
+        if self.fits_beside_reservations(key, members) {
+            return true;
+        }
         let mut trial = Self {
             workers: self.workers.clone(),
             racks: self.racks.clone(),
@@ -82,6 +85,18 @@
         trial.make_way_for_firm(job, members)
     }
 
+    /// Whether firm work on the members leaves every reservation where it is.
+    pub(crate) fn fits_beside_reservations(&self, key: JobKey, members: &[Member]) -> bool {
+        let Some(job) = self.jobs.get(&key) else { return false };
+        distinct_workers(members).into_iter().all(|worker| {
+            let Some(mut trial) = self.worker(worker).cloned() else { return false };
+            for member in members.iter().filter(|member| member.worker == worker) {
+                trial.take_firm(job.team, member, &job.spec.shape.per_member);
+            }
+            trial.keeps_promises()
+        })
+    }
+
     /// Takes the members for firm work and moves idle reservations of other teams out of its way;
     /// false, with nothing restored, when one of them finds no other place.
     pub(crate) fn make_way_for_firm(&mut self, job: &JobState, members: &[Member]) -> bool {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,9 +3,11 @@
 
 mod deployment;
 mod event_queue;
+mod job_times;
 mod load_options;
 mod policy_report;
 mod policy_run;
+mod run_measures;
 mod workload;
 
 use std::process::ExitCode;
--- a/crates/load/src/policy_run.rs
+++ b/crates/load/src/policy_run.rs
@@ -1,22 +1,18 @@
 //! Runs one load through a policy and the real fold, in virtual time.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 use cuminbarrow_ledger::apply::BatchReport;
 use cuminbarrow_ledger::apply::Effect;
 use cuminbarrow_ledger::batch::Batch;
-use cuminbarrow_ledger::job_state::JobState;
 use cuminbarrow_ledger::job_state::StopCause;
 use cuminbarrow_ledger::record::Record;
 use cuminbarrow_ledger::state::State;
 use cuminbarrow_model::attempt::AttemptEnd;
 use cuminbarrow_model::job::Answer;
-use cuminbarrow_model::job::JobOutcome;
 use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::JobKey;
-use cuminbarrow_model::keys::ReservationKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
 use smol_str::SmolStr;
@@ -26,8 +22,11 @@
 use crate::deployment::HOUR_MS;
 use crate::event_queue::Event;
 use crate::event_queue::EventQueue;
+use crate::job_times::JobTimes;
 use crate::policy_report::PolicyReport;
 use crate::policy_report::percentile;
+use crate::run_measures::OpenReclaim;
+use crate::run_measures::RunMeasures;
 use crate::workload::Workload;
 
 /// From the placement to the start: the log twice, and the gang's ready messages.
@@ -45,34 +44,6 @@
 const MAX_ROUNDS: usize = 40;
 /// Time after the last arrival in which jobs may still end.
 const TAIL_MS: u64 = 48 * HOUR_MS;
-/// Accelerators from which on a job counts as large.
-const LARGE_ACCELERATORS: u32 = 8;
-
-/// What is measured while the load runs.
-#[derive(Default)]
-struct Measures {
-    fragmented_ms: u64,
-    used_ms: u64,
-    starts: BTreeMap<JobKey, u64>,
-    runs: BTreeSet<AttemptKey>,
-    reclaims: BTreeMap<JobKey, OpenReclaim>,
-    reclaims_voided: u64,
-    reclaim_s: Vec<f64>,
-    lost_ms: u64,
-    broken: u64,
-    decisions: u64,
-    preemptions: usize,
-    planning_us: f64,
-    idle_us: f64,
-    idle_rounds: u64,
-    round_max_us: f64,
-}
-
-/// A reclaim under way.
-struct OpenReclaim {
-    since_ms: u64,
-    reservation: ReservationKey,
-}
 
 /// Runs one load through a policy.
 pub(crate) struct PolicyRun<'a> {
@@ -86,7 +57,7 @@
     sequence: u64,
     load_of: BTreeMap<JobKey, usize>,
     job_of: BTreeMap<usize, JobKey>,
-    measures: Measures,
+    measures: RunMeasures,
     is_changed: bool,
 }
 
@@ -121,7 +92,7 @@
             sequence: 0,
             load_of: BTreeMap::new(),
             job_of: BTreeMap::new(),
-            measures: Measures::default(),
+            measures: RunMeasures::default(),
             is_changed: true,
         }
     }
@@ -172,24 +143,13 @@
             self.measures.broken += self.state.broken_promises().len() as u64;
         }
         self.is_changed = true;
-        self.void_reclaims();
+        self.measures.void_reclaims(&self.state);
         for moved in &report.moves {
             self.note_stop(moved.attempt);
         }
         report
     }
 
-    /// Drops reclaims of reservations that are held nowhere any more, as after the loss of a
-    /// worker; the deployment then names the guarantee as not held.
-    fn void_reclaims(&mut self) {
-        let before = self.measures.reclaims.len();
-        let reservations = &self.state.reservations;
-        self.measures.reclaims.retain(|_, reclaim| {
-            reservations.get(&reclaim.reservation).is_some_and(|held| held.members.is_some())
-        });
-        self.measures.reclaims_voided += (before - self.measures.reclaims.len()) as u64;
-    }
-
     /// A gang that is newly told to stop stops after a while.
     fn note_stop(&mut self, attempt: AttemptKey) {
         let Some(job) = self.state.jobs.get(&attempt.job) else { return };
@@ -421,33 +381,14 @@
     }
 
     fn report(mut self) -> PolicyReport {
-        let mut ratios = Vec::new();
-        let mut completed = 0;
-        let (mut with_deadline, mut late) = (0_usize, 0_usize);
-        let mut urgent_s = Vec::new();
-        let mut large_s = 0.0_f64;
+        let mut times = JobTimes::default();
         for (key, job) in &self.state.jobs {
             let Some(load) = self.load_of.get(key).map(|index| &self.load.jobs[*index]) else {
                 continue;
             };
-            if load.is_poisoned || load.cancel_ms.is_some() {
-                continue;
-            }
-            let done_ms = completed_ms(job);
-            completed += usize::from(done_ms.is_some());
-            let until_ms = done_ms.unwrap_or(self.now_ms);
-            ratios.push((until_ms - job.submitted_ms) as f64 / load.run_ms.max(1) as f64);
-            if let Some(deadline_ms) = job.spec.deadline_ms {
-                with_deadline += 1;
-                late += usize::from(done_ms.is_none_or(|done_ms| done_ms > deadline_ms));
-            }
-            let started_ms = self.measures.starts.get(key).copied().unwrap_or(self.now_ms);
-            let wait_s = started_ms.saturating_sub(job.submitted_ms) as f64 / 1_000.0;
-            if job.spec.urgent {
-                urgent_s.push(wait_s);
-            }
-            if job.spec.shape.accelerators() >= LARGE_ACCELERATORS {
-                large_s = large_s.max(wait_s);
+            if !load.is_poisoned && load.cancel_ms.is_none() {
+                let started_ms = self.measures.starts.get(key).copied();
+                times.note(job, load, started_ms, self.now_ms);
             }
         }
         let total = u64::from(self.state.known_accelerators()) * self.deployment.horizon_ms;
@@ -457,19 +398,19 @@
             policy: self.policy.name(),
             deployment: self.deployment.name.name(),
             seed: self.seed,
-            completion_p50_ratio: percentile(&mut ratios, 0.50),
-            completion_p95_ratio: percentile(&mut ratios, 0.95),
-            completion_p99_ratio: percentile(&mut ratios, 0.99),
-            late_share: late as f64 / with_deadline.max(1) as f64,
+            completion_p50_ratio: percentile(&mut times.ratios, 0.50),
+            completion_p95_ratio: percentile(&mut times.ratios, 0.95),
+            completion_p99_ratio: percentile(&mut times.ratios, 0.99),
+            late_share: times.late as f64 / times.with_deadline.max(1) as f64,
             fragmentation: measures.fragmented_ms as f64 / hour,
             reclaim_p50_s: percentile(&mut measures.reclaim_s, 0.50),
             reclaim_p99_s: percentile(&mut measures.reclaim_s, 0.99),
-            large_gang_wait_max_s: large_s,
-            urgent_start_p99_s: percentile(&mut urgent_s, 0.99),
+            large_gang_wait_max_s: times.large_max_s,
+            urgent_start_p99_s: percentile(&mut times.urgent_s, 0.99),
             work_lost_accelerator_hours: measures.lost_ms as f64 / hour,
             promises_broken: measures.broken,
             decision_cpu_us: measures.planning_us / measures.decisions.max(1) as f64,
-            completed,
+            completed: times.completed,
             preemptions: measures.preemptions,
             reclaims_voided: measures.reclaims_voided,
             utilization: measures.used_ms as f64 / total.max(1) as f64,
@@ -482,13 +423,3 @@
 fn fails(load: &crate::workload::LoadJob, attempt: AttemptKey) -> bool {
     load.is_poisoned || attempt.attempt <= load.failing_attempts
 }
-
-fn completed_ms(job: &JobState) -> Option<u64> {
-    match &job.phase {
-        cuminbarrow_ledger::job_state::JobPhase::Ended {
-            outcome: JobOutcome::Completed { .. },
-            at_ms,
-        } => Some(*at_ms),
-        _ => None,
-    }
-}
--- /dev/null
+++ b/crates/load/src/run_measures.rs
@@ -0,0 +1,48 @@
+//! What is measured while a load runs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cuminbarrow_ledger::state::State;
+use cuminbarrow_model::keys::AttemptKey;
+use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_model::keys::ReservationKey;
+
+/// What is measured while the load runs.
+#[derive(Default)]
+pub(crate) struct RunMeasures {
+    pub(crate) fragmented_ms: u64,
+    pub(crate) used_ms: u64,
+    pub(crate) starts: BTreeMap<JobKey, u64>,
+    pub(crate) runs: BTreeSet<AttemptKey>,
+    pub(crate) reclaims: BTreeMap<JobKey, OpenReclaim>,
+    pub(crate) reclaims_voided: u64,
+    pub(crate) reclaim_s: Vec<f64>,
+    pub(crate) lost_ms: u64,
+    pub(crate) broken: u64,
+    pub(crate) decisions: u64,
+    pub(crate) preemptions: usize,
+    pub(crate) planning_us: f64,
+    pub(crate) idle_us: f64,
+    pub(crate) idle_rounds: u64,
+    pub(crate) round_max_us: f64,
+}
+
+/// A reclaim under way.
+pub(crate) struct OpenReclaim {
+    pub(crate) since_ms: u64,
+    pub(crate) reservation: ReservationKey,
+}
+
+impl RunMeasures {
+    /// Drops reclaims of reservations that are held nowhere any more, as after the loss of a
+    /// worker; the deployment then names the guarantee as not held.
+    pub(crate) fn void_reclaims(&mut self, state: &State) {
+        let before = self.reclaims.len();
+        self.reclaims.retain(|_, reclaim| {
+            let held = state.reservations.get(&reclaim.reservation);
+            held.is_some_and(|held| held.members.is_some())
+        });
+        self.reclaims_voided += (before - self.reclaims.len()) as u64;
+    }
+}
