--- a/crates/policy/src/guaranteed.rs
+++ b/crates/policy/src/guaranteed.rs
@@ -291,9 +291,6 @@
     /// Whether moving work out of a large job's way costs little against the job itself.
     fn is_worth_moving(&self, job: &JobState, lost: u64) -> bool {
         let state = self.round.state;
-        if self.round.now_ms >= job.submitted_ms + self.weights.large_limit_ms {
-            return true;
-        }
         let run_ms = state.estimate(job).likely_ms(state.declared_rest_ms(job));
         let work = u64::from(job.spec.shape.accelerators().max(1)) * run_ms;
         lost as f64 <= work as f64 * self.weights.move_loss
--- a/crates/policy/src/policy_weights.rs
+++ b/crates/policy/src/policy_weights.rs
@@ -11,24 +11,13 @@
     pub move_loss: f64,
     /// Wait after which a large job gets a shield, in ms.
     pub shield_after_ms: u64,
-    /// Wait of a large job, in ms, after which any smaller preemptible work is moved for it,
-    /// whatever that loses.
-    pub large_limit_ms: u64,
 }
 
 impl PolicyWeights {
     /// Completion time goes first.
-    pub const COMPLETION: Self = Self {
-        size_weight: 0.0,
-        move_loss: 0.10,
-        shield_after_ms: 10 * 60_000,
-        large_limit_ms: 4 * 3_600_000,
-    };
+    pub const COMPLETION: Self =
+        Self { size_weight: 0.0, move_loss: 0.10, shield_after_ms: 10 * 60_000 };
     /// Low fragmentation goes first.
-    pub const FRAGMENTATION: Self = Self {
-        size_weight: 0.5,
-        move_loss: 0.30,
-        shield_after_ms: 2 * 60_000,
-        large_limit_ms: 4 * 3_600_000,
-    };
+    pub const FRAGMENTATION: Self =
+        Self { size_weight: 0.5, move_loss: 0.30, shield_after_ms: 2 * 60_000 };
 }
