Never show a caller an older state when it moves to another entry

Cause: an accepted sheet is in force once the entry that answers has applied it. A caller that then asks an entry which is behind saw the sheet before: to it, the configuration reverted. The placement's log line said nothing of what was passed over.

Change: answers carry applied-offset; a request with min-offset waits up to 2 s for an entry that is behind and else gets 503 "behind"; the client sends the highest offset it has seen. The line of a placement names up to four older jobs that the round left waiting.

--- a/crates/cuminbarrow/src/api_client.rs
+++ b/crates/cuminbarrow/src/api_client.rs
@@ -1,11 +1,15 @@
 //! Client of the entries' HTTP interface, which goes to another entry when one fails.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cuminbarrow_entry::api_error::ApiError;
 use cuminbarrow_entry::api_error::ErrorOutcome;
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::SubmitBody;
+use cuminbarrow_entry::offset_gate::APPLIED_OFFSET_HEADER;
+use cuminbarrow_entry::offset_gate::MIN_OFFSET_HEADER;
 use cuminbarrow_platform::http_caller::CallError;
 use cuminbarrow_platform::http_caller::CallRequest;
 use cuminbarrow_platform::http_caller::CallResponse;
@@ -22,17 +26,18 @@
 const WAIT_MS: u64 = 25_000;
 
 /// Client of some entries. Every request is idempotent, so that it may go to another entry when
-/// its answer is lost.
+/// its answer is lost. None shows an older state than an earlier answer did.
 pub struct ApiClient {
     callers: Vec<HttpCaller>,
     token: String,
+    seen_offset: AtomicU64,
 }
 
 impl ApiClient {
     /// A client of entries at addresses such as `http://127.0.0.1:7500`.
     pub fn new(entries: &[String], token: impl Into<String>) -> Self {
         let callers = entries.iter().map(HttpCaller::new).collect();
-        Self { callers, token: token.into() }
+        Self { callers, token: token.into(), seen_offset: AtomicU64::new(0) }
     }
 
     /// Gets a resource.
@@ -121,7 +126,10 @@
             let request = self.request(&method, path, body.clone(), headers);
             let error = match caller.call(request, timeout).await {
                 Err(source) => ClientError::Call { source },
-                Ok(response) if response.status.is_success() => return Ok(response),
+                Ok(response) if response.status.is_success() => {
+                    self.note_offset(&response);
+                    return Ok(response);
+                }
                 Ok(response) => refusal(&response),
             };
             if !is_passing(&error) {
@@ -135,6 +143,12 @@
         Err(last.unwrap_or(ClientError::Malformed { reason: "no entry is named".to_owned() }))
     }
 
+    fn note_offset(&self, response: &CallResponse) {
+        let header = response.headers.get(APPLIED_OFFSET_HEADER);
+        let offset = header.and_then(|value| value.to_str().ok()?.parse().ok());
+        self.seen_offset.fetch_max(offset.unwrap_or(0), Ordering::Relaxed);
+    }
+
     fn request(
         &self,
         method: &Method,
@@ -145,6 +159,10 @@
         let mut request =
             CallRequest::get(path).with_header("authorization", format!("Bearer {}", self.token));
         request.method = method.clone();
+        let seen = self.seen_offset.load(Ordering::Relaxed);
+        if seen > 0 {
+            request = request.with_header(MIN_OFFSET_HEADER, seen.to_string());
+        }
         for (name, value) in headers {
             request = request.with_header(name, value.clone());
         }
--- a/crates/cuminbarrow/tests/integration/region_reader.rs
+++ b/crates/cuminbarrow/tests/integration/region_reader.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use cuminbarrow_entry::api_error::ApiError;
 use cuminbarrow_entry::api_types::InstanceView;
 use cuminbarrow_entry::api_types::SheetBody;
 use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
+use cuminbarrow_entry::offset_gate::MIN_OFFSET_HEADER;
 use cuminbarrow_model::sheet::Sheet;
 use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_platform::http_caller::CallRequest;
+use cuminbarrow_platform::http_caller::HttpCaller;
 use cuminbarrow_standin::fault_proxy::ProxyFaults;
 use http::Method;
 use smol_str::SmolStr;
@@ -85,6 +89,34 @@
     wait_for_version(&cluster, FAR + 1, 3).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_moves_to_an_entry_behind_sees_nothing_older() {
+    let mut cluster = ClusterBuilder::new().entries(1).far_entries(1).start().await;
+    apply(&cluster, 1).await;
+    wait_for_version(&cluster, FAR, 2).await;
+    cluster.region_link.set(ProxyFaults::HALF_OPEN);
+    apply(&cluster, 2).await;
+    let operator = cluster.operator();
+    let view: SheetView = operator.get("/v1/sheet").await.unwrap();
+    assert_eq!(view.version, 3);
+    cluster.entries[0].kill();
+    let shown = operator.get::<SheetView>("/v1/sheet").await;
+    assert!(shown.is_err(), "nothing older is shown: {shown:?}");
+    let far = HttpCaller::new(&cluster.urls()[FAR]);
+    let request = CallRequest::get("/v1/sheet")
+        .with_header("authorization", "Bearer operator")
+        .with_header(MIN_OFFSET_HEADER, "1000000");
+    let refused = far.call(request, Duration::from_secs(10)).await.unwrap();
+    let error: ApiError = serde_json::from_slice(&refused.body).unwrap();
+    assert_eq!((error.kind.as_str(), error.status), ("behind", 503), "{error:?}");
+    cluster.region_link.set(ProxyFaults::default());
+    let view = eventually("the far entry has caught up", async || {
+        operator.get::<SheetView>("/v1/sheet").await.ok()
+    })
+    .await;
+    assert_eq!(view.version, 3);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn one_reader_saves_the_region_link() {
     let shared = bytes_of_changes(ClusterBuilder::new().entries(1).far_entries(4)).await;
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -54,6 +54,7 @@
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_settings::EntrySettings;
 use crate::entry_settings::EntrySettingsError;
+use crate::offset_gate;
 use crate::peer_server;
 use crate::planner_loop;
 use crate::region_log::RegionLog;
@@ -266,6 +267,7 @@
             post(api_sheet::preview_sheet).layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
         )
         .fallback(|| async { ApiError::not_found("the resource") })
+        .layer(middleware::from_fn_with_state(core.clone(), offset_gate::gate))
         .layer(middleware::from_fn(move |request: Request, next: Next| {
             limit_requests(Arc::clone(&permits), request, next)
         }))
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -10,12 +10,14 @@
 use cuminbarrow_ledger::snapshot;
 use cuminbarrow_ledger::state::State as LedgerState;
 use cuminbarrow_model::attempt::Member;
+use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_platform::log_store::LogStore;
 use cuminbarrow_policy::first_fit::FirstFit;
 use cuminbarrow_policy::guaranteed::Guaranteed;
 use cuminbarrow_policy::placement_policy::Decision;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
+use cuminbarrow_policy::placement_policy::WaitNote;
 use cuminbarrow_policy::policy_weights::PolicyWeights;
 use cuminbarrow_protocol::message::PeerRequest;
 use smol_str::SmolStr;
@@ -43,6 +45,9 @@
 /// Time between looks at other entries.
 const MEMBER_LOOK: Duration = Duration::from_secs(2);
 
+/// Jobs passed over that a decision's line names.
+const MAX_PASSED_OVER: usize = 4;
+
 /// The policy that the settings name.
 pub(crate) fn policy_of(settings: &EntrySettings) -> Box<dyn PlacementPolicy> {
     let weights = match settings.goal {
@@ -154,7 +159,7 @@
             let state = self.core.tail.state();
             let plan = self.policy.plan(&state, EntryCore::wall_ms());
             for decision in &plan.decisions {
-                log_decision(&state, decision);
+                log_decision(&state, decision, &plan.waits);
             }
             (state.planner.epoch, plan.decisions)
         };
@@ -307,17 +312,18 @@
 }
 
 /// One line for each decision.
-fn log_decision(state: &LedgerState, decision: &Decision) {
+fn log_decision(state: &LedgerState, decision: &Decision, waits: &[WaitNote]) {
     match decision {
         Decision::Place { attempt, members, reservation, reason } => {
             let reservation = reservation.map(|key| format!(" reservation={key}"));
             log::info!(
-                "placement: job={} attempt={} members={} reason={reason:?}{} pending={}",
+                "placement: job={} attempt={} members={} reason={reason:?}{} pending={} passed_over={}",
                 attempt.job,
                 attempt.attempt,
                 describe_members(state, members),
                 reservation.unwrap_or_default(),
                 state.pending.len(),
+                passed_over(attempt.job, waits),
             );
         }
         Decision::Preempt { job, reservation, victims } => {
@@ -332,6 +338,18 @@
     }
 }
 
+/// Older jobs that the round left waiting, with why.
+fn passed_over(placed: JobKey, waits: &[WaitNote]) -> String {
+    let older: Vec<&WaitNote> = waits.iter().filter(|note| note.job < placed).collect();
+    let shown = older.iter().take(MAX_PASSED_OVER);
+    let mut parts: Vec<String> =
+        shown.map(|note| format!("{}:{:?}", note.job, note.reason)).collect();
+    if older.len() > MAX_PASSED_OVER {
+        parts.push(format!("+{}", older.len() - MAX_PASSED_OVER));
+    }
+    if parts.is_empty() { "none".to_owned() } else { parts.join(",") }
+}
+
 fn describe_members(state: &LedgerState, members: &[Member]) -> String {
     let mut counts: BTreeMap<SmolStr, usize> = BTreeMap::new();
     for member in members {
--- a/crates/platform/src/http_caller.rs
+++ b/crates/platform/src/http_caller.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -98,6 +99,8 @@
 pub struct CallResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -151,10 +154,11 @@
             Ok(response) => response,
         };
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await
             .context(InterruptedSnafu { url })?;
-        Ok(CallResponse { status, body: body.to_bytes() })
+        Ok(CallResponse { status, headers, body: body.to_bytes() })
     }
 }
