Give the member's side of the gang table a module

Change: go, lease, ends of tasks and reports to the lead are in member_side.rs.

Conclusion: no change of behaviour.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod gang_timing;
 mod lead_side;
 mod member_machine;
+mod member_side;
 mod renewal_watch;
 mod task_runner;
