Let explain name the shape and the larger job that a job waits behind

Cause: explain said that room is kept for a larger job, not for which, and left out the shape that finds no room.

Change: a plan names the job under the shield; explain shows the job's shape and the larger job with its shape. A test of the shield: the large job gets the room kept for it, the small one is told why it waits.

Conclusion: explain answers what blocks a job.

--- a/crates/cuminbarrow/benches/processes.rs
+++ b/crates/cuminbarrow/benches/processes.rs
@@ -87,7 +87,7 @@
             }
         }
         if runs("region") {
-            for far_entries in [2, 4] {
+            for far_entries in [2, 4, 6] {
                 let builder = || ClusterBuilder::new().far_entries(far_entries);
                 region(builder(), far_entries, "one reader").await;
                 region(builder().without_region_reader(), far_entries, "no reader").await;
--- a/crates/cuminbarrow/src/command_explain.rs
+++ b/crates/cuminbarrow/src/command_explain.rs
@@ -39,6 +39,7 @@
 pub fn explain_text(view: &ExplainView) -> String {
     let mut text = job_table(std::slice::from_ref(&view.job));
     text.push('\n');
+    text.push_str(&format!("shape             {}\n", view.shape));
     if let Some(position) = view.queue_position {
         text.push_str(&format!("queue position    {position}\n"));
     }
--- a/crates/cuminbarrow/tests/integration/operator_commands.rs
+++ b/crates/cuminbarrow/tests/integration/operator_commands.rs
@@ -66,6 +66,7 @@
             JOB  TEAM    KEY    PHASE    ATTEMPTS  WORKERS  REASON
             3    museum  waits  Pending  0
 
+            shape             6x(8 accelerators, 1 cores, 1 GiB)/data_centre
             queue position    1
             explanation       no span has room for its shape
 
--- a/crates/entry/src/api_explain.rs
+++ b/crates/entry/src/api_explain.rs
@@ -7,9 +7,12 @@
 use cuminbarrow_ledger::state::State as LedgerState;
 use cuminbarrow_ledger::worker_state::WorkerState;
 use cuminbarrow_ledger::worker_state::WorkerStatus;
+use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_model::resources::Resources;
+use cuminbarrow_policy::placement_policy::WaitReason;
 use smol_str::SmolStr;
+use smol_str::ToSmolStr;
 use smol_str::format_smolstr;
 
 use crate::access::CallerIdentity;
@@ -42,7 +45,7 @@
             let note = plan.waits.iter().find(|note| note.job == key);
             note.map_or_else(
                 || "the next round looks at it or places it".to_owned(),
-                |note| note.reason.to_string(),
+                |note| wait_text(&state, note.reason, plan.shielded),
             )
         }
     };
@@ -53,6 +56,7 @@
         job: JobView::new(&state, key, job),
         queue_position: queue_position.map(|position| position + 1),
         explanation,
+        shape: job.spec.shape.to_smolstr(),
         reservation: reservation.map(|held| held.guarantee.clone()),
         failed_workers: job.failed_workers.iter().map(|key| name_of(&state, *key)).collect(),
         past: past_attempts(&state, job),
@@ -60,6 +64,18 @@
     }))
 }
 
+/// Why the job waits, with the larger job that it waits behind.
+fn wait_text(state: &LedgerState, reason: WaitReason, shielded: Option<JobKey>) -> String {
+    let larger = shielded.and_then(|key| state.jobs.get(&key));
+    match (reason, larger) {
+        (WaitReason::BehindLargeJob, Some(larger)) => {
+            let team = state.team_name(larger.team);
+            format!("{reason}: {team}/{} of {}", larger.name, larger.spec.shape)
+        }
+        _ => reason.to_string(),
+    }
+}
+
 fn name_of(state: &LedgerState, key: WorkerKey) -> SmolStr {
     state.worker(key).map(|worker| worker.spec.name.clone()).unwrap_or_default()
 }
--- a/crates/entry/src/api_types.rs
+++ b/crates/entry/src/api_types.rs
@@ -366,6 +366,8 @@
     pub queue_position: Option<usize>,
     /// Why it waits, or what the next round would do with it.
     pub explanation: String,
+    /// Its shape.
+    pub shape: SmolStr,
     /// Guarantee whose reservation it uses.
     pub reservation: Option<SmolStr>,
     /// Workers on which it failed.
--- a/crates/policy/src/guaranteed.rs
+++ b/crates/policy/src/guaranteed.rs
@@ -94,6 +94,7 @@
             plan: Plan::default(),
         };
         planner.run();
+        planner.plan.shielded = self.shield.as_ref().map(|shield| shield.job);
         planner.plan
     }
 }
--- a/crates/policy/src/placement_policy.rs
+++ b/crates/policy/src/placement_policy.rs
@@ -111,6 +111,8 @@
     pub decisions: Vec<Decision>,
     /// Jobs that were looked at and wait.
     pub waits: Vec<WaitNote>,
+    /// The large job for which room is kept.
+    pub shielded: Option<JobKey>,
 }
 
 impl Plan {
--- a/crates/policy/tests/fault_bench/mod.rs
+++ b/crates/policy/tests/fault_bench/mod.rs
@@ -27,6 +27,7 @@
 use cuminbarrow_policy::guaranteed::Guaranteed;
 use cuminbarrow_policy::placement_policy::Decision;
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
+use cuminbarrow_policy::placement_policy::Plan;
 use cuminbarrow_policy::policy_weights::PolicyWeights;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -96,9 +97,14 @@
         }
     }
 
+    /// Plans a round, without putting it in the log.
+    pub(crate) fn plan(&mut self) -> Plan {
+        self.policy.plan(&self.state, self.now_ms)
+    }
+
     /// Plans a round and puts it in the log; gives the decisions.
     pub(crate) fn round(&mut self) -> Vec<Decision> {
-        let decisions = self.policy.plan(&self.state, self.now_ms).decisions;
+        let decisions = self.plan().decisions;
         let records = decisions.iter().cloned().map(|d| d.into_record(self.epoch)).collect();
         let report = self.apply(records);
         assert!(report.results.iter().all(Result::is_ok), "{:?}", report.results);
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -11,6 +11,7 @@
 use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_policy::placement_policy::Decision;
+use cuminbarrow_policy::placement_policy::WaitReason;
 
 use crate::fault_bench::BORROWER;
 use crate::fault_bench::FaultBench;
@@ -268,3 +269,24 @@
     bench.run();
     assert!(bench.job(job).placement().is_some());
 }
+
+#[test]
+fn waiting_behind_a_large_job_names_it() {
+    let mut bench = FaultBench::new(1, 0);
+    let long = JobSpec { declared_run_ms: 40 * RUN_MS, ..spec(1, 8) };
+    let first = bench.submit(BORROWER, long.clone());
+    let second = bench.submit(BORROWER, long);
+    bench.run();
+    let large = bench.submit(OWNER, spec(3, 8));
+    bench.now_ms += 11 * RUN_MS;
+    let small = bench.submit(BORROWER, JobSpec { declared_run_ms: 100 * RUN_MS, ..spec(1, 4) });
+    let plan = bench.plan();
+    assert_eq!(plan.shielded, Some(large));
+    let note = plan.waits.iter().find(|note| note.job == small).unwrap();
+    assert_eq!(note.reason, WaitReason::BehindLargeJob);
+    bench.complete(first);
+    bench.complete(second);
+    bench.run();
+    assert!(bench.job(large).placement().is_some(), "it gets the room kept for it");
+    assert!(bench.job(small).placement().is_none());
+}
