--- a/crates/cuminbarrow/tests/integration/sheet_in_force.rs
+++ b/crates/cuminbarrow/tests/integration/sheet_in_force.rs
@@ -5,10 +5,12 @@
 use cuminbarrow::client_error::ClientError;
 use cuminbarrow_entry::api_error::ErrorOutcome;
 use cuminbarrow_entry::api_types::InstanceView;
+use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
 use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_model::sheet::Sheet;
+use cuminbarrow_model::sheet::SheetJob;
 use cuminbarrow_model::team::TeamSpec;
 use cuminbarrow_standin::log_service::LogFaults;
 use http::Method;
@@ -18,6 +20,8 @@
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::TEAM;
+use crate::cluster_builder::body;
+use crate::cluster_builder::ended;
 use crate::cluster_builder::eventually;
 
 /// Operators that apply a sheet at once.
@@ -189,3 +193,48 @@
         assert_eq!(view.version, 121, "nothing reverts");
     }
 }
+
+/// A sheet of two standing jobs for a day: one ends at once, one runs on.
+fn sheet_of_day(day: &str, base: u64, max_pending: u32) -> SheetBody {
+    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
+    let job = |name: &str, payload: String| SheetJob {
+        team: SmolStr::new(TEAM),
+        key: format_smolstr!("{name}@{day}"),
+        spec: body(1, 4, &payload).job,
+    };
+    let jobs = vec![
+        job("short", format!("run_ms=50,short-{day}")),
+        job("long", format!("run_ms=4000,long-{day}")),
+    ];
+    SheetBody { sheet: Sheet { base, teams: vec![team], jobs }, allow_removals: false }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn standing_jobs_run_once_for_each_day() {
+    let cluster = ClusterBuilder::new().start().await;
+    let (client, caller) = (cluster.operator(), cluster.caller());
+    apply(&client, &sheet_of_day("2026-12-04", 1, 5_000)).await.unwrap();
+    ended(&caller, "short@2026-12-04").await;
+    cluster.wait_for_phase("long@2026-12-04", PhaseName::Running).await;
+    let again = apply(&client, &sheet_of_day("2026-12-04", 2, 5_000)).await.unwrap();
+    assert_eq!(again.version, 2, "yesterday's file sent again changes nothing");
+    let changed = apply(&client, &sheet_of_day("2026-12-04", 2, 4_000)).await.unwrap();
+    assert_eq!(changed.version, 3, "a change beside the jobs leaves them as they are");
+    let next = apply(&client, &sheet_of_day("2026-12-05", 3, 4_000)).await.unwrap();
+    assert_eq!(next.version, 4);
+    for day in ["2026-12-04", "2026-12-05"] {
+        for name in ["short", "long"] {
+            let view = ended(&caller, &format!("{name}@{day}")).await;
+            assert_eq!((view.phase, view.attempts), (PhaseName::Completed, 1), "{view:?}");
+        }
+    }
+    let mut ran: Vec<_> = cluster.spans().await.into_iter().map(|span| span.payload).collect();
+    ran.sort();
+    let wanted = [
+        "run_ms=4000,long-2026-12-04",
+        "run_ms=4000,long-2026-12-05",
+        "run_ms=50,short-2026-12-04",
+        "run_ms=50,short-2026-12-05",
+    ];
+    assert_eq!(ran, wanted, "each job once for each day");
+}
