Let only known callers wait for an entry that is behind

Cause: min-offset was looked at before the token, so a stranger could hold a request for 2 s.

Change: a request without a known token is refused at once; the reading of the token stands in one place.

Figures: the test's stranger gets 401.

Conclusion: waits cost only those who may ask.

--- a/crates/cuminbarrow/tests/integration/region_reader.rs
+++ b/crates/cuminbarrow/tests/integration/region_reader.rs
@@ -109,6 +109,9 @@
     let refused = far.call(request, Duration::from_secs(10)).await.unwrap();
     let error: ApiError = serde_json::from_slice(&refused.body).unwrap();
     assert_eq!((error.kind.as_str(), error.status), ("behind", 503), "{error:?}");
+    let stranger = CallRequest::get("/v1/sheet").with_header(MIN_OFFSET_HEADER, "1000000");
+    let refused = far.call(stranger, Duration::from_secs(10)).await.unwrap();
+    assert_eq!(refused.status.as_u16(), 401, "a stranger's request does not wait");
     cluster.region_link.set(ProxyFaults::default());
     let view = eventually("the far entry has caught up", async || {
         operator.get::<SheetView>("/v1/sheet").await.ok()
--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -5,6 +5,8 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use axum::http::HeaderMap;
+use axum::http::header::AUTHORIZATION;
 use cuminbarrow_model::digest::Digest;
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
@@ -64,6 +66,12 @@
         Ok(Self { tokens })
     }
 
+    /// Who sent a request with these headers, if its token is known.
+    pub(crate) fn bearer(&self, headers: &HeaderMap) -> Option<CallerIdentity> {
+        let header = headers.get(AUTHORIZATION)?.to_str().ok()?;
+        self.identify(header.strip_prefix("Bearer ")?)
+    }
+
     /// Whose token it is; every known token is compared, each in constant time.
     pub fn identify(&self, token: &str) -> Option<CallerIdentity> {
         let digest = Digest::of(token.as_bytes());
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -301,10 +301,7 @@
         if let Some(reason) = core.unready_reason().filter(|_| !core.is_closing()) {
             return Err(ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", reason));
         }
-        let header = parts.headers.get("authorization").and_then(|value| value.to_str().ok());
-        let token = header.and_then(|value| value.strip_prefix("Bearer "));
-        let identity = token.and_then(|token| core.tokens.identify(token));
-        identity.ok_or_else(|| {
+        core.tokens.bearer(&parts.headers).ok_or_else(|| {
             let detail = "a known token is needed: Authorization: Bearer TOKEN";
             ApiError::not_run(StatusCode::UNAUTHORIZED, "unauthorized", detail)
         })
--- a/crates/entry/src/offset_gate.rs
+++ b/crates/entry/src/offset_gate.rs
@@ -29,6 +29,7 @@
     let admitted = match wanted_offset(&request) {
         Err(error) => Err(error),
         Ok(None) => Ok(()),
+        Ok(Some(_)) if core.tokens.bearer(request.headers()).is_none() => Ok(()),
         Ok(Some(wanted)) => wait_for_offset(&core, wanted).await,
     };
     if let Err(error) = admitted {
