--- a/crates/cuminbarrow/benches/deployment.rs
+++ b/crates/cuminbarrow/benches/deployment.rs
@@ -49,7 +49,9 @@
             }
         }
         if runs("gang") {
-            gang_lead().await?;
+            for members in [16, 32, 64] {
+                gang_lead(members).await?;
+            }
         }
         if runs("config") {
             for agents in [6, 60, 300] {
@@ -210,26 +212,30 @@
 }
 
 /// Link bytes of all agents while one gang of 64 runs over 64 workers.
-async fn gang_lead() -> Result<(), Failure> {
+async fn gang_lead(members: u8) -> Result<(), Failure> {
     let capacity = Resources { cores: 4, memory_gib: 4, accelerators: 1, slots: 1, connections: 4 };
-    let cluster = deployment(64, capacity).await?;
+    let cluster = deployment(usize::from(members), capacity).await?;
     let client = cluster.client();
     let began = Instant::now();
-    client.submit("gang", &job(64, 1, 40_000)).await?;
+    client.submit("gang", &job(members, 1, 40_000)).await?;
     let path = cuminbarrow::api_client::job_path(TEAM, "gang");
     while client.get::<JobView>(&path).await?.phase
         != cuminbarrow_entry::api_types::PhaseName::Running
     {
         sleep(Duration::from_millis(20)).await;
     }
-    println!("gang: 64 members over 64 workers, submission to running: {:?}", began.elapsed());
+    println!(
+        "gang: {members} members over {members} workers, submission to running: {:.1} ms",
+        began.elapsed().as_secs_f64() * 1e3
+    );
     sleep(Duration::from_secs(3)).await;
     let before = cluster.gang_bytes();
     sleep(IDLE).await;
     let rate = (cluster.gang_bytes() - before) as f64 / IDLE.as_secs_f64();
     println!(
-        "gang: all agents' links {rate:.0} B/s; the lead's share, one end of each of 63 pairs: \
-         about {:.0} B/s",
+        "gang: {members} members: all agents' links {rate:.0} B/s; the lead's share, one end of \
+         each of {} pairs: about {:.0} B/s",
+        members - 1,
         rate / 2.0
     );
     cluster.close().await;
