Watch the renewals of every gang on a worker, not of the last one

A gang's renewal named only its own tasks, and the watch forgot all others, so with two gangs on one worker each renewal reset the other's time: a worker that stopped answering ended neither.

Change: the watch forgets a task when its end or refusal is known, not when another gang renews.

Figures: the new test, two jobs on one paused worker, waited 30 s in vain before and passes after; the test of one gang passes as before.

Conclusion: the earlier test had one gang on the worker and could not see it.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -189,8 +189,12 @@
             None => {}
             Some(AgentEvent::Entry(message)) => self.handle_entry(message, now_ms),
             Some(AgentEvent::Gang(message)) => self.table.receive(message, now_ms),
-            Some(AgentEvent::TaskEnded(report)) => self.table.task_ended(&report, now_ms),
+            Some(AgentEvent::TaskEnded(report)) => {
+                self.renewals.forget(&report.task);
+                self.table.task_ended(&report, now_ms);
+            }
             Some(AgentEvent::TaskRefused { task, reason }) => {
+                self.renewals.forget(&task);
                 self.table.task_refused(&task, &reason, now_ms);
             }
         }
--- a/crates/agent/src/renewal_watch.rs
+++ b/crates/agent/src/renewal_watch.rs
@@ -20,11 +20,10 @@
 }
 
 impl RenewalWatch {
-    /// Notes the tasks that run now; a new one counts as renewed.
+    /// Notes tasks that run; a new one counts as renewed.
     pub(crate) fn begin(&self, tasks: &[SmolStr]) {
         let now = Instant::now();
         let mut renewed = self.lock();
-        renewed.retain(|task, _| tasks.contains(task));
         for task in tasks {
             renewed.entry(task.clone()).or_insert(now);
         }
@@ -40,6 +39,11 @@
         }
     }
 
+    /// Notes that a task is over.
+    pub(crate) fn forget(&self, task: &SmolStr) {
+        self.lock().remove(task);
+    }
+
     /// Takes the tasks whose lease has surely lapsed at the worker.
     pub(crate) fn take_lapsed(&self, lease: Duration) -> Vec<SmolStr> {
         let mut renewed = self.lock();
--- a/crates/cuminbarrow/tests/integration/gang_failures.rs
+++ b/crates/cuminbarrow/tests/integration/gang_failures.rs
@@ -86,6 +86,26 @@
     assert_ends_together(&spans, payload);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_worker_ends_each_of_its_gangs() {
+    let cluster = ClusterBuilder::new().start().await;
+    let mut workers = Vec::new();
+    for key in ["one", "two"] {
+        let payload = format!("run_ms=20000,{key}");
+        cluster.caller().submit(key, &once(body(1, 4, &payload))).await.unwrap();
+        let view = cluster.wait_for_phase(key, PhaseName::Running).await;
+        workers.push(view.members[0].worker.clone());
+    }
+    assert_eq!(workers[0], workers[1], "both run on one worker");
+    eventually("two tasks run", async || (cluster.spans().await.len() == 2).then_some(())).await;
+    let paused = WorkerFaults { is_paused: true, ..WorkerFaults::default() };
+    cluster.set_worker_faults(&workers[0], paused).await;
+    for key in ["one", "two"] {
+        let view = ended(&cluster.caller(), key).await;
+        assert_eq!(view.phase, PhaseName::MayHaveRun, "{view:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_lead_ends_the_gang_within_a_lease() {
     let mut cluster = ClusterBuilder::new().start().await;
