Use one way to put a sheet in force, and drop what was done twice

Change: ApiClient::apply_sheet, plain_sheet in the tests' builder, team_cells, one ANY_SHARE_PERMILLE; one application for a preview that is not refused; explain reads the state in place; a join waits for the next batch; MemberWatch has a module of its own. No assertion of a test is changed.

Conclusion: no change of behaviour.

--- a/crates/cuminbarrow/benches/deployment.rs
+++ b/crates/cuminbarrow/benches/deployment.rs
@@ -13,7 +13,6 @@
 use cuminbarrow::demo_cluster::DemoCluster;
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::SheetBody;
-use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::api_types::SubmitBody;
 use cuminbarrow_model::job::JobSpec;
@@ -23,7 +22,6 @@
 use cuminbarrow_model::sheet::Sheet;
 use cuminbarrow_model::team::TeamSpec;
 use cuminbarrow_standin::log_service::LogFaults;
-use http::Method;
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -70,7 +68,7 @@
     let client = cluster.client();
     wait_for_workers(&client, agents).await?;
     let body = SheetBody { sheet: sheet(0, 100_000), allow_removals: false };
-    let _: SheetView = client.send(Method::PUT, "/v1/sheet", &body).await?;
+    client.apply_sheet(&body).await?;
     Ok(cluster)
 }
 
@@ -259,7 +257,7 @@
         let began = Instant::now();
         let limit = 100_000 + u32::try_from(base)?;
         let body = SheetBody { sheet: sheet(base, limit), allow_removals: false };
-        let view: SheetView = client.send(Method::PUT, "/v1/sheet", &body).await?;
+        let view = client.apply_sheet(&body).await?;
         for other in &clients {
             while other.get::<StatusView>("/v1/status").await?.sheet_version < view.version {
                 sleep(Duration::from_millis(1)).await;
--- a/crates/cuminbarrow/benches/processes.rs
+++ b/crates/cuminbarrow/benches/processes.rs
@@ -22,7 +22,6 @@
 use cuminbarrow_agent::agent_daemon;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
-use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_model::shape::Shape;
@@ -37,7 +36,6 @@
 use cuminbarrow_protocol::message::PeerResponse;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_standin::worker_fleet::WorkerFleet;
-use http::Method;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -46,6 +44,7 @@
 use crate::cluster_builder::Process;
 use crate::cluster_builder::TEAM;
 use crate::cluster_builder::body;
+use crate::cluster_builder::plain_sheet;
 
 /// Time over which processor time is counted.
 const IDLE: Duration = Duration::from_secs(20);
@@ -98,12 +97,9 @@
 
 /// Puts another sheet in force and waits until every entry has it; gives the time in ms.
 async fn change(cluster: &Cluster, base: u64) -> f64 {
-    let max_pending = 5_000 + u32::try_from(base).unwrap();
-    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
-    let sheet = Sheet { base, teams: vec![team], jobs: Vec::new() };
-    let body = SheetBody { sheet, allow_removals: false };
+    let body = plain_sheet(base, 5_000 + u32::try_from(base).unwrap());
     let began = Instant::now();
-    let view: SheetView = cluster.operator().send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    let view = cluster.operator().apply_sheet(&body).await.unwrap();
     for entry in 0..cluster.entries.len() {
         let client = cluster.client_of(entry, "operator");
         while client.get::<StatusView>("/v1/status").await.unwrap().sheet_version < view.version {
@@ -208,8 +204,7 @@
     teams.push(TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending: 1 });
     let sheet = Sheet { base: 1, teams, jobs: Vec::new() };
     let body = SheetBody { sheet, allow_removals: true };
-    let result = cluster.operator().send::<_, SheetView>(Method::PUT, "/v1/sheet", &body).await;
-    result.unwrap();
+    cluster.operator().apply_sheet(&body).await.unwrap();
 }
 
 fn shape(members: u8, cores: u16, accelerators: u8) -> Shape {
--- a/crates/cuminbarrow/src/api_client.rs
+++ b/crates/cuminbarrow/src/api_client.rs
@@ -7,6 +7,8 @@
 use cuminbarrow_entry::api_error::ApiError;
 use cuminbarrow_entry::api_error::ErrorOutcome;
 use cuminbarrow_entry::api_types::JobView;
+use cuminbarrow_entry::api_types::SheetBody;
+use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::SubmitBody;
 use cuminbarrow_entry::offset_gate::APPLIED_OFFSET_HEADER;
 use cuminbarrow_entry::offset_gate::MIN_OFFSET_HEADER;
@@ -90,6 +92,14 @@
         read_json(&self.call(Method::POST, "/v1/jobs", body, &headers, CALL_TIMEOUT).await?)
     }
 
+    /// Puts a sheet in force.
+    ///
+    /// # Errors
+    /// [`ClientError`] when it is refused.
+    pub async fn apply_sheet(&self, body: &SheetBody) -> Result<SheetView, ClientError> {
+        self.send(Method::PUT, "/v1/sheet", body).await
+    }
+
     /// Waits once for a job, up to half a minute.
     ///
     /// # Errors
--- a/crates/cuminbarrow/src/command_demo.rs
+++ b/crates/cuminbarrow/src/command_demo.rs
@@ -6,7 +6,6 @@
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
-use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::api_types::SubmitBody;
 use cuminbarrow_model::job::JobSpec;
@@ -14,7 +13,6 @@
 use cuminbarrow_model::shape::Shape;
 use cuminbarrow_model::shape::Span;
 use cuminbarrow_sheet::sheet_parser;
-use http::Method;
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -83,7 +81,7 @@
         .map_err(|issues| ClientError::SheetInvalid { count: issues.len() })?;
     let (teams, jobs) = (parsed.sheet.teams.len(), parsed.sheet.jobs.len());
     let body = SheetBody { sheet: parsed.sheet, allow_removals: false };
-    let view: SheetView = client.send(Method::PUT, "/v1/sheet", &body).await?;
+    let view = client.apply_sheet(&body).await?;
     println!("sheet version {} is in force: {teams} teams, {jobs} standing jobs\n", view.version);
     Ok(())
 }
--- a/crates/cuminbarrow/src/command_report.rs
+++ b/crates/cuminbarrow/src/command_report.rs
@@ -39,7 +39,7 @@
 
 /// The report for people.
 pub fn report_text(report: &ReportView) -> String {
-    let rows: Vec<[String; 11]> = report.teams.iter().map(team_row).collect();
+    let rows: Vec<[String; 11]> = report.teams.iter().map(|team| team_cells(team, 2)).collect();
     let header = [
         "TEAM",
         "PROMISED",
@@ -66,14 +66,15 @@
     text
 }
 
-fn team_row(team: &TeamReport) -> [String; 11] {
+/// A team's figures, hours with some decimals.
+pub(crate) fn team_cells(team: &TeamReport, decimals: usize) -> [String; 11] {
     [
         team.team.to_string(),
         team.promised.to_string(),
         team.holding.to_string(),
-        format!("{:.2}", team.used_hours),
-        format!("{:.2}", team.borrowed_hours),
-        format!("{:.2}", team.lent_hours),
+        format!("{:.decimals$}", team.used_hours),
+        format!("{:.decimals$}", team.borrowed_hours),
+        format!("{:.decimals$}", team.lent_hours),
         team.reclaims.to_string(),
         team.preempted.to_string(),
         team.completed.to_string(),
--- a/crates/cuminbarrow/src/command_sheet.rs
+++ b/crates/cuminbarrow/src/command_sheet.rs
@@ -181,7 +181,7 @@
     let began = Instant::now();
     let body = SheetBody { sheet: parsed.sheet, allow_removals };
     let client = options.client()?;
-    let view: SheetView = client.send(http::Method::PUT, "/v1/sheet", &body).await?;
+    let view = client.apply_sheet(&body).await?;
     let instances = wait_until_in_force(&client, view.version, began).await?;
     let in_force_on = instances.iter().filter(|instance| has_version(instance, view.version));
     let output = ApplyOutput {
--- a/crates/cuminbarrow/src/report_page.rs
+++ b/crates/cuminbarrow/src/report_page.rs
@@ -6,6 +6,7 @@
 
 use crate::client_error::ClientError;
 use crate::command_audit::time_text;
+use crate::command_report::team_cells;
 
 /// Size of a plot, in pixels.
 const PLOT_SIZE: (u32, u32) = (900, 320);
@@ -42,21 +43,8 @@
 }
 
 fn team_row(team: &TeamReport) -> String {
-    format!(
-        "<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.1}</td><td>{:.1}</td><td>{:.1}</td>\
-         <td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>\n",
-        escape(&team.team),
-        team.promised,
-        team.holding,
-        team.used_hours,
-        team.borrowed_hours,
-        team.lent_hours,
-        team.reclaims,
-        team.preempted,
-        team.completed,
-        team.late,
-        team.not_completed
-    )
+    let cells = team_cells(team, 1).map(|cell| format!("<td>{}</td>", escape(&cell)));
+    format!("<tr>{}</tr>\n", cells.concat())
 }
 
 fn escape(text: &str) -> String {
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -15,7 +15,6 @@
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
-use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::api_types::SubmitBody;
 use cuminbarrow_model::digest::Digest;
@@ -31,7 +30,6 @@
 use cuminbarrow_standin::log_service::LogFaults;
 use cuminbarrow_standin::worker_fleet::TaskSpan;
 use cuminbarrow_standin::worker_fleet::WorkerFaults;
-use http::Method;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -323,15 +321,8 @@
     }
 
     async fn apply_first_sheet(&self) {
-        let team =
-            TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending: 5_000 };
-        let sheet = Sheet { base: 0, teams: vec![team], jobs: Vec::new() };
-        let body = SheetBody { sheet, allow_removals: false };
-        let view: SheetView = self
-            .operator()
-            .send(Method::PUT, "/v1/sheet", &body)
-            .await
-            .expect("the first sheet is valid");
+        let body = plain_sheet(0, 5_000);
+        let view = self.operator().apply_sheet(&body).await.expect("the first sheet is valid");
         assert_eq!(view.version, 1);
     }
 
@@ -439,6 +430,13 @@
     }
 }
 
+/// A sheet with the team of the tests alone.
+pub(crate) fn plain_sheet(base: u64, max_pending: u32) -> SheetBody {
+    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
+    let sheet = Sheet { base, teams: vec![team], jobs: Vec::new() };
+    SheetBody { sheet, allow_removals: false }
+}
+
 /// A job of the team.
 pub(crate) fn body(members: u8, accelerators: u8, payload: &str) -> SubmitBody {
     let per_member = Resources { cores: 1, memory_gib: 1, accelerators, slots: 1, connections: 1 };
--- a/crates/cuminbarrow/tests/integration/region_reader.rs
+++ b/crates/cuminbarrow/tests/integration/region_reader.rs
@@ -4,33 +4,24 @@
 
 use cuminbarrow_entry::api_error::ApiError;
 use cuminbarrow_entry::api_types::InstanceView;
-use cuminbarrow_entry::api_types::SheetBody;
 use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::offset_gate::MIN_OFFSET_HEADER;
-use cuminbarrow_model::sheet::Sheet;
-use cuminbarrow_model::team::TeamSpec;
 use cuminbarrow_platform::http_caller::CallRequest;
 use cuminbarrow_platform::http_caller::HttpCaller;
 use cuminbarrow_standin::fault_proxy::ProxyFaults;
-use http::Method;
-use smol_str::SmolStr;
 
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
-use crate::cluster_builder::TEAM;
 use crate::cluster_builder::eventually;
+use crate::cluster_builder::plain_sheet;
 
 /// Index of the first far entry.
 const FAR: usize = 1;
 
 async fn apply(cluster: &Cluster, base: u64) {
-    let max_pending = 5_000 + u32::try_from(base).unwrap();
-    let team = TeamSpec { name: SmolStr::new(TEAM), guarantees: Vec::new(), max_pending };
-    let sheet = Sheet { base, teams: vec![team], jobs: Vec::new() };
-    let body = SheetBody { sheet, allow_removals: false };
-    let near = cluster.client_of(0, "operator");
-    let view: SheetView = near.send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    let body = plain_sheet(base, 5_000 + u32::try_from(base).unwrap());
+    let view = cluster.client_of(0, "operator").apply_sheet(&body).await.unwrap();
     assert_eq!(view.version, base + 1);
 }
 
--- a/crates/cuminbarrow/tests/integration/sheet_in_force.rs
+++ b/crates/cuminbarrow/tests/integration/sheet_in_force.rs
@@ -13,7 +13,6 @@
 use cuminbarrow_model::sheet::SheetJob;
 use cuminbarrow_model::team::TeamSpec;
 use cuminbarrow_standin::log_service::LogFaults;
-use http::Method;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -34,13 +33,9 @@
     SheetBody { sheet: Sheet { base, teams, jobs: Vec::new() }, allow_removals: true }
 }
 
-async fn apply(client: &ApiClient, body: &SheetBody) -> Result<SheetView, ClientError> {
-    client.send(Method::PUT, "/v1/sheet", body).await
-}
-
 /// Applies until the answer is certain.
 async fn apply_until_known(client: &ApiClient, body: &SheetBody) -> SheetView {
-    eventually("the sheet's outcome is known", async || apply(client, body).await.ok()).await
+    eventually("the sheet's outcome is known", async || client.apply_sheet(body).await.ok()).await
 }
 
 /// The sheet that each entry has in force.
@@ -79,7 +74,7 @@
     for author in 0..OPERATORS {
         let client = cluster.client_of(author % 2, "operator");
         let body = sheet_of(author, 1);
-        racers.push(tokio::spawn(async move { (author, apply(&client, &body).await) }));
+        racers.push(tokio::spawn(async move { (author, client.apply_sheet(&body).await) }));
     }
     let mut winners = Vec::new();
     for racer in racers {
@@ -125,7 +120,7 @@
     let mut cluster = ClusterBuilder::new().start().await;
     let client = cluster.operator();
     cluster.set_log_faults(LogFaults { is_down: true, ..LogFaults::default() }).await;
-    let error = apply(&client, &sheet_of(1, 1)).await.unwrap_err();
+    let error = client.apply_sheet(&sheet_of(1, 1)).await.unwrap_err();
     let ClientError::Refused { error } = error else { panic!("{error}") };
     assert_eq!(error.outcome, ErrorOutcome::NotRun, "{error:?}");
     for view in sheets(&cluster).await {
@@ -150,14 +145,14 @@
 
 fn client_task(client: ApiClient, body: SheetBody) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
-        let _ = apply(&client, &body).await;
+        let _ = client.apply_sheet(&body).await;
     })
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_started_in_an_outage_takes_the_state_of_a_peer() {
     let mut cluster = ClusterBuilder::new().start().await;
-    apply(&cluster.operator(), &sheet_of(1, 1)).await.unwrap();
+    cluster.operator().apply_sheet(&sheet_of(1, 1)).await.unwrap();
     wait_for_version(&cluster, 2).await;
     cluster.set_log_faults(LogFaults { is_down: true, ..LogFaults::default() }).await;
     cluster.start_entry().await;
@@ -169,7 +164,7 @@
     .await;
     assert!(!status.is_current, "it says that it is cut off: {status:?}");
     assert_eq!((status.workers, status.entries), (6, 2));
-    let refused = apply(&newcomer, &sheet_of(2, 2)).await.unwrap_err();
+    let refused = newcomer.apply_sheet(&sheet_of(2, 2)).await.unwrap_err();
     let ClientError::Refused { error } = refused else { panic!("{refused}") };
     assert_eq!(error.outcome, ErrorOutcome::NotRun, "{error:?}");
     cluster.set_log_faults(LogFaults::default()).await;
@@ -213,14 +208,14 @@
 async fn standing_jobs_run_once_for_each_day() {
     let cluster = ClusterBuilder::new().start().await;
     let (client, caller) = (cluster.operator(), cluster.caller());
-    apply(&client, &sheet_of_day("2026-12-04", 1, 5_000)).await.unwrap();
+    client.apply_sheet(&sheet_of_day("2026-12-04", 1, 5_000)).await.unwrap();
     ended(&caller, "short@2026-12-04").await;
     cluster.wait_for_phase("long@2026-12-04", PhaseName::Running).await;
-    let again = apply(&client, &sheet_of_day("2026-12-04", 2, 5_000)).await.unwrap();
+    let again = client.apply_sheet(&sheet_of_day("2026-12-04", 2, 5_000)).await.unwrap();
     assert_eq!(again.version, 2, "yesterday's file sent again changes nothing");
-    let changed = apply(&client, &sheet_of_day("2026-12-04", 2, 4_000)).await.unwrap();
+    let changed = client.apply_sheet(&sheet_of_day("2026-12-04", 2, 4_000)).await.unwrap();
     assert_eq!(changed.version, 3, "a change beside the jobs leaves them as they are");
-    let next = apply(&client, &sheet_of_day("2026-12-05", 3, 4_000)).await.unwrap();
+    let next = client.apply_sheet(&sheet_of_day("2026-12-05", 3, 4_000)).await.unwrap();
     assert_eq!(next.version, 4);
     for day in ["2026-12-04", "2026-12-05"] {
         for name in ["short", "long"] {
--- a/crates/cuminbarrow/tests/integration/takeover.rs
+++ b/crates/cuminbarrow/tests/integration/takeover.rs
@@ -5,14 +5,12 @@
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
-use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_model::shape::Span;
 use cuminbarrow_model::sheet::Sheet;
 use cuminbarrow_model::team::Guarantee;
 use cuminbarrow_model::team::TeamSpec;
 use cuminbarrow_standin::log_service::LogFaults;
-use http::Method;
 use nix::sys::signal::Signal;
 use smol_str::SmolStr;
 
@@ -37,7 +35,7 @@
     let teams = vec![team(TEAM, vec![guarantee]), team(BORROWER, Vec::new())];
     let sheet = Sheet { base: 1, teams, jobs: Vec::new() };
     let body = SheetBody { sheet, allow_removals: false };
-    let view: SheetView = cluster.operator().send(Method::PUT, "/v1/sheet", &body).await.unwrap();
+    let view = cluster.operator().apply_sheet(&body).await.unwrap();
     assert_eq!(view.version, 2);
 }
 
--- a/crates/entry/src/agent_server.rs
+++ b/crates/entry/src/agent_server.rs
@@ -28,9 +28,6 @@
 /// Wait between tries of a record that must get into the log.
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
-/// Time between looks at whether this entry is announced.
-const ANNOUNCED_LOOK: Duration = Duration::from_millis(50);
-
 type AgentLink = Link<EntryMessage, AgentMessage>;
 
 /// Who is connected.
@@ -71,8 +68,9 @@
 /// Puts the announcement into the log, however long that takes. This entry's own announcement
 /// goes first: the planner takes the worker of an unknown entry for lost.
 async fn join(core: SharedCore, identity: AgentIdentity, joined: oneshot::Sender<WorkerKey>) {
+    let mut offsets = core.tail.offsets();
     while !core.tail.state().entries.contains_key(&core.instance) {
-        tokio::time::sleep(ANNOUNCED_LOOK).await;
+        let _ = offsets.changed().await;
     }
     loop {
         let record = Record::WorkerJoined {
--- a/crates/entry/src/api_explain.rs
+++ b/crates/entry/src/api_explain.rs
@@ -35,7 +35,7 @@
     Path((team, name)): Path<(SmolStr, SmolStr)>,
 ) -> Result<Json<ExplainView>, ApiError> {
     let key = find(&core, &identity, &team, &name)?;
-    let state = core.tail.state().clone();
+    let state = core.tail.state();
     let job = state.jobs.get(&key).ok_or_else(|| ApiError::not_found("the job"))?;
     let queue_position = state.pending.iter().position(|pending| *pending == key);
     let explanation = match queue_position {
--- a/crates/entry/src/api_sheet.rs
+++ b/crates/entry/src/api_sheet.rs
@@ -5,6 +5,7 @@
 use axum::extract::State;
 use cuminbarrow_ledger::apply::Effect;
 use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::sheet_preview::ANY_SHARE_PERMILLE;
 use cuminbarrow_ledger::sheet_preview::SheetPreview;
 use cuminbarrow_ledger::state::AuditEntry;
 
@@ -17,9 +18,6 @@
 use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
 
-/// A sheet that may remove anything.
-const ANY_SHARE_PERMILLE: u16 = 1_000;
-
 pub(crate) async fn apply_sheet(
     State(core): State<SharedCore>,
     identity: CallerIdentity,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entry_daemon;
 mod entry_metrics;
 pub mod entry_settings;
+mod member_watch;
 pub mod offset_gate;
 mod peer_server;
 mod planner_loop;
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -11,7 +11,6 @@
 use cuminbarrow_ledger::state::State as LedgerState;
 use cuminbarrow_model::attempt::Member;
 use cuminbarrow_model::keys::JobKey;
-use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_platform::log_store::LogStore;
 use cuminbarrow_policy::first_fit::FirstFit;
 use cuminbarrow_policy::guaranteed::Guaranteed;
@@ -19,7 +18,6 @@
 use cuminbarrow_policy::placement_policy::PlacementPolicy;
 use cuminbarrow_policy::placement_policy::WaitNote;
 use cuminbarrow_policy::policy_weights::PolicyWeights;
-use cuminbarrow_protocol::message::PeerRequest;
 use smol_str::SmolStr;
 use statig::blocking::IntoStateMachineExt;
 use statig::blocking::StateMachine;
@@ -32,7 +30,7 @@
 use crate::entry_settings::EntrySettings;
 use crate::entry_settings::PolicyGoal;
 use crate::entry_settings::PolicyName;
-use crate::peer_server;
+use crate::member_watch::MemberWatch;
 use crate::planner_role::PlannerRole;
 use crate::planner_role::RoleEvent;
 use crate::planner_role::RoleOrder;
@@ -235,82 +233,6 @@
     }
 }
 
-/// Entries that do not answer, and workers whose entry is gone.
-struct MemberWatch {
-    looked: Instant,
-    silent: BTreeMap<u64, Instant>,
-    orphans: BTreeMap<WorkerKey, (u32, Instant)>,
-}
-
-impl Default for MemberWatch {
-    fn default() -> Self {
-        Self { looked: Instant::now(), silent: BTreeMap::new(), orphans: BTreeMap::new() }
-    }
-}
-
-impl MemberWatch {
-    /// Records of what is lost by now.
-    async fn look(&mut self, core: &SharedCore) -> Vec<Record> {
-        let mut records = self.look_at_entries(core).await;
-        records.extend(self.look_at_workers(core));
-        records
-    }
-
-    async fn look_at_entries(&mut self, core: &SharedCore) -> Vec<Record> {
-        let others: Vec<_> = {
-            let state = core.tail.state();
-            let others = state.entries.iter().filter(|(instance, _)| **instance != core.instance);
-            others.map(|(instance, entry)| (*instance, entry.address)).collect()
-        };
-        self.silent.retain(|instance, _| others.iter().any(|(other, _)| other == instance));
-        let mut records = Vec::new();
-        for (instance, address) in others {
-            if peer_server::ask(&core.dialer, address, PeerRequest::Ping).await.is_ok() {
-                self.silent.remove(&instance);
-                continue;
-            }
-            let since = *self.silent.entry(instance).or_insert_with(Instant::now);
-            if since.elapsed() >= core.session_timeout() {
-                log::warn!("entry {instance} at {address} is lost: no answer to pings");
-                records.push(Record::EntryLeft { instance });
-            }
-        }
-        records
-    }
-
-    /// Workers whose entry is gone. An outage of the log does not count against them, since
-    /// nobody can join another entry in it.
-    fn look_at_workers(&mut self, core: &SharedCore) -> Vec<Record> {
-        if !core.tail.is_current() {
-            self.orphans.clear();
-            return Vec::new();
-        }
-        let state = core.tail.state();
-        let mut orphans = BTreeMap::new();
-        let mut records = Vec::new();
-        for (key, worker) in state.workers() {
-            let is_orphan = worker.is_known()
-                && worker.status != cuminbarrow_ledger::worker_state::WorkerStatus::Lost
-                && !state.entries.contains_key(&worker.entry);
-            if !is_orphan {
-                continue;
-            }
-            let known = self.orphans.get(&key).filter(|(session, _)| *session == worker.session);
-            let since = known.map(|(_, since)| *since).unwrap_or_else(Instant::now);
-            orphans.insert(key, (worker.session, since));
-            if since.elapsed() >= core.session_timeout() {
-                records.push(Record::WorkerLost {
-                    worker: key,
-                    incarnation: worker.incarnation,
-                    session: worker.session,
-                });
-            }
-        }
-        self.orphans = orphans;
-        records
-    }
-}
-
 /// One line for each decision.
 fn log_decision(state: &LedgerState, decision: &Decision, waits: &[WaitNote]) {
     match decision {
--- a/crates/ledger/src/apply_ends.rs
+++ b/crates/ledger/src/apply_ends.rs
@@ -235,10 +235,8 @@
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(placement) = job.placement().cloned() else { return };
         job.note_past(reason, clock_ms);
-        let owner = job.team;
-        self.account_attempt(owner, &placement);
-        let Some(job) = self.jobs.get(&key) else { return };
         let (team, each, is_firm) = (job.team, job.spec.shape.per_member, !job.is_preemptible());
+        self.account_attempt(team, &placement);
         let attempt = AttemptKey { job: key, attempt: placement.attempt };
         for member in &placement.members {
             let Some(worker) = self.worker_mut(member.worker) else { continue };
--- a/crates/ledger/src/sheet_preview.rs
+++ b/crates/ledger/src/sheet_preview.rs
@@ -14,8 +14,8 @@
 use crate::reservation::Reservation;
 use crate::state::State;
 
-/// A sheet that may remove anything.
-const ANY_SHARE_PERMILLE: u16 = 1_000;
+/// Share of teams and guarantees that a sheet may remove when it may remove all, in thousandths.
+pub const ANY_SHARE_PERMILLE: u16 = 1_000;
 
 /// What a sheet would do if it were applied now.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,16 +54,18 @@
     /// What the sheet would do if it were applied now; `max_removed_permille` as in the record.
     pub fn preview_sheet(&self, sheet: &Sheet, max_removed_permille: u16) -> SheetPreview {
         let author = SmolStr::default();
-        let refused = self.clone().sheet_applied(&author, sheet, max_removed_permille).err();
         let mut next = self.clone();
-        let current = Sheet { base: self.sheet.version, ..sheet.clone() };
+        let refusal = next.sheet_applied(&author, sheet, max_removed_permille).err();
         let mut preview = SheetPreview {
             in_force: self.sheet.version,
-            refusal: refused.as_ref().map(ToSmolStr::to_smolstr),
+            refusal: refusal.as_ref().map(ToSmolStr::to_smolstr),
             ..SheetPreview::default()
         };
-        if next.sheet_applied(&author, &current, ANY_SHARE_PERMILLE).is_err() {
-            return preview;
+        if refusal.is_some() {
+            let current = Sheet { base: self.sheet.version, ..sheet.clone() };
+            if next.sheet_applied(&author, &current, ANY_SHARE_PERMILLE).is_err() {
+                return preview;
+            }
         }
         for job in &sheet.jobs {
             let line = smol_str::format_smolstr!("{}/{}", job.team, job.key);
