Sample fragmentation on open workers alone

A sample counted the free room of open workers, but looked for a place on lost and draining ones as well, so room that nobody can take hid fragmentation from the report.

Change: places are looked for on open workers.

Conclusion: the report's samples mean what they say.

--- a/crates/ledger/src/room_sample.rs
+++ b/crates/ledger/src/room_sample.rs
@@ -62,7 +62,8 @@
                 shapes.push(shape);
             }
         }
-        let offer = |key| self.worker(key).map(WorkerState::free_offer);
+        let open = |key| self.worker(key).filter(|worker| worker.is_open());
+        let offer = |key| open(key).map(WorkerState::free_offer);
         !shapes.is_empty() && shapes.iter().all(|shape| pack(&self.racks, shape, offer).is_none())
     }
 }
--- a/crates/policy/tests/faults.rs
+++ b/crates/policy/tests/faults.rs
@@ -5,6 +5,7 @@
 mod fault_bench;
 
 use cuminbarrow_ledger::record::Record;
+use cuminbarrow_ledger::room_sample::SAMPLE_EVERY_MS;
 use cuminbarrow_model::attempt::AttemptEnd;
 use cuminbarrow_model::job::JobOutcome;
 use cuminbarrow_model::job::JobSpec;
@@ -290,3 +291,17 @@
     assert!(bench.job(large).placement().is_some(), "it gets the room kept for it");
     assert!(bench.job(small).placement().is_none());
 }
+
+#[test]
+fn room_on_a_lost_worker_does_not_count_as_usable() {
+    let mut bench = FaultBench::new(1, 0);
+    let filling = [spec(1, 5), spec(1, 5)].map(|spec| bench.submit(BORROWER, spec));
+    bench.run();
+    let used = filling.map(|key| bench.lead(key).0);
+    let idle = (0..3).find(|index| !used.contains(index)).expect("two of three are used");
+    bench.submit(OWNER, spec(1, 6));
+    bench.now_ms += SAMPLE_EVERY_MS;
+    bench.lose(&[idle]);
+    let sample = bench.state.samples.back().unwrap();
+    assert_eq!((sample.free, sample.fragmented), (6, 6), "three and three for a shape of six");
+}
