--- a/crates/agent/src/agent_action.rs
+++ b/crates/agent/src/agent_action.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use cuminbarrow_platform::worker_control::TaskStart;
 use cuminbarrow_protocol::message::AgentMessage;
 use cuminbarrow_protocol::message::GangMessage;
+use cuminbarrow_resources::worker_control::TaskStart;
 use smol_str::SmolStr;
 
 /// What the gang table wants done. Any of these may fail; the table asks again.
--- a/crates/agent/src/member_side.rs
+++ b/crates/agent/src/member_side.rs
@@ -1,11 +1,11 @@
 //! The member's side of the gang table: go, the lease, the tasks' ends, and the reports to the lead.
 
 use cuminbarrow_model::keys::AttemptKey;
-use cuminbarrow_platform::worker_control::TaskEnd;
-use cuminbarrow_platform::worker_control::TaskReport;
 use cuminbarrow_protocol::message::AssignmentPhase;
 use cuminbarrow_protocol::message::GangMessage;
 use cuminbarrow_protocol::message::RenewedAttempt;
+use cuminbarrow_resources::worker_control::TaskEnd;
+use cuminbarrow_resources::worker_control::TaskReport;
 use smol_str::SmolStr;
 
 use crate::agent_action::AgentAction;
--- a/crates/agent/src/task_runner.rs
+++ b/crates/agent/src/task_runner.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cuminbarrow_platform::retry_budget::RetryBudget;
-use cuminbarrow_platform::worker_control::TaskStart;
-use cuminbarrow_platform::worker_control::WorkerControl;
-use cuminbarrow_platform::worker_control::WorkerError;
+use cuminbarrow_resources::retry_budget::RetryBudget;
+use cuminbarrow_resources::worker_control::TaskStart;
+use cuminbarrow_resources::worker_control::WorkerControl;
+use cuminbarrow_resources::worker_control::WorkerError;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
--- a/crates/agent/tests/gang_table.rs
+++ b/crates/agent/tests/gang_table.rs
@@ -14,13 +14,13 @@
 use cuminbarrow_model::keys::AttemptKey;
 use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::WorkerKey;
-use cuminbarrow_platform::worker_control::TaskEnd;
-use cuminbarrow_platform::worker_control::TaskReport;
 use cuminbarrow_protocol::message::AgentMessage;
 use cuminbarrow_protocol::message::Assignment;
 use cuminbarrow_protocol::message::AssignmentPhase;
 use cuminbarrow_protocol::message::GangMessage;
 use cuminbarrow_protocol::message::MemberAddress;
+use cuminbarrow_resources::worker_control::TaskEnd;
+use cuminbarrow_resources::worker_control::TaskReport;
 use smol_str::SmolStr;
 
 const ATTEMPT: AttemptKey = AttemptKey { job: JobKey(1), attempt: 1 };
--- a/crates/cuminbarrow/src/agent_main.rs
+++ b/crates/cuminbarrow/src/agent_main.rs
@@ -5,7 +5,7 @@
 
 use cuminbarrow_agent::agent_daemon;
 use cuminbarrow_agent::agent_settings::AgentSettings;
-use cuminbarrow_platform::http_worker::HttpWorker;
+use cuminbarrow_resources::http_worker::HttpWorker;
 use cuminbarrow_telemetry::log_setup;
 use snafu::ResultExt;
 
--- /dev/null
+++ b/crates/cuminbarrow/src/bin/cuminbarrow-platform-agent.rs
@@ -0,0 +1,7 @@
+//! The agent daemon on the users' platform.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cuminbarrow::platform_main::agent()
+}
--- a/crates/cuminbarrow/src/daemon_error.rs
+++ b/crates/cuminbarrow/src/daemon_error.rs
@@ -6,6 +6,7 @@
 use cuminbarrow_agent::agent_settings::AgentSettingsError;
 use cuminbarrow_entry::entry_daemon::EntryError;
 use cuminbarrow_entry::entry_settings::EntrySettingsError;
+use cuminbarrow_platform::entry_process::ProcessError;
 use cuminbarrow_telemetry::log_setup::LogSetupError;
 use snafu::Snafu;
 
@@ -57,6 +58,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A process on the users' platform failed.
+    #[snafu(display("{source}"))]
+    Platform {
+        /// Cause.
+        source: ProcessError,
+    },
     /// The settings can't be read.
     #[snafu(display("{source}"))]
     Settings {
--- a/crates/cuminbarrow/src/entry_main.rs
+++ b/crates/cuminbarrow/src/entry_main.rs
@@ -6,7 +6,7 @@
 
 use cuminbarrow_entry::entry_daemon;
 use cuminbarrow_entry::entry_settings::EntrySettings;
-use cuminbarrow_platform::http_log::HttpLog;
+use cuminbarrow_resources::http_log::HttpLog;
 use cuminbarrow_telemetry::log_setup;
 use snafu::ResultExt;
 
--- a/crates/cuminbarrow/src/lib.rs
+++ b/crates/cuminbarrow/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod daemon_options;
 pub mod demo_cluster;
 pub mod entry_main;
+pub mod platform_main;
 pub mod report_page;
 pub mod settings_file;
 pub mod shutdown_signal;
--- a/crates/cuminbarrow/src/shutdown_signal.rs
+++ b/crates/cuminbarrow/src/shutdown_signal.rs
@@ -1,6 +1,7 @@
-//! Turns SIGTERM and SIGINT into a shutdown.
+//! Turns SIGTERM and SIGINT into a shutdown, and tells of SIGHUP.
 
 use snafu::ResultExt;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
@@ -27,3 +28,11 @@
     });
     Ok(receiver)
 }
+
+/// Tells of each SIGHUP, which then does not end the process.
+///
+/// # Errors
+/// [`DaemonError::Os`] when signals can't be had.
+pub(crate) fn reload_signal() -> Result<Signal, DaemonError> {
+    signal(SignalKind::hangup()).context(OsSnafu { action: "cannot listen for signals" })
+}
--- a/crates/cuminbarrow/tests/integration/bad_input.rs
+++ b/crates/cuminbarrow/tests/integration/bad_input.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use cuminbarrow_entry::api_types::StatusView;
-use cuminbarrow_platform::http_caller::CallRequest;
-use cuminbarrow_platform::http_caller::HttpCaller;
+use cuminbarrow_resources::http_caller::CallRequest;
+use cuminbarrow_resources::http_caller::HttpCaller;
 use expect_test::expect;
 use http::Method;
 use serde_json::Value;
--- a/crates/cuminbarrow/tests/integration/lost_worker.rs
+++ b/crates/cuminbarrow/tests/integration/lost_worker.rs
@@ -8,9 +8,9 @@
 use cuminbarrow_ledger::codec;
 use cuminbarrow_ledger::record::Record;
 use cuminbarrow_model::keys::WorkerKey;
-use cuminbarrow_platform::http_log::HttpLog;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_resources::http_log::HttpLog;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
 
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
--- a/crates/cuminbarrow/tests/integration/region_reader.rs
+++ b/crates/cuminbarrow/tests/integration/region_reader.rs
@@ -7,8 +7,8 @@
 use cuminbarrow_entry::api_types::SheetView;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::offset_gate::MIN_OFFSET_HEADER;
-use cuminbarrow_platform::http_caller::CallRequest;
-use cuminbarrow_platform::http_caller::HttpCaller;
+use cuminbarrow_resources::http_caller::CallRequest;
+use cuminbarrow_resources::http_caller::HttpCaller;
 use cuminbarrow_standin::fault_proxy::ProxyFaults;
 
 use crate::cluster_builder::Cluster;
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,20 @@
+//! The processes that run task graphs: entries that accept jobs and plan, agents that start tasks.
+//!
+//! Every process is a replica of the log ([`replica`]); there is no other link between them. An
+//! entry appends what callers ask for ([`job_service`]) and, while it holds the planner role, what
+//! is placed where ([`planner_task`]). An agent brings its worker to the state that the log wants
+//! ([`agent_core`]) and reports how runs end. What differs between platforms stands behind traits:
+//! the log ([`cuminbarrow_resources::log_store`]), the worker ([`worker_port`]) and the list of live
+//! agents ([`membership`]).
+
+pub mod agent_core;
+pub mod clock;
+pub mod configuration;
+pub mod confirmed_log;
+pub mod job_service;
+pub mod membership;
+pub mod planner_task;
+pub mod replica;
+pub mod snapshot_keeper;
+pub mod worker_port;
+pub mod worker_watch;
--- /dev/null
+++ b/crates/dispatch/src/replica.rs
@@ -0,0 +1,138 @@
+//! A process's replica of the log: it follows the log, and writes to it.
+
+use std::sync::Arc;
+use std::sync::RwLockReadGuard;
+use std::time::Duration;
+
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::log_tail::BatchObserver;
+use cuminbarrow_ledger::log_tail::LogTail;
+use cuminbarrow_ledger::log_tail::TailError;
+use cuminbarrow_ledger::log_writer::LogWriter;
+use cuminbarrow_ledger::log_writer::Settled;
+use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_taskgraph::graph_state::GraphOutcome;
+use cuminbarrow_taskgraph::graph_state::GraphReport;
+use cuminbarrow_taskgraph::graph_state::GraphState;
+use cuminbarrow_taskgraph::record::GraphRecord;
+use tokio::sync::watch;
+
+use crate::clock::BootClock;
+use crate::clock::wall_ms;
+use crate::confirmed_log::ConfirmedLog;
+
+/// Wait before the log is tried again when no snapshot covers the records that expired. A living
+/// replica writes a snapshot soon after it sees records expire.
+const GAP_WAIT: Duration = Duration::from_millis(500);
+/// Age of the last confirmed read beyond which a replica is not fresh, in ms: two reads of a
+/// second each, and their answers.
+const FRESH_MS: u64 = 2_500;
+
+/// What a process knows of the log, and its way to write to it.
+pub struct Replica {
+    /// Incarnation of this process.
+    pub incarnation: u64,
+    /// Boot-time clock.
+    pub clock: Arc<dyn BootClock>,
+    /// The log.
+    pub log: Arc<ConfirmedLog>,
+    tail: LogTail<GraphState>,
+    writer: LogWriter<GraphState>,
+    applied: watch::Sender<u64>,
+}
+
+impl Replica {
+    /// A replica that has read nothing yet; [`Replica::run`] follows the log.
+    pub fn new(store: Arc<dyn LogStore>, clock: Arc<dyn BootClock>) -> Arc<Self> {
+        let incarnation = rand::random();
+        let log = Arc::new(ConfirmedLog::new(store, Arc::clone(&clock)));
+        let writer = LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms);
+        let applied = watch::Sender::new(0);
+        Arc::new(Self { incarnation, clock, log, tail: LogTail::default(), writer, applied })
+    }
+
+    /// Follows the log for good.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let store = Arc::clone(&self.log) as Arc<dyn LogStore>;
+            let observer = Arc::clone(&self) as Arc<dyn BatchObserver<GraphState>>;
+            match self.tail.run(store, observer).await {
+                error @ TailError::Gap { .. } => {
+                    log::warn!("waiting for a snapshot: {error}");
+                    tokio::time::sleep(GAP_WAIT).await;
+                }
+                error @ TailError::Unreadable { .. } => {
+                    log::error!("this process can't go on: {error}");
+                    std::future::pending::<()>().await;
+                }
+            }
+        }
+    }
+
+    /// The state as applied so far.
+    pub fn state(&self) -> RwLockReadGuard<'_, GraphState> {
+        self.tail.state()
+    }
+
+    /// Tells of each batch that was applied.
+    pub fn applied(&self) -> watch::Receiver<u64> {
+        self.applied.subscribe()
+    }
+
+    /// Oldest offset that the log keeps, as last seen.
+    pub fn oldest(&self) -> u64 {
+        self.tail.oldest()
+    }
+
+    /// Whether the log was read to its end a short while ago.
+    pub fn is_fresh(&self) -> bool {
+        self.log.age_ms().is_some_and(|age_ms| age_ms <= FRESH_MS)
+    }
+
+    /// When the newest read was confirmed that is applied, on the boot-time clock in ms.
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        let read = self.log.latest()?;
+        (self.state().offset >= read.end).then_some(read.at_ms)
+    }
+
+    /// Writes a record and waits, at most `timeout`, until it is applied here.
+    ///
+    /// # Errors
+    /// [`WriteError`] says whether the record is certainly not written.
+    pub async fn write(
+        &self,
+        record: GraphRecord,
+        timeout: Duration,
+    ) -> Result<GraphOutcome, WriteError> {
+        self.writer.write(record, timeout).await.map(|settled| settled.result)
+    }
+
+    /// Writes records that belong together and waits for each.
+    pub async fn write_all(
+        &self,
+        records: Vec<GraphRecord>,
+        timeout: Duration,
+    ) -> Vec<Result<GraphOutcome, WriteError>> {
+        let results = self.writer.write_all(records, timeout).await;
+        let outcome = |settled: Settled<GraphOutcome>| settled.result;
+        results.into_iter().map(|result| result.map(outcome)).collect()
+    }
+}
+
+impl BatchObserver<GraphState> for Replica {
+    fn applied(
+        &self,
+        state: &GraphState,
+        offset: u64,
+        batch: &Batch<GraphRecord>,
+        report: &GraphReport,
+    ) {
+        self.writer.settle(offset, batch, report);
+        self.applied.send_replace(state.offset);
+    }
+
+    fn replaced(&self, state: &GraphState) {
+        self.applied.send_replace(state.offset);
+    }
+}
--- a/crates/entry/src/region_log.rs
+++ b/crates/entry/src/region_log.rs
@@ -10,15 +10,15 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminbarrow_platform::log_store::LogError;
-use cuminbarrow_platform::log_store::LogPage;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
 use cuminbarrow_protocol::link::Link;
 use cuminbarrow_protocol::link::LinkError;
 use cuminbarrow_protocol::link::LinkKind;
 use cuminbarrow_protocol::message::PeerRequest;
 use cuminbarrow_protocol::message::PeerResponse;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
--- a/crates/ledger/src/batch.rs
+++ b/crates/ledger/src/batch.rs
@@ -7,7 +7,7 @@
 
 /// Records that one writer appends at once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Batch {
+pub struct Batch<R = Record> {
     /// Incarnation of the writer.
     pub writer: u64,
     /// Number of the batch, rising by one within the writer.
@@ -15,7 +15,7 @@
     /// The writer's wall clock, in ms since the Unix epoch.
     pub at_ms: u64,
     /// Records, applied in this order.
-    pub records: Vec<Record>,
+    pub records: Vec<R>,
 }
 
 /// Identity of one record: its batch and its place there.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -14,6 +14,7 @@
 mod apply_workers;
 pub mod batch;
 pub mod codec;
+pub mod fold;
 pub mod job_state;
 pub mod log_tail;
 pub mod log_writer;
--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -9,17 +9,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cuminbarrow_platform::log_store::LogError;
-use cuminbarrow_platform::log_store::LogPage;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
 use snafu::Snafu;
 use tokio::sync::watch;
 
-use crate::apply::BatchReport;
 use crate::batch::Batch;
 use crate::codec;
 use crate::codec::CodecError;
+use crate::fold::Fold;
 use crate::snapshot;
 use crate::snapshot::SnapshotError;
 use crate::state::State;
@@ -56,32 +56,44 @@
 }
 
 /// What is told of each batch, in log order, on the tail's own task.
-pub trait BatchObserver: Send + Sync {
+pub trait BatchObserver<F = State>: Send + Sync
+where
+    F: Fold,
+{
     /// A batch was applied; `state` is as of just after it.
-    fn applied(&self, state: &State, offset: u64, batch: &Batch, report: &BatchReport);
+    fn applied(&self, state: &F, offset: u64, batch: &Batch<F::Record>, report: &F::Report);
 
     /// The state was replaced by one from a snapshot or a peer.
-    fn replaced(&self, state: &State);
+    fn replaced(&self, state: &F);
 }
 
 /// A replica of the state.
-pub struct LogTail {
-    state: RwLock<State>,
+pub struct LogTail<F = State>
+where
+    F: Fold,
+{
+    state: RwLock<F>,
     offset: watch::Sender<u64>,
     oldest: AtomicU64,
     is_current: AtomicBool,
 }
 
-impl Default for LogTail {
+impl<F> Default for LogTail<F>
+where
+    F: Fold,
+{
     fn default() -> Self {
-        Self::new(State::default())
+        Self::new(F::default())
     }
 }
 
-impl LogTail {
+impl<F> LogTail<F>
+where
+    F: Fold,
+{
     /// A replica that begins at some state.
-    pub fn new(state: State) -> Self {
-        let offset = watch::Sender::new(state.offset);
+    pub fn new(state: F) -> Self {
+        let offset = watch::Sender::new(state.offset());
         Self {
             state: RwLock::new(state),
             offset,
@@ -91,7 +103,7 @@
     }
 
     /// The state as applied so far.
-    pub fn state(&self) -> RwLockReadGuard<'_, State> {
+    pub fn state(&self) -> RwLockReadGuard<'_, F> {
         self.state.read().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -117,10 +129,10 @@
     pub async fn run(
         &self,
         store: Arc<dyn LogStore>,
-        observer: Arc<dyn BatchObserver>,
+        observer: Arc<dyn BatchObserver<F>>,
     ) -> TailError {
         loop {
-            let from = self.state().offset;
+            let from = self.state().offset();
             let wait_ms = if self.is_current() { READ_WAIT_MS } else { 0 };
             let result = match store.read(LogStream::Records, from, READ_LIMIT, wait_ms).await {
                 Err(LogError::Expired { oldest }) => {
@@ -146,22 +158,22 @@
         }
     }
 
-    fn apply_page(&self, page: &LogPage, observer: &dyn BatchObserver) -> Result<(), TailError> {
+    fn apply_page(&self, page: &LogPage, observer: &dyn BatchObserver<F>) -> Result<(), TailError> {
         self.oldest.store(page.oldest, Ordering::Relaxed);
         for (offset, body) in (page.first..).zip(&page.entries) {
-            let batch: Batch =
+            let batch: Batch<F::Record> =
                 codec::decode(body).map_err(|source| TailError::Unreadable { offset, source })?;
             self.apply_batch(offset, &batch, observer);
         }
-        let is_current = self.state().offset >= page.next;
+        let is_current = self.state().offset() >= page.next;
         self.is_current.store(is_current, Ordering::Release);
         Ok(())
     }
 
-    fn apply_batch(&self, offset: u64, batch: &Batch, observer: &dyn BatchObserver) {
+    fn apply_batch(&self, offset: u64, batch: &Batch<F::Record>, observer: &dyn BatchObserver<F>) {
         let report = {
             let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
-            state.apply(offset, batch)
+            state.apply_batch(offset, batch)
         };
         observer.applied(&self.state(), offset, batch, &report);
         self.offset.send_replace(offset + 1);
@@ -171,18 +183,18 @@
     async fn restore(
         &self,
         store: &dyn LogStore,
-        observer: &dyn BatchObserver,
+        observer: &dyn BatchObserver<F>,
         needed: u64,
         oldest: u64,
     ) -> Result<(), TailError> {
-        match snapshot::read_latest(store).await {
+        match snapshot::read_latest::<F>(store).await {
             Err(SnapshotError::Log { source }) => {
                 self.note_failure(&source);
                 tokio::time::sleep(RETRY_WAIT).await;
                 Ok(())
             }
-            Ok(Some(state)) if state.offset >= oldest && state.offset > needed => {
-                log::info!("restored from the snapshot of offset {}", state.offset);
+            Ok(Some(state)) if state.offset() >= oldest && state.offset() > needed => {
+                log::info!("restored from the snapshot of offset {}", state.offset());
                 self.replace(state);
                 observer.replaced(&self.state());
                 Ok(())
@@ -192,10 +204,10 @@
     }
 
     /// Takes over a state from a snapshot or a peer, when it is newer than the one held.
-    pub fn replace(&self, state: State) {
+    pub fn replace(&self, state: F) {
         let mut held = self.state.write().unwrap_or_else(PoisonError::into_inner);
-        if state.offset > held.offset {
-            self.offset.send_replace(state.offset);
+        if state.offset() > held.offset() {
+            self.offset.send_replace(state.offset());
             *held = state;
         }
     }
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -16,27 +16,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminbarrow_platform::log_store::LogError;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
 use rand::RngExt;
 use snafu::Snafu;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::apply::BatchReport;
 use crate::apply::Effect;
 use crate::batch::Batch;
 use crate::batch::RecordId;
 use crate::codec;
-use crate::record::Record;
+use crate::fold::Fold;
 use crate::refusal::Refusal;
+use crate::state::State;
 
 /// Records that may wait to be appended.
 const QUEUE_RECORDS: usize = 16_384;
-/// Most records in one append.
-const BATCH_RECORDS: usize = 1_024;
 /// First wait after a failed append, in ms.
 const BACKOFF_BASE_MS: u64 = 50;
 /// Longest wait after a failed append, in ms.
@@ -67,37 +65,62 @@
 
 /// What a record did, and where it stands in the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settled {
+pub struct Settled<O = Result<Effect, Refusal>> {
     /// Offset of its batch.
     pub offset: u64,
     /// What it did.
-    pub result: Result<Effect, Refusal>,
+    pub result: O,
 }
 
-struct WriteRequest {
-    record: Record,
+struct WriteRequest<F>
+where
+    F: Fold,
+{
+    record: F::Record,
     stage: Arc<AtomicU8>,
-    answer: oneshot::Sender<Settled>,
+    answer: oneshot::Sender<Settled<F::Outcome>>,
 }
 
-impl WriteRequest {
+impl<F> WriteRequest<F>
+where
+    F: Fold,
+{
     fn advance(&self, from: u8, to: u8) -> bool {
         self.stage.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
 }
 
-type AnswerTable = BTreeMap<RecordId, oneshot::Sender<Settled>>;
+type AnswerTable<O> = BTreeMap<RecordId, oneshot::Sender<Settled<O>>>;
 
 /// Handle to the writer task.
-#[derive(Clone)]
-pub struct LogWriter {
-    sender: mpsc::Sender<WriteRequest>,
-    answers: Arc<Mutex<AnswerTable>>,
+pub struct LogWriter<F = State>
+where
+    F: Fold,
+{
+    sender: mpsc::Sender<WriteRequest<F>>,
+    answers: Arc<Mutex<AnswerTable<F::Outcome>>>,
     appends: Arc<AtomicU64>,
     incarnation: u64,
 }
 
-impl LogWriter {
+impl<F> Clone for LogWriter<F>
+where
+    F: Fold,
+{
+    fn clone(&self) -> Self {
+        Self {
+            sender: self.sender.clone(),
+            answers: Arc::clone(&self.answers),
+            appends: Arc::clone(&self.appends),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+impl<F> LogWriter<F>
+where
+    F: Fold,
+{
     /// Starts the writer task with a fresh `incarnation`. `wall_clock` gives ms since the Unix
     /// epoch.
     pub fn spawn<C>(store: Arc<dyn LogStore>, incarnation: u64, wall_clock: C) -> Self
@@ -105,7 +128,7 @@
         C: Fn() -> u64 + Send + 'static,
     {
         let (sender, receiver) = mpsc::channel(QUEUE_RECORDS);
-        let answers = Arc::new(Mutex::new(AnswerTable::new()));
+        let answers = Arc::new(Mutex::new(AnswerTable::<F::Outcome>::new()));
         let appends = Arc::new(AtomicU64::new(0));
         let task = WriterTask {
             store,
@@ -134,7 +157,11 @@
     ///
     /// # Errors
     /// [`WriteError`] says whether the record is certainly not written.
-    pub async fn write(&self, record: Record, timeout: Duration) -> Result<Settled, WriteError> {
+    pub async fn write(
+        &self,
+        record: F::Record,
+        timeout: Duration,
+    ) -> Result<Settled<F::Outcome>, WriteError> {
         let ticket = self.enqueue(record)?;
         ticket.settled(Instant::now() + timeout).await
     }
@@ -142,9 +169,9 @@
     /// Writes records that belong together, in one batch where it has room, and waits for each.
     pub async fn write_all(
         &self,
-        records: Vec<Record>,
+        records: Vec<F::Record>,
         timeout: Duration,
-    ) -> Vec<Result<Settled, WriteError>> {
+    ) -> Vec<Result<Settled<F::Outcome>, WriteError>> {
         let deadline = Instant::now() + timeout;
         let tickets: Vec<_> = records.into_iter().map(|record| self.enqueue(record)).collect();
         let mut results = Vec::with_capacity(tickets.len());
@@ -157,7 +184,7 @@
         results
     }
 
-    fn enqueue(&self, record: Record) -> Result<WriteTicket, WriteError> {
+    fn enqueue(&self, record: F::Record) -> Result<WriteTicket<F::Outcome>, WriteError> {
         let (answer, receiver) = oneshot::channel();
         let stage = Arc::new(AtomicU8::new(QUEUED));
         let request = WriteRequest { record, stage: Arc::clone(&stage), answer };
@@ -166,12 +193,12 @@
     }
 
     /// Tells the writers of a batch what it did.
-    pub fn settle(&self, offset: u64, batch: &Batch, report: &BatchReport) {
+    pub fn settle(&self, offset: u64, batch: &Batch<F::Record>, report: &F::Report) {
         if batch.writer != self.incarnation {
             return;
         }
         let mut answers = lock(&self.answers);
-        for (index, result) in report.results.iter().enumerate() {
+        for (index, result) in F::outcomes(report).iter().enumerate() {
             let id = RecordId { writer: batch.writer, sequence: batch.sequence, index };
             if let Some(answer) = answers.remove(&id) {
                 let _ = answer.send(Settled { offset, result: result.clone() });
@@ -181,13 +208,13 @@
 }
 
 /// A record on its way.
-struct WriteTicket {
+struct WriteTicket<O> {
     stage: Arc<AtomicU8>,
-    receiver: oneshot::Receiver<Settled>,
+    receiver: oneshot::Receiver<Settled<O>>,
 }
 
-impl WriteTicket {
-    async fn settled(mut self, deadline: Instant) -> Result<Settled, WriteError> {
+impl<O> WriteTicket<O> {
+    async fn settled(mut self, deadline: Instant) -> Result<Settled<O>, WriteError> {
         if let Ok(Ok(settled)) = tokio::time::timeout_at(deadline, &mut self.receiver).await {
             return Ok(settled);
         }
@@ -196,7 +223,7 @@
 
     /// Takes the record back once it is certainly not under way. A try under way at the deadline
     /// gets a short time to be refused, so that a refusal is not told as unknown.
-    async fn abandoned(&mut self, until: Instant) -> Result<Settled, WriteError> {
+    async fn abandoned(&mut self, until: Instant) -> Result<Settled<O>, WriteError> {
         loop {
             let is_unsent = self
                 .stage
@@ -214,17 +241,23 @@
     }
 }
 
-struct WriterTask {
+struct WriterTask<F>
+where
+    F: Fold,
+{
     store: Arc<dyn LogStore>,
-    receiver: mpsc::Receiver<WriteRequest>,
-    answers: Arc<Mutex<AnswerTable>>,
+    receiver: mpsc::Receiver<WriteRequest<F>>,
+    answers: Arc<Mutex<AnswerTable<F::Outcome>>>,
     appends: Arc<AtomicU64>,
     incarnation: u64,
     sequence: u64,
     wall_clock: Box<dyn Fn() -> u64 + Send>,
 }
 
-impl WriterTask {
+impl<F> WriterTask<F>
+where
+    F: Fold,
+{
     async fn run(mut self) {
         let mut carried = Vec::new();
         let mut backoff = Backoff::default();
@@ -234,11 +267,14 @@
     }
 
     /// Requests to append now; nothing once every handle is gone.
-    async fn next_requests(&mut self, carried: Vec<WriteRequest>) -> Option<Vec<WriteRequest>> {
+    async fn next_requests(
+        &mut self,
+        carried: Vec<WriteRequest<F>>,
+    ) -> Option<Vec<WriteRequest<F>>> {
         let mut requests = carried;
         while requests.is_empty() {
             requests.push(self.receiver.recv().await?);
-            while requests.len() < BATCH_RECORDS {
+            while requests.len() < F::BATCH_RECORDS {
                 let Ok(request) = self.receiver.try_recv() else { break };
                 requests.push(request);
             }
@@ -250,9 +286,9 @@
     /// Appends one batch and gives back the requests that are to be tried in another.
     async fn append(
         &mut self,
-        requests: Vec<WriteRequest>,
+        requests: Vec<WriteRequest<F>>,
         backoff: &mut Backoff,
-    ) -> Vec<WriteRequest> {
+    ) -> Vec<WriteRequest<F>> {
         let batch = Batch {
             writer: self.incarnation,
             sequence: self.sequence + 1,
@@ -294,7 +330,7 @@
     }
 
     /// Expects the answers of a batch before it is sent, since the tail may see it first.
-    fn register(&self, sequence: u64, requests: Vec<WriteRequest>) -> Vec<Arc<AtomicU8>> {
+    fn register(&self, sequence: u64, requests: Vec<WriteRequest<F>>) -> Vec<Arc<AtomicU8>> {
         let mut answers = lock(&self.answers);
         answers.retain(|_, answer| !answer.is_closed());
         let mut tickets = Vec::with_capacity(requests.len());
@@ -307,7 +343,11 @@
     }
 
     /// Takes back a batch that was certainly refused; callers may abandon its records.
-    fn unregister(&self, batch: Batch, tickets: Vec<Arc<AtomicU8>>) -> Vec<WriteRequest> {
+    fn unregister(
+        &self,
+        batch: Batch<F::Record>,
+        tickets: Vec<Arc<AtomicU8>>,
+    ) -> Vec<WriteRequest<F>> {
         let mut answers = lock(&self.answers);
         let mut requests = Vec::new();
         for (index, (record, stage)) in batch.records.into_iter().zip(tickets).enumerate() {
@@ -323,7 +363,10 @@
 }
 
 /// Requests that nobody abandoned meanwhile.
-fn resend(mut requests: Vec<WriteRequest>) -> Vec<WriteRequest> {
+fn resend<F>(mut requests: Vec<WriteRequest<F>>) -> Vec<WriteRequest<F>>
+where
+    F: Fold,
+{
     requests.retain(|request| request.advance(QUEUED, SENT));
     requests
 }
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -1,9 +1,8 @@
 //! Snapshots: the state as of an offset, in checksummed chunks on a stream of their own.
 
 use bytes::Bytes;
-use cuminbarrow_platform::log_store::LogError;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogStore;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -11,12 +10,10 @@
 
 use crate::codec;
 use crate::codec::CodecError;
-use crate::state::State;
+use crate::fold::Fold;
 
 /// Largest chunk, in bytes.
-const CHUNK_BYTES: usize = 256 * 1024;
-/// Chunks read at once.
-const READ_LIMIT: u32 = 64;
+const CHUNK_BYTES: usize = 200 * 1024;
 
 /// Why a snapshot could not be written or read.
 #[derive(Debug, Snafu)]
@@ -65,7 +62,10 @@
             && chunk.index as usize == self.bodies.len()
     }
 
-    fn finish(&self) -> Option<State> {
+    fn finish<F>(&self) -> Option<F>
+    where
+        F: Fold,
+    {
         if self.bodies.len() != self.first.count as usize {
             return None;
         }
@@ -74,7 +74,7 @@
             log::error!("snapshot of offset {} fails its checksum", self.first.offset);
             return None;
         }
-        match codec::decode::<State>(&bytes) {
+        match codec::decode::<F>(&bytes) {
             Err(error) => {
                 log::error!("snapshot of offset {} is passed over: {error}", self.first.offset);
                 None
@@ -88,21 +88,26 @@
 ///
 /// # Errors
 /// [`SnapshotError`]; a snapshot broken off is passed over by readers.
-pub async fn write_snapshot(
+pub async fn write_snapshot<F>(
     store: &dyn LogStore,
     writer: u64,
-    state: &State,
-) -> Result<usize, SnapshotError> {
+    state: &F,
+) -> Result<usize, SnapshotError>
+where
+    F: Fold,
+{
     let bytes = codec::encode(state).context(CodecSnafu)?;
     let checksum = crc32fast::hash(&bytes);
     let count = u32::try_from(bytes.chunks(CHUNK_BYTES).count()).unwrap_or(u32::MAX);
+    let mut chunks = Vec::new();
     for (index, body) in bytes.chunks(CHUNK_BYTES).enumerate() {
         let index = u32::try_from(index).unwrap_or(u32::MAX);
-        let offset = state.offset;
+        let offset = state.offset();
         let chunk = SnapshotChunk { writer, offset, index, count, checksum, body: body.to_vec() };
         let body = codec::encode(&chunk).context(CodecSnafu)?;
-        store.append(LogStream::Snapshots, Bytes::from(body)).await.context(LogSnafu)?;
+        chunks.push(Bytes::from(body));
     }
+    store.save_chunks(chunks).await.context(LogSnafu)?;
     Ok(bytes.len())
 }
 
@@ -110,34 +115,26 @@
 ///
 /// # Errors
 /// [`SnapshotError::Log`] when the stream can't be read.
-pub async fn read_latest(store: &dyn LogStore) -> Result<Option<State>, SnapshotError> {
-    let mut latest: Option<State> = None;
+pub async fn read_latest<F>(store: &dyn LogStore) -> Result<Option<F>, SnapshotError>
+where
+    F: Fold,
+{
+    let mut latest: Option<F> = None;
     let mut gathering: Option<Gathering> = None;
-    let mut from = 0;
-    loop {
-        let page = match store.read(LogStream::Snapshots, from, READ_LIMIT, 0).await {
-            Err(LogError::Expired { oldest }) => {
-                from = oldest;
-                continue;
-            }
-            Err(source) => return Err(SnapshotError::Log { source }),
-            Ok(page) => page,
+    for body in store.load_chunks().await.context(LogSnafu)? {
+        let Ok(chunk) = codec::decode::<SnapshotChunk>(&body) else {
+            log::warn!("a chunk of {} bytes on the snapshot stream is unreadable", body.len());
+            continue;
         };
-        if page.entries.is_empty() {
-            return Ok(latest);
-        }
-        from = page.first + page.entries.len() as u64;
-        for body in &page.entries {
-            let Ok(chunk) = codec::decode::<SnapshotChunk>(body) else { continue };
-            gathering = gather(gathering, chunk);
-            let state = gathering.as_ref().and_then(Gathering::finish);
-            let is_newer =
-                |state: &State| latest.as_ref().is_none_or(|known| state.offset >= known.offset);
-            if let Some(state) = state.filter(is_newer) {
-                latest = Some(state);
-            }
+        gathering = gather(gathering, chunk);
+        let state = gathering.as_ref().and_then(Gathering::finish::<F>);
+        let is_newer =
+            |state: &F| latest.as_ref().is_none_or(|known| state.offset() >= known.offset());
+        if let Some(state) = state.filter(is_newer) {
+            latest = Some(state);
         }
     }
+    Ok(latest)
 }
 
 fn gather(gathering: Option<Gathering>, chunk: SnapshotChunk) -> Option<Gathering> {
--- a/crates/platform/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -64,6 +64,9 @@
     },
 }
 
+/// Snapshot chunks read at once.
+const CHUNK_READ_LIMIT: u32 = 64;
+
 /// Client of the log service.
 #[async_trait]
 pub trait LogStore: Send + Sync {
@@ -85,4 +88,40 @@
         limit: u32,
         wait_ms: u32,
     ) -> Result<LogPage, LogError>;
+
+    /// Keeps the chunks of a snapshot, in order. A service that can do so replaces the snapshot
+    /// before it; otherwise they go to the end of the snapshot stream.
+    ///
+    /// # Errors
+    /// As [`LogStore::append`]; a snapshot broken off is passed over by readers.
+    async fn save_chunks(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
+        for chunk in chunks {
+            self.append(LogStream::Snapshots, chunk).await?;
+        }
+        Ok(())
+    }
+
+    /// All chunks that are kept, oldest first.
+    ///
+    /// # Errors
+    /// As [`LogStore::read`].
+    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
+        let mut chunks = Vec::new();
+        let mut from = 0;
+        loop {
+            let page = match self.read(LogStream::Snapshots, from, CHUNK_READ_LIMIT, 0).await {
+                Err(LogError::Expired { oldest }) => {
+                    from = oldest;
+                    continue;
+                }
+                Err(error) => return Err(error),
+                Ok(page) => page,
+            };
+            if page.entries.is_empty() {
+                return Ok(chunks);
+            }
+            from = page.first + page.entries.len() as u64;
+            chunks.extend(page.entries);
+        }
+    }
 }
--- a/crates/platform/tests/retry_budget.rs
+++ b/crates/resources/tests/retry_budget.rs
@@ -1,6 +1,6 @@
 //! Retries stay within a tenth of the first tries.
 
-use cuminbarrow_platform::retry_budget::RetryBudget;
+use cuminbarrow_resources::retry_budget::RetryBudget;
 
 /// Retries taken when every try fails and is tried three times at most.
 fn retries(budget: &RetryBudget, first_tries: u32) -> u32 {
--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -9,10 +9,10 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminbarrow_platform::log_store::LogError;
-use cuminbarrow_platform::log_store::LogPage;
-use cuminbarrow_platform::log_store::LogStore;
-use cuminbarrow_platform::log_store::LogStream;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
--- a/crates/standin/src/worker_fleet.rs
+++ b/crates/standin/src/worker_fleet.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use cuminbarrow_platform::worker_control::TaskEnd;
-use cuminbarrow_platform::worker_control::TaskReport;
-use cuminbarrow_platform::worker_control::TaskStart;
-use cuminbarrow_platform::worker_control::WorkerControl;
-use cuminbarrow_platform::worker_control::WorkerError;
-use cuminbarrow_platform::worker_control::WorkerUsage;
+use cuminbarrow_resources::worker_control::TaskEnd;
+use cuminbarrow_resources::worker_control::TaskReport;
+use cuminbarrow_resources::worker_control::TaskStart;
+use cuminbarrow_resources::worker_control::WorkerControl;
+use cuminbarrow_resources::worker_control::WorkerError;
+use cuminbarrow_resources::worker_control::WorkerUsage;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
--- /dev/null
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -0,0 +1,95 @@
+//! Records about jobs.
+
+use std::sync::Arc;
+
+use snafu::OptionExt;
+use snafu::ensure;
+
+use crate::graph_state::GraphEffect;
+use crate::graph_state::GraphOutcome;
+use crate::graph_state::GraphReport;
+use crate::graph_state::GraphState;
+use crate::job_id::JobId;
+use crate::job_spec::JobSpec;
+use crate::job_state::JobPhase;
+use crate::job_state::JobState;
+use crate::job_terms::JobTerms;
+use crate::refusal::JobEndedSnafu;
+use crate::refusal::UnknownJobSnafu;
+use crate::task_key::RunKey;
+use crate::task_key::StepKey;
+use crate::worker::StopCause;
+
+impl GraphState {
+    /// The first record of an identity counts; later ones are repeats of it.
+    pub(crate) fn job_accepted(
+        &mut self,
+        job: JobId,
+        spec: &JobSpec,
+        terms: &JobTerms,
+    ) -> GraphEffect {
+        if let Some(known) = self.jobs.get(&job) {
+            return GraphEffect::Job { queue: known.terms.queue.clone() };
+        }
+        let state = JobState {
+            spec: Arc::new(spec.clone()),
+            terms: Arc::new(terms.clone()),
+            accepted_ms: self.clock_ms,
+            phase: JobPhase::Active,
+            steps: Default::default(),
+            finished: Default::default(),
+            has_begun: false,
+        };
+        self.jobs.insert(job, state);
+        self.active.insert(job);
+        GraphEffect::Job { queue: terms.queue.clone() }
+    }
+
+    pub(crate) fn job_cancelled(&mut self, job: JobId, report: &mut GraphReport) -> GraphOutcome {
+        let state = self.jobs.get(&job).context(UnknownJobSnafu { job })?;
+        ensure!(state.is_active(), JobEndedSnafu { job });
+        self.stop_job(job, StopCause::Cancelled, report);
+        self.end_job(job, JobPhase::Cancelled { at_ms: self.clock_ms }, report);
+        Ok(GraphEffect::Done)
+    }
+
+    /// Asks all runs of a job to stop.
+    pub(crate) fn stop_job(&mut self, job: JobId, cause: StopCause, report: &mut GraphReport) {
+        let Some(state) = self.jobs.get(&job) else { return };
+        let keys: Vec<(u32, u16)> = state.steps.keys().copied().collect();
+        for (occurrence, step) in keys {
+            self.stop_step(StepKey { job, occurrence, step }, cause, report);
+        }
+    }
+
+    /// Asks all runs of a step to stop.
+    pub(crate) fn stop_step(&mut self, step: StepKey, cause: StopCause, report: &mut GraphReport) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(state) = job.steps.get(&(step.occurrence, step.step)) else { return };
+        for (index, task) in (0..).zip(&state.tasks) {
+            for place in &task.current {
+                let run = RunKey { task: step.task(index), run: place.run };
+                let worker = self.workers.get_mut(&place.worker);
+                if worker.is_some_and(|worker| worker.ask_stop(run, cause)) {
+                    report.touched.insert(place.worker);
+                }
+            }
+        }
+    }
+
+    /// Ends the job once every occurrence is finished.
+    pub(crate) fn finish_step(&mut self, step: StepKey, report: &mut GraphReport) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let steps = (0..).take(job.spec.steps.len());
+        let is_over = steps.into_iter().all(|number| job.is_step_done(step.occurrence, number));
+        if !is_over {
+            return;
+        }
+        job.finished.insert(step.occurrence);
+        // Later members of a finished gang end on their own; nothing else needs the steps.
+        job.steps.retain(|(occurrence, _), _| *occurrence != step.occurrence);
+        if job.finished.len() >= job.spec.occurrences() as usize {
+            self.end_job(step.job, JobPhase::Completed { at_ms: self.clock_ms }, report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -0,0 +1,321 @@
+//! Records about runs.
+
+use smol_str::SmolStr;
+use snafu::OptionExt;
+use snafu::ensure;
+
+use crate::graph_state::GraphEffect;
+use crate::graph_state::GraphOutcome;
+use crate::graph_state::GraphReport;
+use crate::graph_state::GraphState;
+use crate::job_spec::StepSpec;
+use crate::job_state::JobPhase;
+use crate::job_state::JobState;
+use crate::job_state::RunPlace;
+use crate::job_state::StepState;
+use crate::record::EndKind;
+use crate::record::RunEnd;
+use crate::record::TaskPlacement;
+use crate::refusal::GraphRefusal;
+use crate::refusal::JobEndedSnafu;
+use crate::refusal::NoRoomSnafu;
+use crate::refusal::StepNotReadySnafu;
+use crate::refusal::UnknownJobSnafu;
+use crate::refusal::UnknownWorkerSnafu;
+use crate::refusal::WorkerNotReadySnafu;
+use crate::refusal::WorkerUnfitSnafu;
+use crate::refusal::WrongRunSnafu;
+use crate::task_key::RunKey;
+use crate::task_key::StepKey;
+use crate::worker::HeldRun;
+use crate::worker::StopCause;
+use crate::worker::WorkerKey;
+
+impl GraphState {
+    /// Places tasks, all or none.
+    pub(crate) fn runs_placed(
+        &mut self,
+        step: StepKey,
+        tasks: &[TaskPlacement],
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        let job = self.jobs.get(&step.job).context(UnknownJobSnafu { job: step.job })?;
+        ensure!(job.is_active(), JobEndedSnafu { job: step.job });
+        let spec = job.step_spec(step.step);
+        let spec = spec.context(StepNotReadySnafu { step, reason: "there is no such step" })?;
+        check_step(job, step, spec, tasks)?;
+        self.check_workers(job, step, spec, tasks)?;
+        let room = spec.held_room();
+        let placed_ms = self.clock_ms;
+        for task in tasks {
+            let held = HeldRun { room, placed_ms, stop: None };
+            let run = RunKey { task: step.task(task.index), run: task.run };
+            if let Some(worker) = self.workers.get_mut(&task.worker) {
+                worker.hold(run, held);
+            }
+            report.touched.insert(task.worker);
+        }
+        let Some(job) = self.jobs.get_mut(&step.job) else { return Ok(GraphEffect::Done) };
+        job.has_begun = true;
+        let Some(state) = job.step_mut(step.occurrence, step.step) else {
+            return Ok(GraphEffect::Done);
+        };
+        if state.placed_ms == 0 {
+            state.placed_ms = placed_ms;
+        }
+        for placed in tasks {
+            if let Some(task) = state.tasks.get_mut(placed.index as usize) {
+                task.last_run = placed.run;
+                task.current.push(RunPlace { run: placed.run, worker: placed.worker });
+            }
+        }
+        Ok(GraphEffect::Done)
+    }
+
+    fn check_workers(
+        &self,
+        job: &JobState,
+        step: StepKey,
+        spec: &StepSpec,
+        tasks: &[TaskPlacement],
+    ) -> Result<(), GraphRefusal> {
+        for task in tasks {
+            let worker = task.worker;
+            let state = self.workers.get(&worker).context(UnknownWorkerSnafu { worker })?;
+            ensure!(state.is_ready(), WorkerNotReadySnafu { worker });
+            let is_fit =
+                state.spec.service == job.terms.service && state.has_label(spec.requires.as_ref());
+            ensure!(is_fit, WorkerUnfitSnafu { worker, step });
+            let count = tasks.iter().filter(|other| other.worker == worker).count();
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            let has_room = state.free().covers(&spec.held_room().scaled(count));
+            ensure!(has_room, NoRoomSnafu { worker, step });
+            let limit = spec.max_per_worker;
+            let held = state.runs.keys().filter(|run| run.task.step == step).count();
+            let is_within = limit == 0 || held + count as usize <= limit as usize;
+            ensure!(is_within, WorkerUnfitSnafu { worker, step });
+        }
+        Ok(())
+    }
+
+    /// Asks runs to stop. A member of a gang takes the others with it.
+    pub(crate) fn runs_stopped(
+        &mut self,
+        cause: StopCause,
+        runs: &[RunKey],
+        report: &mut GraphReport,
+    ) -> GraphEffect {
+        for &run in runs {
+            let Some(worker) = self.worker_of(run) else { continue };
+            let step = run.task.step;
+            let spec = self.jobs.get(&step.job).and_then(|job| job.step_spec(step.step));
+            if spec.is_some_and(|spec| spec.gang) {
+                self.stop_step(step, cause, report);
+                continue;
+            }
+            let state = self.workers.get_mut(&worker);
+            if state.is_some_and(|state| state.ask_stop(run, cause)) {
+                report.touched.insert(worker);
+            }
+        }
+        GraphEffect::Done
+    }
+
+    pub(crate) fn runs_ended(
+        &mut self,
+        worker: WorkerKey,
+        ends: &[RunEnd],
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        ensure!(self.workers.contains_key(&worker), UnknownWorkerSnafu { worker });
+        for end in ends {
+            self.run_ended(worker, end, report);
+        }
+        Ok(GraphEffect::Done)
+    }
+
+    /// Frees the room of a run and settles what its end means for its task.
+    pub(crate) fn run_ended(&mut self, worker: WorkerKey, end: &RunEnd, report: &mut GraphReport) {
+        let clock_ms = self.clock_ms;
+        let Some(state) = self.workers.get_mut(&worker) else { return };
+        let Some(held) = state.release(end.run) else { return };
+        report.touched.insert(worker);
+        match end.how {
+            EndKind::Done => state.failures_in_row = 0,
+            EndKind::Failed => {
+                state.failures_in_row = state.failures_in_row.saturating_add(1);
+                state.failed_ms = clock_ms;
+            }
+            _ => {}
+        }
+        self.settle_task(worker, end, &held, report);
+    }
+
+    fn settle_task(
+        &mut self,
+        worker: WorkerKey,
+        end: &RunEnd,
+        held: &HeldRun,
+        report: &mut GraphReport,
+    ) {
+        let step = end.run.task.step;
+        let index = end.run.task.index;
+        let Some(job) = self.jobs.get_mut(&step.job).filter(|job| job.is_active()) else { return };
+        let spec = job.spec.clone();
+        let Some(spec) = spec.steps.get(usize::from(step.step)) else { return };
+        if job.finished.contains(&step.occurrence) {
+            return;
+        }
+        let Some(state) = job.step_mut(step.occurrence, step.step) else { return };
+        if let Some(task) = state.tasks.get_mut(index as usize) {
+            task.current.retain(|place| place.run != end.run.run);
+        }
+        if state.keeper(spec, index).is_none_or(|task| task.is_done) {
+            return;
+        }
+        if let Some(keeper) = state.keeper_mut(spec, index)
+            && !end.checkpoint.is_empty()
+        {
+            keeper.checkpoint = end.checkpoint.clone();
+        }
+        match end.how {
+            EndKind::Done if spec.long_running => self.break_gang(step, spec, report),
+            EndKind::Done => {
+                let queue = job.terms.queue.clone();
+                self.note_duration(queue, end, held);
+                self.task_done(step, index, spec, report);
+            }
+            EndKind::Failed => {
+                note_failure(state, spec, end.run, worker);
+                let max_attempts = job.terms.max_attempts;
+                let failures = job.steps.get(&(step.occurrence, step.step));
+                let failures = failures.and_then(|state| state.keeper(spec, index));
+                let failures = failures.map_or(0, |task| task.failures);
+                if !spec.long_running && failures >= max_attempts.max(1) {
+                    self.stop_job(step.job, StopCause::JobFailed, report);
+                    self.end_job(step.job, JobPhase::Failed { at_ms: self.clock_ms }, report);
+                } else {
+                    self.break_gang(step, spec, report);
+                }
+            }
+            EndKind::Refused => {
+                if let Some(keeper) = state.keeper_mut(spec, index) {
+                    keeper.note_bad_place(worker);
+                }
+                self.break_gang(step, spec, report);
+            }
+            _ => self.break_gang(step, spec, report),
+        }
+    }
+
+    /// The other members of a gang go on no more once one has ended.
+    fn break_gang(&mut self, step: StepKey, spec: &StepSpec, report: &mut GraphReport) {
+        if spec.gang {
+            self.stop_step(step, StopCause::GangBroken, report);
+        }
+    }
+
+    fn note_duration(&mut self, queue: SmolStr, end: &RunEnd, held: &HeldRun) {
+        if end.run.run == 1 {
+            let run_ms = self.clock_ms.saturating_sub(held.placed_ms);
+            self.durations.entry(queue).or_default().note(run_ms);
+        }
+    }
+
+    /// One end of a gang's member stands for all of them.
+    fn task_done(&mut self, step: StepKey, index: u32, spec: &StepSpec, report: &mut GraphReport) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(state) = job.step_mut(step.occurrence, step.step) else { return };
+        if spec.gang {
+            state.tasks.iter_mut().for_each(|task| task.is_done = true);
+        } else if let Some(task) = state.tasks.get_mut(index as usize) {
+            task.is_done = true;
+            let copies = task.current.clone();
+            for copy in copies {
+                let run = RunKey { task: step.task(index), run: copy.run };
+                let worker = self.workers.get_mut(&copy.worker);
+                if worker.is_some_and(|worker| worker.ask_stop(run, StopCause::Superseded)) {
+                    report.touched.insert(copy.worker);
+                }
+            }
+        }
+        if job_step_done(self, step) {
+            self.finish_step(step, report);
+        }
+    }
+
+    /// Keeps newer checkpoints of runs that are still placed.
+    pub(crate) fn checkpoints_saved(
+        &mut self,
+        worker: WorkerKey,
+        saved: &[(RunKey, SmolStr)],
+    ) -> GraphEffect {
+        for (run, checkpoint) in saved {
+            if self.worker_of(*run) != Some(worker) || checkpoint.is_empty() {
+                continue;
+            }
+            let step = run.task.step;
+            let Some(job) = self.jobs.get_mut(&step.job) else { continue };
+            let spec = job.spec.clone();
+            let Some(spec) = spec.steps.get(usize::from(step.step)) else { continue };
+            let Some(state) = job.step_mut(step.occurrence, step.step) else { continue };
+            if let Some(keeper) = state.keeper_mut(spec, run.task.index) {
+                keeper.checkpoint = checkpoint.clone();
+            }
+        }
+        GraphEffect::Done
+    }
+}
+
+fn job_step_done(state: &GraphState, step: StepKey) -> bool {
+    state.jobs.get(&step.job).is_some_and(|job| job.is_step_done(step.occurrence, step.step))
+}
+
+/// Counts a failure; of a gang's members that fail in one run, the first counts.
+fn note_failure(state: &mut StepState, spec: &StepSpec, run: RunKey, worker: WorkerKey) {
+    if spec.gang && state.failed_run == run.run {
+        return;
+    }
+    state.failed_run = run.run;
+    if let Some(keeper) = state.keeper_mut(spec, run.task.index) {
+        keeper.note_failure(worker);
+    }
+}
+
+fn check_step(
+    job: &JobState,
+    step: StepKey,
+    spec: &StepSpec,
+    tasks: &[TaskPlacement],
+) -> Result<(), GraphRefusal> {
+    let not_ready = |reason| StepNotReadySnafu { step, reason };
+    ensure!(step.occurrence < job.spec.occurrences(), not_ready("there is no such occurrence"));
+    ensure!(!job.finished.contains(&step.occurrence), not_ready("the occurrence is over"));
+    ensure!(job.is_unblocked(step.occurrence, spec), not_ready("it waits for earlier steps"));
+    ensure!(!tasks.is_empty(), not_ready("no task is named"));
+    let fresh = StepState::new(spec.count);
+    let state = job.steps.get(&(step.occurrence, step.step)).unwrap_or(&fresh);
+    if spec.gang {
+        let is_whole = tasks.len() == spec.count as usize
+            && (0..).zip(tasks).all(|(index, task)| task.index == index);
+        ensure!(is_whole, not_ready("a gang is placed whole"));
+        ensure!(!state.is_occupied(), not_ready("an earlier run holds room"));
+        ensure!(!state.is_done(), not_ready("it is done"));
+    }
+    let next_run = state.last_run() + 1;
+    let mut seen = std::collections::BTreeSet::new();
+    for placed in tasks {
+        let run = RunKey { task: step.task(placed.index), run: placed.run };
+        let task = state.tasks.get(placed.index as usize);
+        let task = task.context(not_ready("there is no such task"))?;
+        ensure!(seen.insert(placed.index), not_ready("a task is named twice"));
+        ensure!(!task.is_done, not_ready("the task is done"));
+        let may_copy = spec.speculative
+            && task.current.len() == 1
+            && task.current.iter().all(|place| place.worker != placed.worker);
+        ensure!(task.current.is_empty() || may_copy, not_ready("the task is placed"));
+        let expected = if spec.gang { next_run } else { task.last_run + 1 };
+        ensure!(placed.run == expected, WrongRunSnafu { run });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -0,0 +1,120 @@
+//! Records about workers.
+
+use snafu::OptionExt;
+use snafu::ensure;
+
+use crate::graph_state::GraphEffect;
+use crate::graph_state::GraphOutcome;
+use crate::graph_state::GraphReport;
+use crate::graph_state::GraphState;
+use crate::record::EndKind;
+use crate::record::RunEnd;
+use crate::refusal::NotSuspectedSnafu;
+use crate::refusal::SupersededSnafu;
+use crate::refusal::UnknownWorkerSnafu;
+use crate::task_key::RunKey;
+use crate::worker::WorkerKey;
+use crate::worker::WorkerSpec;
+use crate::worker::WorkerState;
+use crate::worker::WorkerStatus;
+
+impl GraphState {
+    /// Registers a worker, or a new agent of a known one. Each registration gets a higher fencing
+    /// token than all before it, and takes back a suspicion.
+    pub(crate) fn worker_up(
+        &mut self,
+        offset: u64,
+        agent: u64,
+        spec: &WorkerSpec,
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        let fence = offset + 1;
+        if let Some((key, known)) = self.worker_on(&spec.instance) {
+            if known.spec.is_same_life(spec) {
+                self.take_over(key, agent, fence, spec);
+                report.touched.insert(key);
+                return Ok(GraphEffect::Worker { worker: key });
+            }
+            ensure!(known.spec.born_ms <= spec.born_ms, SupersededSnafu { worker: key });
+            self.remove_worker(key, report);
+        }
+        let key = WorkerKey(self.next_worker);
+        self.next_worker += 1;
+        let worker = WorkerState {
+            spec: spec.clone(),
+            agent,
+            fence,
+            status: WorkerStatus::Ready,
+            runs: Default::default(),
+            used: Default::default(),
+            failures_in_row: 0,
+            failed_ms: 0,
+        };
+        self.workers.insert(key, worker);
+        report.touched.insert(key);
+        Ok(GraphEffect::Worker { worker: key })
+    }
+
+    fn take_over(&mut self, key: WorkerKey, agent: u64, fence: u64, spec: &WorkerSpec) {
+        let Some(worker) = self.workers.get_mut(&key) else { return };
+        worker.agent = agent;
+        worker.fence = fence;
+        worker.spec = spec.clone();
+        if worker.is_suspected() {
+            worker.status = WorkerStatus::Ready;
+        }
+    }
+
+    pub(crate) fn worker_draining(
+        &mut self,
+        worker: WorkerKey,
+        until_ms: u64,
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        let state = self.workers.get_mut(&worker).context(UnknownWorkerSnafu { worker })?;
+        if !state.is_suspected() {
+            state.status = WorkerStatus::Draining { until_ms };
+        }
+        report.touched.insert(worker);
+        Ok(GraphEffect::Done)
+    }
+
+    pub(crate) fn worker_suspected(
+        &mut self,
+        offset: u64,
+        worker: WorkerKey,
+        agent: u64,
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        let state = self.workers.get_mut(&worker).context(UnknownWorkerSnafu { worker })?;
+        ensure!(state.agent == agent && !state.is_suspected(), SupersededSnafu { worker });
+        state.status = WorkerStatus::Suspected { since: offset };
+        report.touched.insert(worker);
+        Ok(GraphEffect::Done)
+    }
+
+    pub(crate) fn worker_gone(
+        &mut self,
+        worker: WorkerKey,
+        suspicion: u64,
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        let state = self.workers.get(&worker).context(UnknownWorkerSnafu { worker })?;
+        let is_due = suspicion == 0 || state.status == WorkerStatus::Suspected { since: suspicion };
+        ensure!(is_due, NotSuspectedSnafu { worker });
+        self.remove_worker(worker, report);
+        Ok(GraphEffect::Done)
+    }
+
+    /// Takes a worker away; its runs are gone with it and their tasks wait anew.
+    fn remove_worker(&mut self, worker: WorkerKey, report: &mut GraphReport) {
+        let Some(state) = self.workers.get(&worker) else { return };
+        let runs: Vec<RunKey> = state.runs.keys().copied().collect();
+        for run in runs {
+            let end = RunEnd { run, how: EndKind::Lapsed, checkpoint: Default::default() };
+            self.run_ended(worker, &end, report);
+        }
+        self.workers.remove(&worker);
+        report.touched.insert(worker);
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/graph_state.rs
@@ -0,0 +1,327 @@
+//! The replicated state, and the fold that makes it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::fold::Fold;
+use cuminbarrow_ledger::state::PlannerMark;
+use cuminbarrow_ledger::state::WriterMark;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use snafu::ensure;
+
+use crate::job_id::JobId;
+use crate::job_state::JobPhase;
+use crate::job_state::JobState;
+use crate::record::GraphRecord;
+use crate::record::ProcessRole;
+use crate::refusal::GraphRefusal;
+use crate::refusal::StaleEpochSnafu;
+use crate::task_key::RunKey;
+use crate::worker::WorkerKey;
+use crate::worker::WorkerState;
+
+/// Time for which an ended job is kept, in ms. Callers may ask for its state for 120 s; the rest
+/// allows for clocks that jump.
+const JOB_KEPT_MS: u64 = 180_000;
+/// Writers are forgotten after this many batches without one of theirs. A late copy of an append
+/// arrives seconds later, long before that many batches.
+const WRITER_KEPT_BATCHES: u64 = 50_000;
+/// Batches between looks for writers to forget.
+const WRITER_LOOK_BATCHES: u64 = 1_000;
+/// Processes of one role that are remembered; instances that went without a word fall out.
+const MAX_PROCESSES: usize = 1_024;
+
+/// A process of the system that serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessState {
+    /// Its role.
+    pub role: ProcessRole,
+    /// Instance on which it runs.
+    pub instance: SmolStr,
+    /// Region in which it stands.
+    pub region: SmolStr,
+    /// Where other processes reach it.
+    pub address: SocketAddr,
+    /// Offset of its announcement.
+    pub since: u64,
+}
+
+/// How long runs of a queue's tasks take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunDuration {
+    /// Runs seen.
+    pub count: u32,
+    /// Moving average, in ms.
+    pub mean_ms: u32,
+}
+
+impl RunDuration {
+    /// Weight of a new value in the moving average: one part in this many.
+    const SMOOTHING: i64 = 8;
+
+    pub(crate) fn note(&mut self, run_ms: u64) {
+        let run_ms = i64::try_from(run_ms).unwrap_or(i64::MAX).min(i64::from(u32::MAX));
+        let mean_ms = i64::from(self.mean_ms);
+        let weight = Self::SMOOTHING.min(i64::from(self.count) + 1);
+        self.mean_ms = u32::try_from(mean_ms + (run_ms - mean_ms) / weight).unwrap_or(u32::MAX);
+        self.count = self.count.saturating_add(1);
+    }
+}
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GraphEffect {
+    /// It was applied.
+    Done,
+    /// The job was accepted, now or before, by this queue.
+    Job {
+        /// Queue that holds it.
+        queue: SmolStr,
+    },
+    /// The worker is known by this key.
+    Worker {
+        /// Its key.
+        worker: WorkerKey,
+    },
+}
+
+/// What became of a record.
+pub type GraphOutcome = Result<GraphEffect, GraphRefusal>;
+
+/// What a batch did.
+#[derive(Debug, Default)]
+pub struct GraphReport {
+    /// For each record, in order.
+    pub results: Vec<GraphOutcome>,
+    /// Workers whose runs, or whose own state, changed.
+    pub touched: BTreeSet<WorkerKey>,
+    /// Jobs that ended.
+    pub ended: Vec<JobId>,
+}
+
+/// Everything that the log has decided so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GraphState {
+    /// Offset of the next batch.
+    pub offset: u64,
+    /// Latest wall clock of any writer, in ms since the Unix epoch.
+    pub clock_ms: u64,
+    /// Offset of the first batch that no snapshot covers, as the log tells.
+    pub snapshot_offset: u64,
+    /// Who plans.
+    pub planner: PlannerMark,
+    /// Offset after the planner's last batch.
+    pub planner_heard: u64,
+    /// Processes that serve, by incarnation.
+    pub processes: BTreeMap<u64, ProcessState>,
+    /// Workers that are there.
+    pub workers: BTreeMap<WorkerKey, WorkerState>,
+    /// Jobs.
+    pub jobs: BTreeMap<JobId, JobState>,
+    /// Jobs that wait or run.
+    pub active: BTreeSet<JobId>,
+    /// Jobs that have ended, oldest first, with when.
+    pub ended: VecDeque<(u64, JobId)>,
+    /// How long runs take, by queue.
+    pub durations: BTreeMap<SmolStr, RunDuration>,
+    pub(crate) next_worker: u32,
+    pub(crate) writers: BTreeMap<u64, WriterMark>,
+}
+
+impl GraphState {
+    /// Applies the batch at `offset`, which must be the next one.
+    ///
+    /// Total and deterministic: a record whose precondition fails changes nothing.
+    pub fn apply(&mut self, offset: u64, batch: &Batch<GraphRecord>) -> GraphReport {
+        let mut report = GraphReport::default();
+        self.offset = offset + 1;
+        if self.was_applied(batch) {
+            report.results = vec![Err(GraphRefusal::Duplicate); batch.records.len()];
+            return report;
+        }
+        self.note_writer(offset, batch);
+        self.clock_ms = self.clock_ms.max(batch.at_ms);
+        if self.planner.instance == Some(batch.writer) {
+            self.planner_heard = self.offset;
+        }
+        for record in &batch.records {
+            let result = self.apply_record(offset, record, &mut report);
+            report.results.push(result);
+        }
+        self.forget_ended();
+        report
+    }
+
+    fn was_applied(&self, batch: &Batch<GraphRecord>) -> bool {
+        self.writers.get(&batch.writer).is_some_and(|mark| batch.sequence <= mark.sequence)
+    }
+
+    fn note_writer(&mut self, offset: u64, batch: &Batch<GraphRecord>) {
+        self.writers.insert(batch.writer, WriterMark { sequence: batch.sequence, offset });
+        if offset.is_multiple_of(WRITER_LOOK_BATCHES) {
+            self.writers.retain(|_, mark| mark.offset + WRITER_KEPT_BATCHES > offset);
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        while let Some(&(at_ms, job)) = self.ended.front() {
+            if at_ms + JOB_KEPT_MS > self.clock_ms {
+                return;
+            }
+            self.ended.pop_front();
+            self.jobs.remove(&job);
+        }
+    }
+
+    fn apply_record(
+        &mut self,
+        offset: u64,
+        record: &GraphRecord,
+        report: &mut GraphReport,
+    ) -> GraphOutcome {
+        match record {
+            GraphRecord::ProcessUp { incarnation, role, instance, region, address } => {
+                let process = ProcessState {
+                    role: *role,
+                    instance: instance.clone(),
+                    region: region.clone(),
+                    address: *address,
+                    since: offset,
+                };
+                Ok(self.process_up(*incarnation, process))
+            }
+            GraphRecord::ProcessDown { incarnation } => {
+                self.processes.remove(incarnation);
+                Ok(GraphEffect::Done)
+            }
+            GraphRecord::JobAccepted { job, spec, terms } => {
+                Ok(self.job_accepted(*job, spec, terms))
+            }
+            GraphRecord::JobCancelled { job } => self.job_cancelled(*job, report),
+            GraphRecord::WorkerUp { agent, spec } => self.worker_up(offset, *agent, spec, report),
+            GraphRecord::WorkerDraining { worker, until_ms } => {
+                self.worker_draining(*worker, *until_ms, report)
+            }
+            GraphRecord::WorkerSuspected { epoch, worker, agent } => {
+                self.check_epoch(*epoch)?;
+                self.worker_suspected(offset, *worker, *agent, report)
+            }
+            GraphRecord::WorkerGone { worker, suspicion, .. } => {
+                self.worker_gone(*worker, *suspicion, report)
+            }
+            GraphRecord::RunsPlaced { epoch, step, tasks } => {
+                self.check_epoch(*epoch)?;
+                self.runs_placed(*step, tasks, report)
+            }
+            GraphRecord::RunsStopped { epoch, cause, runs } => {
+                self.check_epoch(*epoch)?;
+                Ok(self.runs_stopped(*cause, runs, report))
+            }
+            GraphRecord::RunsEnded { worker, ends } => self.runs_ended(*worker, ends, report),
+            GraphRecord::CheckpointsSaved { worker, saved } => {
+                Ok(self.checkpoints_saved(*worker, saved))
+            }
+            GraphRecord::PlannerClaimed { epoch, instance } => {
+                ensure!(
+                    *epoch == self.planner.epoch + 1,
+                    StaleEpochSnafu { epoch: *epoch, current: self.planner.epoch }
+                );
+                self.planner = PlannerMark { epoch: *epoch, instance: Some(*instance) };
+                self.planner_heard = self.offset;
+                Ok(GraphEffect::Done)
+            }
+            GraphRecord::PlannerReleased { epoch } => {
+                self.check_epoch(*epoch)?;
+                self.planner.instance = None;
+                Ok(GraphEffect::Done)
+            }
+            GraphRecord::SnapshotTaken { offset } => {
+                self.snapshot_offset = self.snapshot_offset.max(*offset);
+                Ok(GraphEffect::Done)
+            }
+            GraphRecord::PlannerRenewed { epoch } => {
+                self.check_epoch(*epoch).map(|()| GraphEffect::Done)
+            }
+        }
+    }
+
+    fn check_epoch(&self, epoch: u64) -> Result<(), GraphRefusal> {
+        let current = self.planner.epoch;
+        ensure!(epoch == current, StaleEpochSnafu { epoch, current });
+        Ok(())
+    }
+
+    /// A process of the same role on the same instance takes the place of an earlier one.
+    fn process_up(&mut self, incarnation: u64, process: ProcessState) -> GraphEffect {
+        let is_same =
+            |other: &ProcessState| other.role == process.role && other.instance == process.instance;
+        self.processes.retain(|_, other| !is_same(other));
+        self.processes.insert(incarnation, process);
+        if self.processes.len() > MAX_PROCESSES {
+            let oldest = self.processes.iter().min_by_key(|(_, process)| process.since);
+            if let Some(oldest) = oldest.map(|(incarnation, _)| *incarnation) {
+                self.processes.remove(&oldest);
+            }
+        }
+        GraphEffect::Done
+    }
+
+    /// Ends a job and drops what only a running job needs.
+    pub(crate) fn end_job(&mut self, job: JobId, phase: JobPhase, report: &mut GraphReport) {
+        let clock_ms = self.clock_ms;
+        let Some(state) = self.jobs.get_mut(&job) else { return };
+        state.phase = phase;
+        state.steps.clear();
+        state.finished.clear();
+        state.spec = Default::default();
+        self.active.remove(&job);
+        self.ended.push_back((clock_ms, job));
+        report.ended.push(job);
+    }
+
+    /// Worker on which a run holds room.
+    pub fn worker_of(&self, run: RunKey) -> Option<WorkerKey> {
+        let step = run.task.step;
+        let state = self.jobs.get(&step.job)?.steps.get(&(step.occurrence, step.step))?;
+        let task = state.tasks.get(run.task.index as usize)?;
+        task.current.iter().find(|place| place.run == run.run).map(|place| place.worker)
+    }
+
+    /// The worker that stands on an instance.
+    pub fn worker_on(&self, instance: &str) -> Option<(WorkerKey, &WorkerState)> {
+        let mut workers = self.workers.iter().map(|(key, worker)| (*key, worker));
+        workers.find(|(_, worker)| worker.spec.instance == instance)
+    }
+
+    /// Jobs of a queue none of whose tasks was placed yet.
+    pub fn pending_of(&self, queue: &str) -> usize {
+        let jobs = self.active.iter().filter_map(|job| self.jobs.get(job));
+        jobs.filter(|job| job.terms.queue == queue && !job.has_begun).count()
+    }
+}
+
+impl Fold for GraphState {
+    type Record = GraphRecord;
+    type Outcome = GraphOutcome;
+    type Report = GraphReport;
+
+    /// Records of 4 KB each stay well below the 256 KiB that the log takes at once.
+    const BATCH_RECORDS: usize = 48;
+
+    fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    fn apply_batch(&mut self, offset: u64, batch: &Batch<GraphRecord>) -> GraphReport {
+        self.apply(offset, batch)
+    }
+
+    fn outcomes(report: &GraphReport) -> &[GraphOutcome] {
+        &report.results
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/plan_round.rs
@@ -0,0 +1,274 @@
+//! One round of planning: what to place where, and whom to stop for it.
+//!
+//! Steps are taken in the order of [`crate::step_queue`]. Tasks go where they leave the least room
+//! unused, so that whole workers and racks stay free for wide steps. A step that is faster on one
+//! rack waits a while for that rack before it goes elsewhere.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::graph_state::GraphState;
+use crate::job_id::JobId;
+use crate::job_state::TaskState;
+use crate::reclaim::VictimTable;
+use crate::reclaim::plan_reclaim;
+use crate::record::GraphRecord;
+use crate::record::TaskPlacement;
+use crate::room_map::RoomMap;
+use crate::room_map::StepRequest;
+use crate::room_map::WorkerRoom;
+use crate::step_queue::WaitingStep;
+use crate::step_queue::covered_jobs;
+use crate::step_queue::waiting_steps;
+use crate::task_key::RunKey;
+use crate::worker::StopCause;
+use crate::worker::WorkerKey;
+use crate::worker::WorkerStatus;
+
+/// Longest wait for the rack on which a step is fastest, in parts of its estimate. Elsewhere it
+/// takes three times as long, so a wait of up to twice the estimate pays.
+const RACK_WAIT_FACTOR: u64 = 1;
+
+/// What the planner knows besides the log.
+#[derive(Clone, Debug, Default)]
+pub struct PlanView {
+    /// Wall clock, in ms since the Unix epoch.
+    pub now_ms: u64,
+    /// Accelerators guaranteed to each team for its urgent jobs.
+    pub guarantees: BTreeMap<SmolStr, u32>,
+}
+
+/// Why a step was left waiting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitNote {
+    /// The job.
+    pub job: JobId,
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// What a round decided.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Decisions, in the order in which they must be applied.
+    pub records: Vec<GraphRecord>,
+    /// Steps left waiting.
+    pub waits: Vec<WaitNote>,
+}
+
+/// Plans one round.
+pub fn plan_round(state: &GraphState, view: &PlanView) -> Plan {
+    let epoch = state.planner.epoch;
+    let covered = covered_jobs(state, &view.guarantees);
+    let mut round = Round {
+        plan: Plan::default(),
+        map: RoomMap::new(state, view.now_ms),
+        victims: VictimTable::new(state, &covered, view.now_ms),
+        epoch,
+        now_ms: view.now_ms,
+    };
+    round.leave_draining(state);
+    for waiting in waiting_steps(state, &covered, view.now_ms) {
+        round.place(&waiting);
+    }
+    round.plan
+}
+
+struct Round<'a> {
+    plan: Plan,
+    map: RoomMap<'a>,
+    victims: VictimTable,
+    epoch: u64,
+    now_ms: u64,
+}
+
+impl Round<'_> {
+    /// Stops what can't finish before its worker leaves, so that it goes on elsewhere sooner.
+    fn leave_draining(&mut self, state: &GraphState) {
+        let mut runs = Vec::new();
+        for worker in state.workers.values() {
+            let WorkerStatus::Draining { until_ms } = worker.status else { continue };
+            for (run, held) in &worker.runs {
+                let job = state.jobs.get(&run.task.step.job).filter(|job| job.is_active());
+                let Some(job) = job.filter(|_| held.stop.is_none()) else { continue };
+                let mean_ms =
+                    state.durations.get(&job.terms.queue).map_or(0, |duration| duration.mean_ms);
+                let ends_ms = held.placed_ms + u64::from(mean_ms);
+                let is_doomed = ends_ms > until_ms.max(self.now_ms);
+                let is_lasting =
+                    job.step_spec(run.task.step.step).is_some_and(|spec| spec.long_running);
+                if is_doomed || is_lasting {
+                    runs.push(*run);
+                }
+            }
+        }
+        if !runs.is_empty() {
+            let cause = StopCause::Draining;
+            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
+        }
+    }
+
+    fn place(&mut self, waiting: &WaitingStep<'_>) {
+        let failed_on = self.failed_on(waiting);
+        let request = StepRequest {
+            step: waiting.key,
+            spec: waiting.spec,
+            terms: &waiting.job.terms,
+            failed_on: &failed_on,
+        };
+        let count = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
+        let places = self.find_places(waiting, &request, count);
+        let found: u32 = places.iter().map(|(_, count)| count).sum();
+        let is_enough = if waiting.spec.gang { found == count } else { found > 0 };
+        if is_enough {
+            self.commit(waiting, &request, &places);
+        }
+        let rest = if is_enough { count - found } else { count };
+        if rest > 0 && waiting.is_covered {
+            self.reclaim(waiting, &request, rest);
+        } else if rest > 0 {
+            let reason = if self.map.rooms.iter().any(|room| room.is_fit(&request)) {
+                "no room"
+            } else {
+                "no fitting worker"
+            };
+            self.plan.waits.push(WaitNote { job: waiting.key.job, reason });
+        }
+    }
+
+    /// Workers on which the step failed, unless that leaves none.
+    fn failed_on(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerKey> {
+        let tasks = waiting.state().map(|state| state.tasks.as_slice()).unwrap_or_default();
+        let mut failed_on: Vec<WorkerKey> =
+            tasks.iter().flat_map(|task: &TaskState| task.failed_on.iter().copied()).collect();
+        failed_on.sort();
+        failed_on.dedup();
+        let ready = self.map.rooms.iter().filter(|room| room.state.is_ready()).count();
+        if failed_on.len() * 2 > ready { Vec::new() } else { failed_on }
+    }
+
+    /// Places in the room map, with the tasks that each takes.
+    fn find_places(
+        &self,
+        waiting: &WaitingStep<'_>,
+        request: &StepRequest<'_>,
+        count: u32,
+    ) -> Vec<(usize, u32)> {
+        let spec = waiting.spec;
+        if let Some(rack) = &spec.near_rack {
+            let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
+            let places = self.fill(request, count, on_rack);
+            let is_known = self.map.rooms.iter().any(on_rack);
+            if !places.is_empty() || (is_known && self.waits_for_rack(waiting)) {
+                return if is_whole(&places, count) || !spec.gang { places } else { Vec::new() };
+            }
+        } else if spec.same_rack {
+            if let Some(places) = self.tightest_rack(request, count) {
+                return places;
+            }
+            if self.waits_for_rack(waiting) {
+                return Vec::new();
+            }
+        }
+        self.fill(request, count, |_| true)
+    }
+
+    fn waits_for_rack(&self, waiting: &WaitingStep<'_>) -> bool {
+        let estimate_ms = u64::from(waiting.spec.estimate_ms);
+        self.now_ms < waiting.waiting_since_ms + RACK_WAIT_FACTOR * estimate_ms
+    }
+
+    /// The rack that holds all tasks and is left with the least room.
+    fn tightest_rack(&self, request: &StepRequest<'_>, count: u32) -> Option<Vec<(usize, u32)>> {
+        let racks = self.map.racks().into_iter().filter_map(|rack| {
+            let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
+            let places = self.fill(request, count, on_rack);
+            let rooms = self.map.rooms.iter().filter(|room| on_rack(room));
+            let free: u32 = rooms.map(|room| room.free.accelerators).sum();
+            is_whole(&places, count).then_some((free, places))
+        });
+        racks.min_by_key(|(free, _)| *free).map(|(_, places)| places)
+    }
+
+    /// Fills the workers that have the least room left.
+    fn fill<F>(&self, request: &StepRequest<'_>, count: u32, is_wanted: F) -> Vec<(usize, u32)>
+    where
+        F: Fn(&WorkerRoom<'_>) -> bool,
+    {
+        let mut fits: Vec<(u32, u32, usize, u32)> = self
+            .map
+            .rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, room)| is_wanted(room))
+            .map(|(place, room)| {
+                (room.free.accelerators, room.free.cpu_millis, place, room.fit(request))
+            })
+            .filter(|(_, _, _, fit)| *fit > 0)
+            .collect();
+        fits.sort_unstable();
+        let mut left = count;
+        let mut places = Vec::new();
+        for (_, _, place, fit) in fits {
+            let taken = fit.min(left);
+            if taken > 0 {
+                places.push((place, taken));
+                left -= taken;
+            }
+        }
+        places
+    }
+
+    /// Records the placement and takes its room.
+    fn commit(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        request: &StepRequest<'_>,
+        places: &[(usize, u32)],
+    ) {
+        let mut tasks = Vec::new();
+        let mut indices = waiting.tasks.iter();
+        let gang_run = waiting.state().map_or(0, |state| state.last_run()) + 1;
+        for (place, count) in places {
+            let Some(worker) = self.map.rooms.get(*place).map(|room| room.key) else { continue };
+            for index in indices.by_ref().take(*count as usize) {
+                let task = waiting.state().and_then(|state| state.tasks.get(*index as usize));
+                let next_run = task.map_or(0, |task| task.last_run) + 1;
+                let run = if waiting.spec.gang { gang_run } else { next_run };
+                tasks.push(TaskPlacement { index: *index, run, worker });
+            }
+            self.map.take(*place, request, *count);
+        }
+        let record = GraphRecord::RunsPlaced { epoch: self.epoch, step: waiting.key, tasks };
+        self.plan.records.push(record);
+    }
+
+    /// Stops work that no guarantee covers, and keeps the room for the step.
+    fn reclaim(&mut self, waiting: &WaitingStep<'_>, request: &StepRequest<'_>, count: u32) {
+        let Some(found) = plan_reclaim(&self.map, &self.victims, request, count) else {
+            self.plan.waits.push(WaitNote { job: waiting.key.job, reason: "guarantee held up" });
+            return;
+        };
+        for run in &found.victims {
+            let group = self.victims.group(*run);
+            if let Some((_, worker, room)) = group.iter().find(|(member, _, _)| member == run) {
+                self.map.release(*worker, room);
+            }
+        }
+        for (place, count) in &found.places {
+            self.map.take(*place, request, *count);
+        }
+        let runs: Vec<RunKey> = found.victims.into_iter().collect();
+        if !runs.is_empty() {
+            self.victims = self.victims.without(&runs);
+            let cause = StopCause::Reclaimed;
+            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
+        }
+        self.plan.waits.push(WaitNote { job: waiting.key.job, reason: "room is being reclaimed" });
+    }
+}
+
+fn is_whole(places: &[(usize, u32)], count: u32) -> bool {
+    places.iter().map(|(_, count)| count).sum::<u32>() == count
+}
--- /dev/null
+++ b/crates/taskgraph/src/reclaim.rs
@@ -0,0 +1,221 @@
+//! Whom to stop so that an urgent step within its team's guarantee can begin.
+//!
+//! Only work that no guarantee covers is stopped, and of that what loses least: work done since
+//! the last checkpoint, weighed by what it holds. A gang is stopped whole and counts whole.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::graph_state::GraphState;
+use crate::job_id::JobId;
+use crate::room::Room;
+use crate::room_map::RoomMap;
+use crate::room_map::StepRequest;
+use crate::room_map::WorkerRoom;
+use crate::task_key::RunKey;
+use crate::task_key::StepKey;
+use crate::worker::WorkerKey;
+
+/// Work that a checkpoint can lose at most, in ms: checkpoints are made about every second.
+const CHECKPOINT_LOSS_MS: u64 = 1_000;
+
+/// A place for a step, and whom to stop for it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReclaimPlan {
+    /// Places in the room map, with the tasks that each takes.
+    pub places: Vec<(usize, u32)>,
+    /// Runs to stop; none where room that is coming free is enough.
+    pub victims: BTreeSet<RunKey>,
+    /// Work that is lost, in core-ms.
+    pub cost: u64,
+}
+
+/// Runs that may be stopped, with what that loses.
+#[derive(Clone, Debug)]
+pub struct VictimTable {
+    /// Work that is lost with a run and all that goes with it, in core-ms.
+    cost: BTreeMap<RunKey, u64>,
+    /// All runs that end with a run: itself, and for a gang all members.
+    group: BTreeMap<RunKey, Vec<(RunKey, WorkerKey, Room)>>,
+}
+
+impl VictimTable {
+    /// Runs of jobs that no guarantee covers and that are not being stopped already.
+    pub fn new(state: &GraphState, covered: &BTreeMap<JobId, bool>, now_ms: u64) -> Self {
+        let mut gangs: BTreeMap<StepKey, Vec<(RunKey, WorkerKey, Room)>> = BTreeMap::new();
+        let mut table = Self { cost: BTreeMap::new(), group: BTreeMap::new() };
+        for (worker, entry) in &state.workers {
+            for (run, held) in &entry.runs {
+                let step = run.task.step;
+                let is_covered = covered.get(&step.job).copied().unwrap_or(false);
+                let Some(job) = state.jobs.get(&step.job) else { continue };
+                if is_covered || held.stop.is_some() || !job.is_active() {
+                    continue;
+                }
+                let Some(spec) = job.step_spec(step.step) else { continue };
+                let ran_ms = now_ms.saturating_sub(held.placed_ms);
+                let lost_ms =
+                    if spec.saves_progress { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms };
+                table.cost.insert(*run, lost_ms.saturating_mul(held.room.weight()) / 1_000);
+                let member = (*run, *worker, held.room);
+                if spec.gang {
+                    gangs.entry(step).or_default().push(member);
+                } else {
+                    table.group.insert(*run, vec![member]);
+                }
+            }
+        }
+        for members in gangs.into_values() {
+            table.add_gang(members);
+        }
+        table
+    }
+
+    fn add_gang(&mut self, members: Vec<(RunKey, WorkerKey, Room)>) {
+        let cost: u64 = members.iter().filter_map(|(run, _, _)| self.cost.get(run)).sum();
+        for (run, _, _) in &members {
+            self.cost.insert(*run, cost);
+            self.group.insert(*run, members.clone());
+        }
+    }
+
+    /// The table without runs that are being stopped.
+    pub fn without(&self, runs: &[RunKey]) -> Self {
+        let mut table = self.clone();
+        for run in runs {
+            table.cost.remove(run);
+            table.group.remove(run);
+        }
+        table
+    }
+
+    /// Runs that end with a run.
+    pub fn group(&self, run: RunKey) -> &[(RunKey, WorkerKey, Room)] {
+        self.group.get(&run).map(Vec::as_slice).unwrap_or_default()
+    }
+}
+
+/// The cheapest place for a gang or for `count` tasks of a step; nothing where even stopping
+/// everything that may be stopped gives no room.
+pub fn plan_reclaim(
+    map: &RoomMap<'_>,
+    table: &VictimTable,
+    request: &StepRequest<'_>,
+    count: u32,
+) -> Option<ReclaimPlan> {
+    if request.spec.same_rack || request.spec.near_rack.is_some() {
+        let near = request.spec.near_rack.as_ref();
+        let racks = map.racks().into_iter().filter(|rack| near.is_none_or(|near| near == *rack));
+        let plans = racks.filter_map(|rack| {
+            let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
+            reclaim_among(map, table, request, count, on_rack)
+        });
+        if let Some(plan) = plans.min_by_key(|plan| plan.cost) {
+            return Some(plan);
+        }
+    }
+    reclaim_among(map, table, request, count, |_| true)
+}
+
+fn reclaim_among<F>(
+    map: &RoomMap<'_>,
+    table: &VictimTable,
+    request: &StepRequest<'_>,
+    count: u32,
+    is_wanted: F,
+) -> Option<ReclaimPlan>
+where
+    F: Fn(&WorkerRoom<'_>) -> bool,
+{
+    let mut plan = ReclaimPlan::default();
+    let mut stopped: BTreeSet<RunKey> = BTreeSet::new();
+    let mut rooms: Vec<Room> = map.rooms.iter().map(|room| room.free.plus(&room.coming)).collect();
+    let mut taken: Vec<u32> = vec![0; map.rooms.len()];
+    for _ in 0..count {
+        let options = map.rooms.iter().enumerate().filter(|(_, room)| is_wanted(room));
+        let options = options.filter_map(|(place, room)| {
+            let choice = cheapest_victims(room, *rooms.get(place)?, table, &stopped, request)?;
+            let left = room.state.spec.room.minus(&room.state.used).accelerators;
+            (*taken.get(place)? < per_worker_limit(room, request)).then_some((
+                choice.cost,
+                left,
+                place,
+                choice,
+            ))
+        });
+        let (_, _, place, choice) =
+            options.min_by_key(|(cost, left, place, _)| (*cost, *left, *place))?;
+        plan.cost += choice.cost;
+        for victim in choice.victims {
+            for (run, worker, room) in table.group(victim) {
+                if stopped.insert(*run)
+                    && let Some(index) = map.rooms.iter().position(|entry| entry.key == *worker)
+                    && let Some(free) = rooms.get_mut(index)
+                {
+                    *free = free.plus(room);
+                }
+            }
+        }
+        let free = rooms.get_mut(place)?;
+        *free = free.minus(&request.spec.held_room());
+        *taken.get_mut(place)? += 1;
+    }
+    plan.victims = stopped;
+    plan.places = taken.into_iter().enumerate().filter(|(_, count)| *count > 0).collect();
+    Some(plan)
+}
+
+fn per_worker_limit(room: &WorkerRoom<'_>, request: &StepRequest<'_>) -> u32 {
+    room.fit_into(room.state.spec.room, request)
+}
+
+struct VictimChoice {
+    victims: Vec<RunKey>,
+    cost: u64,
+}
+
+/// Runs of one worker to stop so that one more task fits there.
+fn cheapest_victims(
+    room: &WorkerRoom<'_>,
+    mut free: Room,
+    table: &VictimTable,
+    stopped: &BTreeSet<RunKey>,
+    request: &StepRequest<'_>,
+) -> Option<VictimChoice> {
+    let needed = request.spec.held_room();
+    let mut choice = VictimChoice { victims: Vec::new(), cost: 0 };
+    if room.fit_into(room.state.spec.room, request) == 0 {
+        return None;
+    }
+    let mut candidates: Vec<(u64, RunKey, Room)> = room
+        .state
+        .runs
+        .iter()
+        .filter(|(run, _)| !stopped.contains(run))
+        .filter_map(|(run, held)| table.cost.get(run).map(|cost| (*cost, *run, held.room)))
+        .collect();
+    candidates.sort_by_key(|(cost, run, _)| (*cost, *run));
+    let mut candidates = candidates.into_iter();
+    while !free.covers(&needed) {
+        let (cost, run, held) = candidates.next()?;
+        free = free.plus(&held);
+        choice.cost += cost;
+        choice.victims.push(run);
+    }
+    drop_needless(&mut choice, free, &needed, room);
+    Some(choice)
+}
+
+/// Spares victims without which the task fits as well, the costliest first.
+fn drop_needless(choice: &mut VictimChoice, mut free: Room, needed: &Room, room: &WorkerRoom<'_>) {
+    let victims = std::mem::take(&mut choice.victims);
+    for run in victims.into_iter().rev() {
+        let held = room.state.runs.get(&run).map(|held| held.room).unwrap_or_default();
+        let without = free.minus(&held);
+        if without.covers(needed) && free.covers(&held) {
+            free = without;
+        } else {
+            choice.victims.push(run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/room_map.rs
@@ -0,0 +1,155 @@
+//! Free room of workers during one round of planning, less what the round has given away.
+
+use smol_str::SmolStr;
+
+use crate::graph_state::GraphState;
+use crate::job_spec::StepSpec;
+use crate::job_terms::JobTerms;
+use crate::room::Room;
+use crate::task_key::StepKey;
+use crate::worker::WorkerKey;
+use crate::worker::WorkerState;
+
+/// Failed runs in a row after which a worker is left alone for a while. One failure may be the
+/// task's own fault.
+const QUARANTINE_FAILURES: u32 = 2;
+/// Time for which such a worker is left alone, in ms; the next task then tests it.
+const QUARANTINE_MS: u64 = 8_000;
+/// Largest share of workers that may be left alone at once: one in this many, so that bad jobs
+/// can't take the whole fleet out of use.
+const QUARANTINE_SHARE: usize = 3;
+
+/// What a step asks of workers.
+#[derive(Clone, Copy, Debug)]
+pub struct StepRequest<'a> {
+    /// The step.
+    pub step: StepKey,
+    /// What it is made of.
+    pub spec: &'a StepSpec,
+    /// On which terms its job was accepted.
+    pub terms: &'a JobTerms,
+    /// Workers on which it failed before.
+    pub failed_on: &'a [WorkerKey],
+}
+
+/// Room of one worker.
+#[derive(Clone, Debug)]
+pub struct WorkerRoom<'a> {
+    /// The worker.
+    pub key: WorkerKey,
+    /// What the log knows of it.
+    pub state: &'a WorkerState,
+    /// Room that nothing holds.
+    pub free: Room,
+    /// Room that runs hold which are being stopped.
+    pub coming: Room,
+    /// Whether it failed too much lately.
+    pub is_quarantined: bool,
+    /// Tasks that the round has placed here, by step.
+    placed: Vec<(StepKey, u32)>,
+}
+
+impl WorkerRoom<'_> {
+    /// Whether it may run the step at all.
+    pub fn is_fit(&self, request: &StepRequest<'_>) -> bool {
+        self.state.is_ready()
+            && !self.is_quarantined
+            && self.state.spec.service == request.terms.service
+            && self.state.has_label(request.spec.requires.as_ref())
+            && self.state.spec.room.covers(&request.spec.held_room())
+    }
+
+    /// How many of the step's tasks fit into `room` here.
+    pub fn fit_into(&self, room: Room, request: &StepRequest<'_>) -> u32 {
+        if !self.is_fit(request) || request.failed_on.contains(&self.key) {
+            return 0;
+        }
+        let count = room.times(&request.spec.held_room());
+        let limit = request.spec.max_per_worker;
+        if limit == 0 {
+            count
+        } else {
+            count.min(limit.saturating_sub(self.tasks_of(request.step)))
+        }
+    }
+
+    /// How many of the step's tasks fit into the free room.
+    pub fn fit(&self, request: &StepRequest<'_>) -> u32 {
+        self.fit_into(self.free, request)
+    }
+
+    fn tasks_of(&self, step: StepKey) -> u32 {
+        let held = self.state.runs.keys().filter(|run| run.task.step == step).count();
+        let placed = self.placed.iter().filter(|(other, _)| *other == step);
+        let placed: u32 = placed.map(|(_, count)| count).sum();
+        u32::try_from(held).unwrap_or(u32::MAX).saturating_add(placed)
+    }
+}
+
+/// Room of all workers.
+#[derive(Clone, Debug)]
+pub struct RoomMap<'a> {
+    /// Workers, in the order of their keys.
+    pub rooms: Vec<WorkerRoom<'a>>,
+}
+
+impl<'a> RoomMap<'a> {
+    /// Room as the state has it.
+    pub fn new(state: &'a GraphState, now_ms: u64) -> Self {
+        let mut rooms: Vec<WorkerRoom<'a>> =
+            state.workers.iter().map(|(key, worker)| room_of(*key, worker)).collect();
+        let mut budget = rooms.len() / QUARANTINE_SHARE;
+        for room in &mut rooms {
+            let is_bad = room.state.failures_in_row >= QUARANTINE_FAILURES
+                && now_ms < room.state.failed_ms + QUARANTINE_MS;
+            if is_bad && budget > 0 {
+                room.is_quarantined = true;
+                budget -= 1;
+            }
+        }
+        Self { rooms }
+    }
+
+    /// Racks of the workers that stand in one, each once.
+    pub fn racks(&self) -> Vec<&'a SmolStr> {
+        let mut racks: Vec<&'a SmolStr> = self
+            .rooms
+            .iter()
+            .map(|room| &room.state.spec.rack)
+            .filter(|rack| !rack.is_empty())
+            .collect();
+        racks.sort();
+        racks.dedup();
+        racks
+    }
+
+    /// Gives room of a worker to tasks of a step.
+    pub fn take(&mut self, place: usize, request: &StepRequest<'_>, count: u32) {
+        let Some(room) = self.rooms.get_mut(place) else { return };
+        let taken = request.spec.held_room().scaled(count);
+        let rest = taken.minus(&room.free);
+        room.free = room.free.minus(&taken);
+        room.coming = room.coming.minus(&rest);
+        room.placed.push((request.step, count));
+    }
+
+    /// Counts a run's room as coming free, since the round has it stopped.
+    pub fn release(&mut self, worker: WorkerKey, room: &Room) {
+        if let Some(entry) = self.rooms.iter_mut().find(|entry| entry.key == worker) {
+            entry.coming = entry.coming.plus(room);
+        }
+    }
+}
+
+fn room_of(key: WorkerKey, worker: &WorkerState) -> WorkerRoom<'_> {
+    let stopping = worker.runs.values().filter(|run| run.stop.is_some());
+    let coming = stopping.fold(Room::default(), |sum, run| sum.plus(&run.room));
+    WorkerRoom {
+        key,
+        state: worker,
+        free: worker.free(),
+        coming,
+        is_quarantined: false,
+        placed: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/run_table.rs
@@ -0,0 +1,247 @@
+//! What an agent knows of the runs on its worker, and what it has to do about them.
+//!
+//! The log says which runs the worker should have; the worker's own lists say which it has. Orders
+//! may get no answer and be carried out later, so a run counts as gone only when the worker no
+//! longer lists it in an answer to a question asked after an order for it was acknowledged.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+
+use crate::record::EndKind;
+use crate::record::RunEnd;
+use crate::task_key::RunKey;
+use crate::worker::HeldRun;
+
+/// What a worker said of a run that ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerEnd {
+    /// Number of the end within the worker's lifetime.
+    pub number: u64,
+    /// The end.
+    pub end: RunEnd,
+}
+
+/// What a worker said of a run that goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRun {
+    /// The run.
+    pub run: RunKey,
+    /// Newest checkpoint; empty where there is none.
+    pub checkpoint: SmolStr,
+    /// Progress, in percent.
+    pub percent: u32,
+}
+
+/// An order to the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Order {
+    /// Start a run.
+    Start(RunKey),
+    /// Stop a run.
+    Stop(RunKey),
+}
+
+/// What the worker answered to an order to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// It runs, or ran before.
+    Started,
+    /// The worker refused for good; nothing runs.
+    Refused,
+    /// A higher run of the task was stopped or ended there.
+    Outdated,
+    /// The order came too late by the worker's clock; nothing runs.
+    TooLate,
+    /// Nothing is known.
+    Unknown,
+}
+
+/// One look at the worker's lists. Looks are numbered in the order in which they were asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LookNumber(u64);
+
+#[derive(Clone, Debug, Default)]
+struct LocalRun {
+    is_stop_wanted: bool,
+    order: Option<Order>,
+    /// Set once an order to start was sent that may have been carried out.
+    may_run: bool,
+    /// First look asked for after a start was acknowledged or the run was listed.
+    known_since: Option<LookNumber>,
+    /// First look asked for after a stop was acknowledged.
+    stopped_since: Option<LookNumber>,
+    /// Whether an end was handed out for the log.
+    is_reported: bool,
+}
+
+/// Runs of one worker lifetime.
+#[derive(Clone, Debug, Default)]
+pub struct RunTable {
+    runs: BTreeMap<RunKey, LocalRun>,
+    strays: BTreeSet<RunKey>,
+    looks: u64,
+    has_looked: bool,
+    is_closed: bool,
+}
+
+impl RunTable {
+    /// Takes over which runs the log wants on the worker.
+    pub fn sync(&mut self, wanted: &BTreeMap<RunKey, HeldRun>) {
+        self.runs.retain(|run, _| wanted.contains_key(run));
+        for (run, held) in wanted {
+            let local = self.runs.entry(*run).or_insert_with(|| LocalRun {
+                // After a restart the run may have been started by the agent before this one.
+                may_run: !self.has_looked,
+                ..LocalRun::default()
+            });
+            local.is_stop_wanted = held.stop.is_some();
+        }
+    }
+
+    /// Whether the worker takes no new runs, since it leaves. What was not started is given back.
+    pub fn set_closed(&mut self, is_closed: bool) {
+        self.is_closed = is_closed;
+    }
+
+    /// Whether there is anything to watch.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.strays.is_empty() && self.has_looked
+    }
+
+    /// Orders to send now; each is out until it is answered.
+    pub fn next_orders(&mut self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        if !self.has_looked {
+            return orders;
+        }
+        for (run, local) in &mut self.runs {
+            if local.is_reported {
+                continue;
+            }
+            let is_given_back = self.is_closed && local.known_since.is_none();
+            let is_stop_wanted = local.is_stop_wanted || is_given_back;
+            if is_stop_wanted && !local.may_run {
+                local.stopped_since.get_or_insert(LookNumber::default());
+            }
+            // A stop goes out beside an unanswered start: once it is acknowledged, the worker
+            // rejects the start.
+            let order = if is_stop_wanted {
+                let is_out = local.order == Some(Order::Stop(*run));
+                (local.stopped_since.is_none() && !is_out).then_some(Order::Stop(*run))
+            } else if local.order.is_some() {
+                None
+            } else {
+                local.known_since.is_none().then_some(Order::Start(*run))
+            };
+            if let Some(order) = order {
+                local.order = Some(order);
+                local.may_run |= matches!(order, Order::Start(_));
+                orders.push(order);
+            }
+        }
+        orders.extend(self.strays.iter().map(|run| Order::Stop(*run)));
+        self.strays.clear();
+        orders
+    }
+
+    /// Takes the answer to an order to start. Gives an end for the log where nothing runs.
+    pub fn start_answered(&mut self, run: RunKey, answer: StartAnswer) -> Option<RunEnd> {
+        let next_look = LookNumber(self.looks + 1);
+        let local = self.runs.get_mut(&run)?;
+        if local.order == Some(Order::Start(run)) {
+            local.order = None;
+        }
+        match answer {
+            StartAnswer::Started => {
+                local.known_since.get_or_insert(next_look);
+                None
+            }
+            StartAnswer::Refused if !local.is_stop_wanted && !local.is_reported => {
+                local.is_reported = true;
+                Some(end_of(run, EndKind::Refused))
+            }
+            StartAnswer::Outdated => {
+                local.known_since.get_or_insert(next_look);
+                None
+            }
+            StartAnswer::Refused | StartAnswer::TooLate | StartAnswer::Unknown => None,
+        }
+    }
+
+    /// Takes the answer to an order to stop.
+    pub fn stop_answered(&mut self, run: RunKey, is_acknowledged: bool) {
+        let next_look = LookNumber(self.looks + 1);
+        let Some(local) = self.runs.get_mut(&run) else { return };
+        if local.order == Some(Order::Stop(run)) {
+            local.order = None;
+        }
+        if is_acknowledged {
+            local.stopped_since.get_or_insert(next_look);
+        }
+    }
+
+    /// Numbers a look that is about to be asked for.
+    pub fn begin_look(&mut self) -> LookNumber {
+        self.looks += 1;
+        LookNumber(self.looks)
+    }
+
+    /// Takes what the worker lists. Gives the ends that the log does not have: those listed, and
+    /// those of runs that the worker no longer knows.
+    pub fn looked(
+        &mut self,
+        look: LookNumber,
+        running: &[WorkerRun],
+        ended: &[WorkerEnd],
+    ) -> Vec<RunEnd> {
+        self.has_looked = true;
+        let listed: BTreeSet<RunKey> = running.iter().map(|entry| entry.run).collect();
+        let mut ends = Vec::new();
+        for entry in ended {
+            if let Some(local) = self.runs.get_mut(&entry.end.run)
+                && !local.is_reported
+            {
+                local.is_reported = true;
+                ends.push(entry.end.clone());
+            }
+        }
+        for run in &listed {
+            match self.runs.get_mut(run) {
+                None => {
+                    self.strays.insert(*run);
+                }
+                Some(local) => {
+                    local.known_since.get_or_insert(LookNumber(look.0 + 1));
+                }
+            }
+        }
+        for (run, local) in &mut self.runs {
+            let is_listed = listed.contains(run);
+            if is_listed || local.is_reported {
+                continue;
+            }
+            let is_settled = |since: Option<LookNumber>| since.is_some_and(|since| since <= look);
+            if is_settled(local.stopped_since) {
+                local.is_reported = true;
+                ends.push(end_of(*run, EndKind::Stopped));
+            } else if is_settled(local.known_since) {
+                local.is_reported = true;
+                ends.push(end_of(*run, EndKind::Vanished));
+            }
+        }
+        ends
+    }
+
+    /// Hands out an end again, since the log did not take it.
+    pub fn unreport(&mut self, run: RunKey) {
+        if let Some(local) = self.runs.get_mut(&run) {
+            local.is_reported = false;
+        }
+    }
+}
+
+fn end_of(run: RunKey, how: EndKind) -> RunEnd {
+    RunEnd { run, how, checkpoint: SmolStr::default() }
+}
--- /dev/null
+++ b/crates/taskgraph/src/step_queue.rs
@@ -0,0 +1,184 @@
+//! Steps that can be placed, in the order in which they are to be.
+//!
+//! Urgent jobs within their team's guarantee go first, by acceptance. Then come jobs that can still
+//! be on time, then those that are late, then those so late that nobody waits for them; each by
+//! priority, then by the time at which they cease to be on time.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::graph_state::GraphState;
+use crate::job_id::JobId;
+use crate::job_spec::StepSpec;
+use crate::job_state::JobState;
+use crate::job_state::StepState;
+use crate::task_key::StepKey;
+
+/// An answer is worth something up to this many times the objective.
+const LATE_FACTOR: u64 = 3;
+/// Time before its due time from which an occurrence may be placed, in ms. Orders take a while to
+/// reach the worker; none may begin more than 250 ms early.
+const EARLY_MS: u64 = 0;
+
+/// How far a job is from being on time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timeliness {
+    /// It can be on time.
+    OnTime,
+    /// It is or will be late, and still wanted.
+    Late,
+    /// It is too late to be of use.
+    TooLate,
+}
+
+/// A step with tasks to place.
+#[derive(Clone, Debug)]
+pub struct WaitingStep<'a> {
+    /// The step.
+    pub key: StepKey,
+    /// Its job.
+    pub job: &'a JobState,
+    /// What it is made of.
+    pub spec: &'a StepSpec,
+    /// Tasks that wait.
+    pub tasks: Vec<u32>,
+    /// Whether its team's guarantee covers it.
+    pub is_covered: bool,
+    /// How far it is from being on time.
+    pub timeliness: Timeliness,
+    /// When it ceases to be on time, in ms since the Unix epoch.
+    pub objective_at_ms: u64,
+    /// Since when it could have been placed, in ms since the Unix epoch.
+    pub waiting_since_ms: u64,
+}
+
+impl WaitingStep<'_> {
+    /// State of the step, once it was placed.
+    pub fn state(&self) -> Option<&StepState> {
+        self.job.steps.get(&(self.key.occurrence, self.key.step))
+    }
+
+    fn rank(&self) -> (bool, u64, Timeliness, u8, u64, JobId) {
+        let accepted_ms = if self.is_covered { self.job.accepted_ms } else { 0 };
+        (
+            !self.is_covered,
+            accepted_ms,
+            self.timeliness,
+            self.job.terms.priority,
+            self.objective_at_ms,
+            self.key.job,
+        )
+    }
+}
+
+/// Urgent jobs that their team's guarantee covers, oldest first within a team.
+pub fn covered_jobs(
+    state: &GraphState,
+    guarantees: &BTreeMap<SmolStr, u32>,
+) -> BTreeMap<JobId, bool> {
+    let mut urgent: Vec<(u64, JobId, &JobState)> = state
+        .active
+        .iter()
+        .filter_map(|id| state.jobs.get(id).map(|job| (job.accepted_ms, *id, job)))
+        .filter(|(_, _, job)| job.terms.priority == 0)
+        .collect();
+    urgent.sort_by_key(|(accepted_ms, id, _)| (*accepted_ms, *id));
+    let mut used: BTreeMap<&SmolStr, u32> = BTreeMap::new();
+    let mut covered = BTreeMap::new();
+    for (_, id, job) in urgent {
+        let team = &job.terms.team;
+        let limit = guarantees.get(team).copied().unwrap_or(0);
+        let sum = used.entry(team).or_default();
+        *sum = sum.saturating_add(job.spec.widest_accelerators());
+        covered.insert(id, *sum <= limit);
+    }
+    covered
+}
+
+/// Steps that can be placed now, first to be placed first.
+pub fn waiting_steps<'a>(
+    state: &'a GraphState,
+    covered: &BTreeMap<JobId, bool>,
+    now_ms: u64,
+) -> Vec<WaitingStep<'a>> {
+    let mut waiting = Vec::new();
+    for id in &state.active {
+        let Some(job) = state.jobs.get(id) else { continue };
+        let is_covered = covered.get(id).copied().unwrap_or(false);
+        for occurrence in due_occurrences(job, now_ms) {
+            for (step, spec) in (0..).zip(&job.spec.steps) {
+                let key = StepKey { job: *id, occurrence, step };
+                waiting.extend(waiting_step(key, job, spec, is_covered, now_ms));
+            }
+        }
+    }
+    waiting.sort_by_key(WaitingStep::rank);
+    waiting
+}
+
+/// Occurrences that are due and not finished.
+fn due_occurrences(job: &JobState, now_ms: u64) -> impl Iterator<Item = u32> + '_ {
+    let is_due = move |occurrence: &u32| {
+        job.spec.due_ms(*occurrence).is_none_or(|due_ms| due_ms <= now_ms + EARLY_MS)
+    };
+    let occurrences = (0..job.spec.occurrences()).take_while(is_due);
+    occurrences.filter(|occurrence| !job.finished.contains(occurrence))
+}
+
+/// When the next occurrence of any job is due after `now_ms`, in ms since the Unix epoch.
+pub fn next_due_ms(state: &GraphState, now_ms: u64) -> Option<u64> {
+    let jobs = state.active.iter().filter_map(|id| state.jobs.get(id));
+    jobs.filter_map(|job| {
+        let mut due = (0..job.spec.occurrences()).filter_map(|number| job.spec.due_ms(number));
+        due.find(|due_ms| *due_ms > now_ms)
+    })
+    .min()
+}
+
+fn waiting_step<'a>(
+    key: StepKey,
+    job: &'a JobState,
+    spec: &'a StepSpec,
+    is_covered: bool,
+    now_ms: u64,
+) -> Option<WaitingStep<'a>> {
+    if !job.is_unblocked(key.occurrence, spec) {
+        return None;
+    }
+    let state = job.steps.get(&(key.occurrence, key.step));
+    if spec.gang && state.is_some_and(StepState::is_occupied) {
+        return None;
+    }
+    let is_waiting = |index: &u32| {
+        let task = state.and_then(|state| state.tasks.get(*index as usize));
+        task.is_none_or(|task| !task.is_done && task.current.is_empty())
+    };
+    let tasks: Vec<u32> = (0..spec.count).filter(is_waiting).collect();
+    if tasks.is_empty() {
+        return None;
+    }
+    let objective_at_ms = job.objective_at_ms(key.occurrence);
+    let begun_ms = job.spec.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
+    Some(WaitingStep {
+        key,
+        job,
+        spec,
+        tasks,
+        is_covered,
+        timeliness: timeliness(job, spec, begun_ms, now_ms),
+        objective_at_ms,
+        waiting_since_ms: begun_ms,
+    })
+}
+
+fn timeliness(job: &JobState, spec: &StepSpec, begun_ms: u64, now_ms: u64) -> Timeliness {
+    let objective_ms = job.objective_ms();
+    if spec.long_running || now_ms + u64::from(spec.estimate_ms) <= begun_ms + objective_ms {
+        Timeliness::OnTime
+    } else if now_ms <= begun_ms + LATE_FACTOR * objective_ms {
+        Timeliness::Late
+    } else {
+        Timeliness::TooLate
+    }
+}
--- /dev/null
+++ b/crates/taskgraph/src/task_key.rs
@@ -0,0 +1,93 @@
+//! Keys of steps, tasks and runs.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::OptionExt;
+use snafu::Snafu;
+
+use crate::job_id::JobId;
+
+/// One step of one occurrence of a job.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, from 0; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Step, from 0.
+    pub step: u16,
+}
+
+impl StepKey {
+    /// One of the step's tasks.
+    pub fn task(self, index: u32) -> TaskKey {
+        TaskKey { step: self, index }
+    }
+}
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// One task of a step.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TaskKey {
+    /// The step.
+    pub step: StepKey,
+    /// Place in the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.step, self.index)
+    }
+}
+
+/// A text is no task key.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("a task is named JOB.OCCURRENCE.STEP.INDEX"))]
+pub struct TaskKeyError;
+
+impl FromStr for TaskKey {
+    type Err = TaskKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().context(TaskKeySnafu);
+        let job = next()?.parse().map_err(|_| TaskKeyError)?;
+        let occurrence = next()?.parse().map_err(|_| TaskKeyError)?;
+        let step = next()?.parse().map_err(|_| TaskKeyError)?;
+        let index = next()?.parse().map_err(|_| TaskKeyError)?;
+        if parts.next().is_some() {
+            return Err(TaskKeyError);
+        }
+        Ok(StepKey { job, occurrence, step }.task(index))
+    }
+}
+
+/// One start of a task. The members of a gang share the run number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RunKey {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start, from 1.
+    pub run: u32,
+}
+
+impl fmt::Display for RunKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}#{}", self.task, self.run)
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics of the daemons.
 
+mod line_queue;
 pub mod log_settings;
 pub mod log_setup;
 pub mod meter_registry;
--- a/crates/telemetry/src/log_setup.rs
+++ b/crates/telemetry/src/log_setup.rs
@@ -1,15 +1,22 @@
-//! Sets up the log on standard error.
+//! Sets up the log: JSON lines on standard output, or text on standard error.
 
-use std::fmt::Arguments;
+use std::collections::BTreeMap;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use fern::Output;
 use log::LevelFilter;
 use log::Record;
+use log::kv::Error as KvError;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
 use serde::Serialize;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::line_queue::LineQueue;
+use crate::line_queue::Verdict;
 use crate::log_settings::LogFormat;
 use crate::log_settings::LogLevel;
 use crate::log_settings::LogSettings;
@@ -32,6 +39,8 @@
     level: &'a str,
     target: &'a str,
     message: String,
+    #[serde(flatten)]
+    fields: BTreeMap<String, serde_json::Value>,
 }
 
 /// Sets up the log of this process.
@@ -52,28 +61,86 @@
             metadata.level() <= LevelFilter::Warn || metadata.target().starts_with("cuminbarrow")
         })
         .level(level);
-    let dispatch = match settings.format {
-        LogFormat::Json => dispatch.format(|out, message, record| {
-            out.finish(format_args!("{}", json_line(message, record)));
-        }),
-        LogFormat::Text => dispatch.format(|out, message, record| {
-            let (at_ms, level) = (now_ms(), record.level());
-            out.finish(format_args!("{at_ms} {level:5} {} {message}", record.target()));
-        }),
+    match settings.format {
+        LogFormat::Json => {
+            let queue = LineQueue::to_stdout();
+            let output = Output::call(move |record| write_json(&queue, record));
+            dispatch.chain(output).apply().context(SetTwiceSnafu)
+        }
+        LogFormat::Text => dispatch
+            .format(|out, message, record| {
+                let (at_ms, level) = (now_ms(), record.level());
+                let fields = text_fields(record);
+                let target = record.target();
+                out.finish(format_args!("{at_ms} {level:5} {target} {message}{fields}"));
+            })
+            .chain(std::io::stderr())
+            .apply()
+            .context(SetTwiceSnafu),
+    }
+}
+
+fn write_json(queue: &LineQueue, record: &Record<'_>) {
+    let kind = (record.module_path_static().unwrap_or(""), record.line().unwrap_or(0));
+    let dropped = match queue.admit(kind, now_ms()) {
+        Verdict::Drop => return,
+        Verdict::Write => 0,
+        Verdict::WriteAfter(dropped) => dropped,
     };
-    dispatch.chain(std::io::stderr()).apply().context(SetTwiceSnafu)
+    let lost = queue.push(json_line(record));
+    if lost + u64::from(dropped) > 0 {
+        queue.push(dropped_line(record.target(), kind.1, dropped, lost));
+    }
+}
+
+/// Tells of lines that were not written.
+fn dropped_line(target: &str, code_line: u32, dropped: u32, lost: u64) -> String {
+    let line = serde_json::json!({
+        "at_ms": now_ms(),
+        "level": "WARN",
+        "target": target,
+        "message": "lines were dropped",
+        "code_line": code_line,
+        "dropped_of_this_kind": dropped,
+        "lost_of_all_kinds": lost,
+    });
+    line.to_string()
 }
 
-fn json_line(message: &Arguments<'_>, record: &Record<'_>) -> String {
+fn json_line(record: &Record<'_>) -> String {
     let line = JsonLine {
         at_ms: now_ms(),
         level: record.level().as_str(),
         target: record.target(),
-        message: message.to_string(),
+        message: record.args().to_string(),
+        fields: fields_of(record),
     };
     serde_json::to_string(&line).unwrap_or_default()
 }
 
+fn text_fields(record: &Record<'_>) -> String {
+    let fields = fields_of(record).into_iter();
+    fields.map(|(key, value)| format!(" {key}={value}")).collect()
+}
+
+fn fields_of(record: &Record<'_>) -> BTreeMap<String, serde_json::Value> {
+    let mut fields = FieldMap(BTreeMap::new());
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0
+}
+
+struct FieldMap(BTreeMap<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldMap {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
+        let text = || serde_json::Value::String(value.to_string());
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| text());
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
 fn now_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
