Let agents read the log through entries, and fall back on them

Now agents read through an entry of their data centre, and of a region's entries one reads the log. Who is turned away goes through an entry for everything.

--- /dev/null
+++ b/crates/dispatch/src/entry_announcer.rs
@@ -0,0 +1,45 @@
+//! Tells the other processes where an entry is, for as long as it runs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminbarrow_taskgraph::record::GraphRecord;
+
+use crate::membership::Membership;
+use crate::replica::Replica;
+
+/// Time between signs of life in the list of live processes. Two fit into their time to live.
+const JOIN_EVERY: Duration = Duration::from_millis(1_200);
+/// Longest time for the announcement to be applied.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Keeps the entry announced at `address`, and in the list of live processes.
+pub async fn run(replica: Arc<Replica>, membership: Arc<dyn Membership>, address: SocketAddr) {
+    loop {
+        if let Err(error) = membership.join(replica.incarnation).await {
+            log::warn!("{error}");
+        }
+        let is_known = replica.state().processes.contains_key(&replica.incarnation);
+        if replica.is_fresh() && !is_known {
+            announce(&replica, address).await;
+        }
+        tokio::time::sleep(JOIN_EVERY).await;
+    }
+}
+
+async fn announce(replica: &Replica, address: SocketAddr) {
+    let place = replica.place.clone();
+    let record = GraphRecord::ProcessUp {
+        incarnation: replica.incarnation,
+        role: place.role,
+        instance: place.instance,
+        region: place.region,
+        data_centre: place.data_centre,
+        address,
+    };
+    match replica.write(record, WRITE_TIMEOUT).await {
+        Ok(_) => log::info!(address:% = address; "this entry is announced"),
+        Err(error) => log::warn!(address:% = address; "this entry is not announced: {error}"),
+    }
+}
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -188,7 +188,9 @@
     }
 
     async fn wait_fresh(&self) -> Result<(), JobServiceError> {
-        let wait = self.replica.log.next_confirmed();
+        let mut confirmed = self.replica.log.confirmed();
+        confirmed.mark_unchanged();
+        let wait = confirmed.changed();
         let is_confirmed = tokio::time::timeout(FRESH_TIMEOUT, wait).await.is_ok();
         if is_confirmed || self.replica.is_fresh() {
             return Ok(());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,7 +1,8 @@
 //! The processes that run task graphs: entries that accept jobs and plan, agents that start tasks.
 //!
-//! Every process is a replica of the log ([`replica`]); there is no other link between them. An
-//! entry appends what callers ask for ([`job_service`]) and, while it holds the planner role, what
+//! Every process is a replica of the log ([`replica`]). Agents read it through an entry
+//! ([`relayed_log`], [`relay_server`]); beyond that there is no link between processes. An entry
+//! appends what callers ask for ([`job_service`]) and, while it holds the planner role, what
 //! is placed where ([`planner_task`]). An agent brings its worker to the state that the log wants
 //! ([`agent_core`]) and reports how runs end. What differs between platforms stands behind traits:
 //! the log ([`cuminbarrow_resources::log_store`]), the worker ([`worker_port`]) and the list of live
@@ -11,9 +12,14 @@
 pub mod clock;
 pub mod configuration;
 pub mod confirmed_log;
+pub mod entry_announcer;
 pub mod job_service;
 pub mod membership;
+pub mod peer_list;
 pub mod planner_task;
+mod relay_link;
+pub mod relay_server;
+pub mod relayed_log;
 pub mod replica;
 pub mod snapshot_keeper;
 pub mod worker_port;
--- /dev/null
+++ b/crates/dispatch/src/peer_list.rs
@@ -0,0 +1,107 @@
+//! Entries that pass calls on to the log, nearest first.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use cuminbarrow_taskgraph::graph_state::GraphState;
+use cuminbarrow_taskgraph::graph_state::ProcessState;
+use cuminbarrow_taskgraph::record::ProcessRole;
+use smol_str::SmolStr;
+
+/// Where a process stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessPlace {
+    /// Its role.
+    pub role: ProcessRole,
+    /// Instance.
+    pub instance: SmolStr,
+    /// Region.
+    pub region: SmolStr,
+    /// Data centre.
+    pub data_centre: SmolStr,
+}
+
+/// Entries to go through.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerChoice {
+    /// Entries to read through before the log itself is asked.
+    pub readers: Vec<SocketAddr>,
+    /// Entries to go through when the log does not answer this process.
+    pub fallbacks: Vec<SocketAddr>,
+}
+
+impl PeerChoice {
+    /// The choice of the process `incarnation` at `place`.
+    ///
+    /// Agents read through entries. Of the entries of a region, the one with the lowest incarnation
+    /// reads the log and the others read through it.
+    pub fn of(state: &GraphState, incarnation: u64, place: &ProcessPlace) -> Self {
+        let mut ranked: Vec<(u8, u64, &ProcessState)> = state
+            .processes
+            .iter()
+            .filter(|(_, process)| is_other_entry(place, process))
+            .map(|(other, process)| {
+                (distance(place, process), other.wrapping_add(incarnation), process)
+            })
+            .collect();
+        ranked.sort_by_key(|(distance, spread, _)| (*distance, *spread));
+        let fallbacks: Vec<SocketAddr> =
+            ranked.iter().map(|(_, _, process)| process.address).collect();
+        let readers = match place.role {
+            ProcessRole::Agent => fallbacks.clone(),
+            ProcessRole::Entry => region_reader(state, incarnation, place).into_iter().collect(),
+        };
+        Self { readers, fallbacks }
+    }
+}
+
+/// Whether a process is an entry on another instance. One on this instance is this process or a
+/// predecessor of it, which the log has not forgotten yet.
+fn is_other_entry(place: &ProcessPlace, process: &ProcessState) -> bool {
+    process.role == ProcessRole::Entry && process.instance != place.instance
+}
+
+/// Distance between a process and an entry: same data centre, same region, other region.
+fn distance(place: &ProcessPlace, process: &ProcessState) -> u8 {
+    if process.data_centre == place.data_centre {
+        0
+    } else if process.region == place.region {
+        1
+    } else {
+        2
+    }
+}
+
+/// The entry through which the others of its region read; nothing for that entry itself.
+fn region_reader(state: &GraphState, incarnation: u64, place: &ProcessPlace) -> Option<SocketAddr> {
+    let mut entries = state
+        .processes
+        .iter()
+        .filter(|(_, process)| is_other_entry(place, process) && process.region == place.region);
+    let (first, process) = entries.next()?;
+    (*first < incarnation).then_some(process.address)
+}
+
+/// The choice as of the newest state, shared between a replica and its log.
+#[derive(Debug, Default)]
+pub struct PeerList {
+    choice: Mutex<PeerChoice>,
+}
+
+impl PeerList {
+    /// The newest choice.
+    pub fn choice(&self) -> PeerChoice {
+        self.lock().clone()
+    }
+
+    /// Takes a newer choice.
+    pub fn set(&self, choice: PeerChoice) {
+        *self.lock() = choice;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PeerChoice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/relay_server.rs
@@ -0,0 +1,148 @@
+//! An entry's side of relayed calls.
+//!
+//! Reads are answered from the batches that this entry has read itself; everything else, and what
+//! lies before them, is passed on to the log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminbarrow_protocol::byte_counter::ByteCounter;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkError;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::relay_message::RelayRequest;
+use cuminbarrow_protocol::relay_message::RelayResponse;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::membership::Membership;
+use crate::replica::Replica;
+
+/// Longest wait of a read, in ms.
+const MAX_WAIT_MS: u32 = 2_000;
+/// Age of this entry's last confirmed read beyond which nobody should read through it, in ms: a
+/// read of a second, its answer, and the chain to the entry that reads the log itself.
+const MAX_AGE_MS: u64 = 2_200;
+
+/// Passes calls on.
+#[derive(Clone)]
+pub struct RelayServer {
+    /// This entry's replica, whose batches are passed on.
+    pub replica: Arc<Replica>,
+    /// The log itself, never through another entry.
+    pub direct: Arc<dyn LogStore>,
+    /// The list of live agents.
+    pub membership: Arc<dyn Membership>,
+}
+
+impl RelayServer {
+    /// Serves links for good.
+    pub async fn run(self, listener: TcpListener, key: SharedKey, counter: Arc<ByteCounter>) {
+        accept_links(listener, key, counter, move |incoming| {
+            if incoming.kind != LinkKind::Relay {
+                log::warn!("a link of kind {:?} is of no use here", incoming.kind);
+                return;
+            }
+            let server = self.clone();
+            tokio::spawn(async move {
+                let error = server.serve(incoming.typed()).await;
+                log::debug!("a relay link ended: {error}");
+            });
+        })
+        .await;
+    }
+
+    async fn serve(&self, mut link: Link<RelayResponse, RelayRequest>) -> LinkError {
+        loop {
+            let request = match link.receiver.receive().await {
+                Err(error) => return error,
+                Ok(request) => request,
+            };
+            let response = self.answer(request).await;
+            if let Err(error) = link.sender.send(&response).await {
+                return error;
+            }
+        }
+    }
+
+    async fn answer(&self, request: RelayRequest) -> RelayResponse {
+        match request {
+            RelayRequest::Append { body } => {
+                match self.direct.append(LogStream::Records, Bytes::from(body)).await {
+                    Err(error) => failure(error),
+                    Ok(offset) => RelayResponse::Appended { offset },
+                }
+            }
+            RelayRequest::Join { incarnation } => match self.membership.join(incarnation).await {
+                Err(error) => RelayResponse::Refused { reason: error.to_string() },
+                Ok(()) => RelayResponse::Done,
+            },
+            RelayRequest::LoadChunks => match self.direct.load_chunks().await {
+                Err(error) => failure(error),
+                Ok(chunks) => RelayResponse::Chunks { chunks },
+            },
+            RelayRequest::Read { from, wait_ms } => self.read(from, wait_ms).await,
+            RelayRequest::SaveChunks { chunks } => {
+                let chunks = chunks.into_iter().map(Bytes::from).collect();
+                match self.direct.save_chunks(chunks).await {
+                    Err(error) => failure(error),
+                    Ok(()) => RelayResponse::Done,
+                }
+            }
+        }
+    }
+
+    /// Waits for a batch after those that the caller has, then answers from what was read.
+    async fn read(&self, from: u64, wait_ms: u32) -> RelayResponse {
+        let began = Instant::now();
+        let deadline = began + Duration::from_millis(u64::from(wait_ms.min(MAX_WAIT_MS)));
+        let mut confirmed = self.replica.log.confirmed();
+        loop {
+            confirmed.mark_unchanged();
+            match self.replica.log.recent_page(from) {
+                None if self.replica.log.is_before_recent(from) => return self.pass_on(from).await,
+                Some(page) if !page.entries.is_empty() => return records(page, Duration::ZERO),
+                _ => {}
+            }
+            if tokio::time::timeout_at(deadline, confirmed.changed()).await.is_err() {
+                break;
+            }
+        }
+        match self.replica.log.recent_page(from) {
+            Some(page) if page.age_ms <= MAX_AGE_MS => records(page, began.elapsed()),
+            _ => RelayResponse::Refused { reason: "this entry is behind".to_owned() },
+        }
+    }
+
+    async fn pass_on(&self, from: u64) -> RelayResponse {
+        match self.direct.read(LogStream::Records, from, u32::MAX, 0).await {
+            Err(error) => failure(error),
+            Ok(page) => records(page, Duration::ZERO),
+        }
+    }
+}
+
+fn records(page: LogPage, waited: Duration) -> RelayResponse {
+    RelayResponse::Records {
+        oldest: page.oldest,
+        next: page.next,
+        entries: page.entries,
+        waited_ms: u64::try_from(waited.as_millis()).unwrap_or(0),
+        age_ms: page.age_ms,
+    }
+}
+
+fn failure(error: LogError) -> RelayResponse {
+    match error {
+        LogError::Expired { oldest } => RelayResponse::Expired { oldest },
+        LogError::Unavailable { reason } => RelayResponse::Refused { reason },
+        LogError::Uncertain { reason } => RelayResponse::Uncertain { reason },
+    }
+}
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -11,6 +11,7 @@
 use cuminbarrow_ledger::log_writer::LogWriter;
 use cuminbarrow_ledger::log_writer::Settled;
 use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_taskgraph::graph_state::GraphOutcome;
 use cuminbarrow_taskgraph::graph_state::GraphReport;
@@ -21,6 +22,10 @@
 use crate::clock::BootClock;
 use crate::clock::wall_ms;
 use crate::confirmed_log::ConfirmedLog;
+use crate::peer_list::PeerChoice;
+use crate::peer_list::PeerList;
+use crate::peer_list::ProcessPlace;
+use crate::relayed_log::RelayedLog;
 
 /// Wait before the log is tried again when no snapshot covers the records that expired. A living
 /// replica writes a snapshot soon after it sees records expire.
@@ -37,19 +42,31 @@
     pub clock: Arc<dyn BootClock>,
     /// The log.
     pub log: Arc<ConfirmedLog>,
+    /// Where this process stands.
+    pub place: ProcessPlace,
+    peers: Arc<PeerList>,
     tail: LogTail<GraphState>,
     writer: LogWriter<GraphState>,
     applied: watch::Sender<u64>,
 }
 
 impl Replica {
-    /// A replica that has read nothing yet; [`Replica::run`] follows the log.
-    pub fn new(store: Arc<dyn LogStore>, clock: Arc<dyn BootClock>) -> Arc<Self> {
+    /// A replica that has read nothing yet; [`Replica::run`] follows the log, which is reached
+    /// `direct`ly or through the entries of `peers`.
+    pub fn new(
+        direct: Arc<dyn LogStore>,
+        clock: Arc<dyn BootClock>,
+        place: ProcessPlace,
+        peers: Arc<PeerList>,
+        dialer: &LinkDialer,
+    ) -> Arc<Self> {
         let incarnation = rand::random();
+        let store = Arc::new(RelayedLog::new(direct, Arc::clone(&peers), dialer));
         let log = Arc::new(ConfirmedLog::new(store, Arc::clone(&clock)));
         let writer = LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms);
         let applied = watch::Sender::new(0);
-        Arc::new(Self { incarnation, clock, log, tail: LogTail::default(), writer, applied })
+        let tail = LogTail::default();
+        Arc::new(Self { incarnation, clock, log, place, peers, tail, writer, applied })
     }
 
     /// Follows the log for good.
@@ -70,6 +87,10 @@
         }
     }
 
+    fn choose_peers(&self, state: &GraphState) {
+        self.peers.set(PeerChoice::of(state, self.incarnation, &self.place));
+    }
+
     /// The state as applied so far.
     pub fn state(&self) -> RwLockReadGuard<'_, GraphState> {
         self.tail.state()
@@ -129,10 +150,14 @@
         report: &GraphReport,
     ) {
         self.writer.settle(offset, batch, report);
+        if state.processes_changed == state.offset {
+            self.choose_peers(state);
+        }
         self.applied.send_replace(state.offset);
     }
 
     fn replaced(&self, state: &GraphState) {
+        self.choose_peers(state);
         self.applied.send_replace(state.offset);
     }
 }
--- a/crates/dispatch/src/worker_watch.rs
+++ b/crates/dispatch/src/worker_watch.rs
@@ -17,6 +17,8 @@
 /// Time for which an agent must be missing from the list before its worker is suspected, in ms. An
 /// agent that restarts is back within a second or two.
 const MISSING_MS: u64 = 1_500;
+/// Time for which an entry must be missing before nobody reads through it any more, in ms.
+const MISSING_ENTRY_MS: u64 = 2_000;
 /// Added to the hold time before a worker is taken away, in ms: rounding of leases to whole ms and
 /// the worker's look at them.
 const LAPSE_SLACK_MS: u64 = 300;
@@ -25,6 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkerWatch {
     missing: BTreeMap<WorkerKey, u64>,
+    missing_entries: BTreeMap<u64, u64>,
     suspected: BTreeMap<(WorkerKey, u64), u64>,
 }
 
@@ -54,6 +57,29 @@
             }
         }
         records.extend(self.lapsed(state, lease, now_ms));
+        records.extend(self.silent_entries(state, members, now_ms));
+        records
+    }
+
+    /// Entries that are missing for long are no longer read through.
+    fn silent_entries(
+        &mut self,
+        state: &GraphState,
+        members: &BTreeSet<u64>,
+        now_ms: u64,
+    ) -> Vec<GraphRecord> {
+        self.missing_entries.retain(|incarnation, _| state.processes.contains_key(incarnation));
+        let mut records = Vec::new();
+        for incarnation in state.processes.keys() {
+            if members.contains(incarnation) {
+                self.missing_entries.remove(incarnation);
+                continue;
+            }
+            let since_ms = *self.missing_entries.entry(*incarnation).or_insert(now_ms);
+            if now_ms >= since_ms + MISSING_ENTRY_MS {
+                records.push(GraphRecord::ProcessDown { incarnation: *incarnation });
+            }
+        }
         records
     }
 
@@ -82,5 +108,6 @@
     /// Forgets since when agents are missing, after a time in which the list could not be trusted.
     pub fn forget_missing(&mut self) {
         self.missing.clear();
+        self.missing_entries.clear();
     }
 }
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -229,7 +229,9 @@
             LinkKind::Agent => {
                 tokio::spawn(agent_server::serve(core, incoming.typed()));
             }
-            LinkKind::Gang => log::warn!("an entry has no gangs"),
+            LinkKind::Gang | LinkKind::Relay => {
+                log::warn!("a link of kind {:?} is of no use to this entry", incoming.kind);
+            }
             LinkKind::Peer => {
                 tokio::spawn(peer_server::serve(core, incoming.typed()));
             }
--- a/crates/entry/src/region_log.rs
+++ b/crates/entry/src/region_log.rs
@@ -81,7 +81,7 @@
         *reader = Some(ReaderLink { address, link });
         Ok(match answer {
             PeerResponse::Log { oldest, next, entries } => {
-                Some(LogPage { oldest, next, first: from, entries })
+                Some(LogPage { oldest, next, first: from, entries, ..LogPage::default() })
             }
             _ => None,
         })
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod byte_counter;
 pub mod link;
 pub mod message;
+pub mod relay_message;
 pub mod shared_key;
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -46,6 +46,8 @@
     Gang,
     /// Between entries.
     Peer,
+    /// To an entry that passes calls on to the log.
+    Relay,
 }
 
 impl LinkKind {
@@ -54,11 +56,14 @@
             Self::Agent => "/agent",
             Self::Gang => "/gang",
             Self::Peer => "/peer",
+            Self::Relay => "/relay",
         }
     }
 
     fn from_path(path: &str) -> Option<Self> {
-        [Self::Agent, Self::Gang, Self::Peer].into_iter().find(|kind| kind.path() == path)
+        [Self::Agent, Self::Gang, Self::Peer, Self::Relay]
+            .into_iter()
+            .find(|kind| kind.path() == path)
     }
 }
 
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -38,6 +38,10 @@
     pub first: u64,
     /// Bodies of the entries.
     pub entries: Vec<Vec<u8>>,
+    /// Time for which the answer certainly waited for an entry, in ms.
+    pub waited_ms: u64,
+    /// How long before the answer was sent `next` was known to be the end, at most, in ms.
+    pub age_ms: u64,
 }
 
 /// Why the log service did not answer as asked.
--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -52,7 +52,13 @@
     fn page(&self, from: u64, limit: u32) -> LogPage {
         let skipped = usize::try_from(from.saturating_sub(self.oldest)).unwrap_or(usize::MAX);
         let entries = self.entries.iter().skip(skipped).take(limit as usize).cloned().collect();
-        LogPage { oldest: self.oldest, next: self.next(), first: from, entries }
+        LogPage {
+            oldest: self.oldest,
+            next: self.next(),
+            first: from,
+            entries,
+            ..LogPage::default()
+        }
     }
 }
 
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -45,6 +45,8 @@
     pub instance: SmolStr,
     /// Region in which it stands.
     pub region: SmolStr,
+    /// Data centre in which it stands.
+    pub data_centre: SmolStr,
     /// Where other processes reach it.
     pub address: SocketAddr,
     /// Offset of its announcement.
@@ -119,6 +121,8 @@
     pub planner_heard: u64,
     /// Processes that serve, by incarnation.
     pub processes: BTreeMap<u64, ProcessState>,
+    /// Offset after the last change of the processes.
+    pub processes_changed: u64,
     /// Workers that are there.
     pub workers: BTreeMap<WorkerKey, WorkerState>,
     /// Jobs.
@@ -185,11 +189,19 @@
         report: &mut GraphReport,
     ) -> GraphOutcome {
         match record {
-            GraphRecord::ProcessUp { incarnation, role, instance, region, address } => {
+            GraphRecord::ProcessUp {
+                incarnation,
+                role,
+                instance,
+                region,
+                data_centre,
+                address,
+            } => {
                 let process = ProcessState {
                     role: *role,
                     instance: instance.clone(),
                     region: region.clone(),
+                    data_centre: data_centre.clone(),
                     address: *address,
                     since: offset,
                 };
@@ -197,6 +209,7 @@
             }
             GraphRecord::ProcessDown { incarnation } => {
                 self.processes.remove(incarnation);
+                self.processes_changed = self.offset;
                 Ok(GraphEffect::Done)
             }
             GraphRecord::JobAccepted { job, spec, terms } => {
@@ -260,6 +273,7 @@
     fn process_up(&mut self, incarnation: u64, process: ProcessState) -> GraphEffect {
         let is_same =
             |other: &ProcessState| other.role == process.role && other.instance == process.instance;
+        self.processes_changed = self.offset;
         self.processes.retain(|_, other| !is_same(other));
         self.processes.insert(incarnation, process);
         if self.processes.len() > MAX_PROCESSES {
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -96,6 +96,8 @@
         instance: SmolStr,
         /// Region in which it stands.
         region: SmolStr,
+        /// Data centre in which it stands.
+        data_centre: SmolStr,
         /// Where other processes of the system reach it.
         address: SocketAddr,
     },
