Let urgent work beyond its guarantee stop what loses little

Urgent work that can be on time now stops less urgent work whose loss is at most half of what it brings. Nobody waits for a rack that could not hold the gang.

--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -18,6 +18,7 @@
 use crate::room_map::RoomMap;
 use crate::room_map::StepRequest;
 use crate::room_map::WorkerRoom;
+use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::covered_jobs;
 use crate::step_queue::waiting_steps;
@@ -30,6 +31,9 @@
 /// takes three times as long, so a wait of up to twice the estimate pays.
 const RACK_WAIT_FACTOR: u64 = 1;
 
+/// Work of others that urgent work beyond its team's guarantee may cost, in percent of its own.
+const LOSS_PERCENT: u64 = 50;
+
 /// What the planner knows besides the log.
 #[derive(Clone, Debug, Default)]
 pub struct PlanView {
@@ -125,9 +129,12 @@
             self.commit(waiting, &request, &places);
         }
         let rest = if is_enough { count - found } else { count };
-        if rest > 0 && waiting.is_covered {
-            self.reclaim(waiting, &request, rest);
-        } else if rest > 0 {
+        if rest == 0 {
+            return;
+        }
+        let limit = self.loss_limit(waiting, rest);
+        let is_reclaimed = limit.is_some_and(|limit| self.reclaim(waiting, &request, rest, limit));
+        if !is_reclaimed {
             let reason = if self.map.rooms.iter().any(|room| room.is_fit(&request)) {
                 "no room"
             } else {
@@ -137,6 +144,21 @@
         }
     }
 
+    /// Work of others that the step may cost, in core-ms; nothing where it may stop none. What a
+    /// guarantee covers begins at any cost. Other urgent work that can be on time may cost less
+    /// than it brings.
+    fn loss_limit(&self, waiting: &WaitingStep<'_>, count: u32) -> Option<u64> {
+        if waiting.is_covered {
+            return Some(u64::MAX);
+        }
+        let is_urgent = waiting.job.terms.priority == 0 && !waiting.spec.long_running;
+        if !is_urgent || waiting.timeliness != Timeliness::OnTime {
+            return None;
+        }
+        let own = waiting.spec.room.weight() * u64::from(count) / 1_000;
+        Some(own * u64::from(waiting.spec.estimate_ms) * LOSS_PERCENT / 100)
+    }
+
     /// Workers on which the step failed, unless that leaves none.
     fn failed_on(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerKey> {
         let tasks = waiting.state().map(|state| state.tasks.as_slice()).unwrap_or_default();
@@ -167,13 +189,22 @@
             if let Some(places) = self.tightest_rack(request, count) {
                 return places;
             }
-            if self.waits_for_rack(waiting) {
+            if self.waits_for_rack(waiting) && self.could_hold_on_rack(request, count) {
                 return Vec::new();
             }
         }
         self.fill(request, count, |_| true)
     }
 
+    /// Whether some rack would hold all tasks if it were empty.
+    fn could_hold_on_rack(&self, request: &StepRequest<'_>, count: u32) -> bool {
+        self.map.racks().into_iter().any(|rack| {
+            let rooms = self.map.rooms.iter().filter(|room| room.state.spec.rack == *rack);
+            let fits = rooms.map(|room| room.fit_into(room.state.spec.room, request));
+            fits.fold(0_u32, u32::saturating_add) >= count
+        })
+    }
+
     fn waits_for_rack(&self, waiting: &WaitingStep<'_>) -> bool {
         let estimate_ms = u64::from(waiting.spec.estimate_ms);
         self.now_ms < waiting.waiting_since_ms + RACK_WAIT_FACTOR * estimate_ms
@@ -244,12 +275,18 @@
         self.plan.records.push(record);
     }
 
-    /// Stops work that no guarantee covers, and keeps the room for the step.
-    fn reclaim(&mut self, waiting: &WaitingStep<'_>, request: &StepRequest<'_>, count: u32) {
-        let Some(found) = plan_reclaim(&self.map, &self.victims, request, count) else {
-            self.plan.waits.push(WaitNote { job: waiting.key.job, reason: "guarantee held up" });
-            return;
-        };
+    /// Stops work that may be stopped, if that costs no more than `limit`, and keeps the room for
+    /// the step.
+    fn reclaim(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        request: &StepRequest<'_>,
+        count: u32,
+        limit: u64,
+    ) -> bool {
+        let table = self.victims.below(waiting.job.terms.priority, waiting.is_covered);
+        let found = plan_reclaim(&self.map, &table, request, count);
+        let Some(found) = found.filter(|found| found.cost <= limit) else { return false };
         for run in &found.victims {
             let group = self.victims.group(*run);
             if let Some((_, worker, room)) = group.iter().find(|(member, _, _)| member == run) {
@@ -266,6 +303,7 @@
             self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
         }
         self.plan.waits.push(WaitNote { job: waiting.key.job, reason: "room is being reclaimed" });
+        true
     }
 }
 
--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -31,10 +31,12 @@
 }
 
 /// Runs that may be stopped, with what that loses.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct VictimTable {
     /// Work that is lost with a run and all that goes with it, in core-ms.
     cost: BTreeMap<RunKey, u64>,
+    /// Priority of a run's job.
+    priority: BTreeMap<RunKey, u8>,
     /// All runs that end with a run: itself, and for a gang all members.
     group: BTreeMap<RunKey, Vec<(RunKey, WorkerKey, Room)>>,
 }
@@ -43,7 +45,7 @@
     /// Runs of jobs that no guarantee covers and that are not being stopped already.
     pub fn new(state: &GraphState, covered: &BTreeMap<JobId, bool>, now_ms: u64) -> Self {
         let mut gangs: BTreeMap<StepKey, Vec<(RunKey, WorkerKey, Room)>> = BTreeMap::new();
-        let mut table = Self { cost: BTreeMap::new(), group: BTreeMap::new() };
+        let mut table = Self::default();
         for (worker, entry) in &state.workers {
             for (run, held) in &entry.runs {
                 let step = run.task.step;
@@ -56,6 +58,7 @@
                 let ran_ms = now_ms.saturating_sub(held.placed_ms);
                 let lost_ms =
                     if spec.saves_progress { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms };
+                table.priority.insert(*run, job.terms.priority);
                 table.cost.insert(*run, lost_ms.saturating_mul(held.room.weight()) / 1_000);
                 let member = (*run, *worker, held.room);
                 if spec.gang {
@@ -79,6 +82,18 @@
         }
     }
 
+    /// Runs that work of this priority may stop. What a guarantee covers may stop everything else;
+    /// other work only what is less urgent.
+    pub fn below(&self, priority: u8, is_covered: bool) -> Self {
+        let mut table = self.clone();
+        if !is_covered {
+            table
+                .cost
+                .retain(|run, _| self.priority.get(run).is_some_and(|other| *other > priority));
+        }
+        table
+    }
+
     /// The table without runs that are being stopped.
     pub fn without(&self, runs: &[RunKey]) -> Self {
         let mut table = self.clone();
