--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -23,6 +23,7 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::apply::Effect;
@@ -100,6 +101,7 @@
     sender: mpsc::Sender<WriteRequest<F>>,
     answers: Arc<Mutex<AnswerTable<F::Outcome>>>,
     appends: Arc<AtomicU64>,
+    settled: watch::Sender<u64>,
     incarnation: u64,
 }
 
@@ -112,6 +114,7 @@
             sender: self.sender.clone(),
             answers: Arc::clone(&self.answers),
             appends: Arc::clone(&self.appends),
+            settled: self.settled.clone(),
             incarnation: self.incarnation,
         }
     }
@@ -130,17 +133,19 @@
         let (sender, receiver) = mpsc::channel(QUEUE_RECORDS);
         let answers = Arc::new(Mutex::new(AnswerTable::<F::Outcome>::new()));
         let appends = Arc::new(AtomicU64::new(0));
+        let settled = watch::Sender::new(0);
         let task = WriterTask {
             store,
             receiver,
             answers: Arc::clone(&answers),
             appends: Arc::clone(&appends),
+            settled: settled.subscribe(),
             incarnation,
             sequence: 0,
             wall_clock: Box::new(wall_clock),
         };
         tokio::spawn(task.run());
-        Self { sender, answers, appends, incarnation }
+        Self { sender, answers, appends, settled, incarnation }
     }
 
     /// Incarnation of this writer.
@@ -197,6 +202,7 @@
         if batch.writer != self.incarnation {
             return;
         }
+        self.settled.send_replace(batch.sequence);
         let mut answers = lock(&self.answers);
         for (index, result) in F::outcomes(report).iter().enumerate() {
             let id = RecordId { writer: batch.writer, sequence: batch.sequence, index };
@@ -249,6 +255,8 @@
     receiver: mpsc::Receiver<WriteRequest<F>>,
     answers: Arc<Mutex<AnswerTable<F::Outcome>>>,
     appends: Arc<AtomicU64>,
+    /// Sequence of the last batch that this instance applied.
+    settled: watch::Receiver<u64>,
     incarnation: u64,
     sequence: u64,
     wall_clock: Box<dyn Fn() -> u64 + Send>,
@@ -305,7 +313,14 @@
         let tickets = self.register(batch.sequence, requests);
         let mut is_certain = true;
         loop {
-            match self.store.append(LogStream::Records, body.clone()).await {
+            let mut settled = self.settled.clone();
+            let append = self.store.append(LogStream::Records, body.clone());
+            let result = tokio::select! {
+                result = append => result.map(|_| ()),
+                // The log has the batch, whatever became of the answer.
+                _ = settled.wait_for(|sequence| *sequence >= batch.sequence) => Ok(()),
+            };
+            match result {
                 Err(LogError::Uncertain { reason }) => {
                     log::warn!("append {} is uncertain: {reason}", batch.sequence);
                     is_certain = false;
@@ -318,7 +333,7 @@
                         return resend(requests);
                     }
                 }
-                Ok(_) => {
+                Ok(()) => {
                     self.appends.fetch_add(1, Ordering::Relaxed);
                     self.sequence = batch.sequence;
                     backoff.reset();
