Let agents take the state from entries, which they find in a small list

A path to the log that failed is probed in the background instead of being tried by each call. The planner's role is taken over after 1.7 s of silence.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -64,6 +64,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time between checkpoints in the log. A worker's crash loses at most that much more work.
 const CHECKPOINT_EVERY: Duration = Duration::from_secs(2);
+/// Least time between checkpoints, as a multiple of the time that the log took for the last ones.
+const CHECKPOINT_PAUSE_FACTOR: u32 = 20;
 /// Time between the last words of a worker that leaves and its end.
 const LEAVE_WAIT: Duration = Duration::from_millis(300);
 /// Time without a word from a worker that refuses connections after which it is gone, in ms. A
@@ -670,8 +672,10 @@
     }
 
     async fn save_checkpoints(&self) {
+        let mut pause = CHECKPOINT_EVERY;
         loop {
-            tokio::time::sleep(CHECKPOINT_EVERY).await;
+            tokio::time::sleep(pause).await;
+            let began = Instant::now();
             let (worker, saved) = {
                 let mut inner = self.inner();
                 let fresh = std::mem::take(&mut inner.checkpoints);
@@ -687,6 +691,8 @@
             if let Err(error) = self.replica.write(record, WRITE_TIMEOUT).await {
                 log::warn!(worker:% = worker; "checkpoints are not written: {error}");
             }
+            // A log that is slow has better things to do.
+            pause = CHECKPOINT_EVERY.max(began.elapsed() * CHECKPOINT_PAUSE_FACTOR);
         }
     }
 }
--- a/crates/dispatch/src/confirmed_log.rs
+++ b/crates/dispatch/src/confirmed_log.rs
@@ -128,7 +128,12 @@
 
     /// Whether an offset lies before the batches kept.
     pub fn is_before_recent(&self, from: u64) -> bool {
-        from < self.recent().first
+        from < self.recent_first()
+    }
+
+    /// Offset of the first batch kept.
+    pub fn recent_first(&self) -> u64 {
+        self.recent().first
     }
 
     fn recent(&self) -> MutexGuard<'_, RecentBatches> {
--- a/crates/dispatch/src/entry_announcer.rs
+++ b/crates/dispatch/src/entry_announcer.rs
@@ -6,7 +6,10 @@
 
 use cuminbarrow_taskgraph::record::GraphRecord;
 
+use crate::entry_directory::EntryAddress;
+use crate::entry_directory::EntryDirectory;
 use crate::membership::Membership;
+use crate::peer_list::ProcessPlace;
 use crate::replica::Replica;
 
 /// Time between signs of life in the list of live processes. Two fit into their time to live.
@@ -15,8 +18,17 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Keeps the entry announced at `address`, and in the list of live processes.
-pub async fn run(replica: Arc<Replica>, membership: Arc<dyn Membership>, address: SocketAddr) {
+pub async fn run(
+    replica: Arc<Replica>,
+    membership: Arc<dyn Membership>,
+    directory: Arc<dyn EntryDirectory>,
+    address: SocketAddr,
+) {
+    let mut is_published = false;
     loop {
+        if !is_published {
+            is_published = publish(&replica, &*directory, address).await;
+        }
         if let Err(error) = membership.join(replica.incarnation).await {
             log::warn!("{error}");
         }
@@ -28,6 +40,18 @@
     }
 }
 
+async fn publish(replica: &Replica, directory: &dyn EntryDirectory, address: SocketAddr) -> bool {
+    let ProcessPlace { instance, region, data_centre, .. } = replica.place.clone();
+    let entry = EntryAddress { instance, region, data_centre, address };
+    match directory.publish(&entry).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::warn!("{error}");
+            false
+        }
+    }
+}
+
 async fn announce(replica: &Replica, address: SocketAddr) {
     let place = replica.place.clone();
     let record = GraphRecord::ProcessUp {
--- a/crates/dispatch/src/peer_list.rs
+++ b/crates/dispatch/src/peer_list.rs
@@ -10,6 +10,8 @@
 use cuminbarrow_taskgraph::record::ProcessRole;
 use smol_str::SmolStr;
 
+use crate::entry_directory::EntryAddress;
+
 /// Where a process stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProcessPlace {
@@ -33,6 +35,20 @@
 }
 
 impl PeerChoice {
+    /// The choice of an agent at `place` that knows no more than the directory.
+    pub fn from_directory(entries: &[EntryAddress], place: &ProcessPlace, spread: u64) -> Self {
+        let mut ranked: Vec<(u8, u64, SocketAddr)> = (spread..)
+            .zip(entries)
+            .map(|(number, entry)| {
+                let distance = distance(place, &entry.region, &entry.data_centre);
+                (distance, number % (entries.len() as u64), entry.address)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let readers: Vec<SocketAddr> = ranked.into_iter().map(|(_, _, address)| address).collect();
+        Self { fallbacks: readers.clone(), readers }
+    }
+
     /// The choice of the process `incarnation` at `place`.
     ///
     /// Agents read through entries. Of the entries of a region, the one with the lowest incarnation
@@ -43,7 +59,11 @@
             .iter()
             .filter(|(_, process)| is_other_entry(place, process))
             .map(|(other, process)| {
-                (distance(place, process), other.wrapping_add(incarnation), process)
+                (
+                    distance(place, &process.region, &process.data_centre),
+                    other.wrapping_add(incarnation),
+                    process,
+                )
             })
             .collect();
         ranked.sort_by_key(|(distance, spread, _)| (*distance, *spread));
@@ -64,10 +84,10 @@
 }
 
 /// Distance between a process and an entry: same data centre, same region, other region.
-fn distance(place: &ProcessPlace, process: &ProcessState) -> u8 {
-    if process.data_centre == place.data_centre {
+fn distance(place: &ProcessPlace, region: &str, data_centre: &str) -> u8 {
+    if data_centre == place.data_centre {
         0
-    } else if process.region == place.region {
+    } else if region == place.region {
         1
     } else {
         2
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -25,16 +25,16 @@
 use crate::worker_watch::WorkerWatch;
 
 /// Time without a batch that shows a living planner after which another entry claims the role.
-const TAKEOVER: Duration = Duration::from_millis(2_500);
-/// Time after which the planner shows that it lives when it had nothing else to write. Two and more
-/// fit into the time of a takeover.
-const RENEWAL: Duration = Duration::from_millis(1_000);
+const TAKEOVER: Duration = Duration::from_millis(1_700);
+/// Time after which the planner shows that it lives when it had nothing else to write. Three fit
+/// into the time of a takeover.
+const RENEWAL: Duration = Duration::from_millis(500);
 /// Least time between rounds; what comes close together is planned at once.
 const PACE: Duration = Duration::from_millis(20);
 /// Longest time between rounds while jobs wait.
 const WAITING_ROUND: Duration = Duration::from_millis(250);
 /// Longest time between looks at the role.
-const IDLE_LOOK: Duration = Duration::from_millis(500);
+const IDLE_LOOK: Duration = Duration::from_millis(250);
 /// Time between looks at the list of live agents.
 const MEMBER_LOOK: Duration = Duration::from_millis(500);
 /// Time for which the log must have answered before missing agents count as missing: the list runs
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -1,12 +1,13 @@
 //! An entry's side of relayed calls.
 //!
-//! Reads are answered from the batches that this entry has read itself; everything else, and what
-//! lies before them, is passed on to the log.
+//! Reads are answered from the batches that this entry has read itself, and what lies before them by
+//! a snapshot of its state; everything else is passed on to the log.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use cuminbarrow_ledger::snapshot;
 use cuminbarrow_protocol::byte_counter::ByteCounter;
 use cuminbarrow_protocol::link::Link;
 use cuminbarrow_protocol::link::LinkError;
@@ -84,10 +85,7 @@
                 Err(error) => RelayResponse::Refused { reason: error.to_string() },
                 Ok(()) => RelayResponse::Done,
             },
-            RelayRequest::LoadChunks => match self.direct.load_chunks().await {
-                Err(error) => failure(error),
-                Ok(chunks) => RelayResponse::Chunks { chunks },
-            },
+            RelayRequest::LoadChunks => self.own_chunks(),
             RelayRequest::Read { from, wait_ms } => self.read(from, wait_ms).await,
             RelayRequest::SaveChunks { chunks } => {
                 let chunks = chunks.into_iter().map(Bytes::from).collect();
@@ -107,7 +105,11 @@
         loop {
             confirmed.mark_unchanged();
             match self.replica.log.recent_page(from) {
-                None if self.replica.log.is_before_recent(from) => return self.pass_on(from).await,
+                // What is not kept here is in the snapshot that this entry gives.
+                None if self.replica.log.is_before_recent(from) => {
+                    return RelayResponse::Expired { oldest: self.replica.log.recent_first() };
+                }
+                Some(page) if page.age_ms > MAX_AGE_MS => return behind(),
                 Some(page) if !page.entries.is_empty() => return records(page, Duration::ZERO),
                 _ => {}
             }
@@ -117,18 +119,30 @@
         }
         match self.replica.log.recent_page(from) {
             Some(page) if page.age_ms <= MAX_AGE_MS => records(page, began.elapsed()),
-            _ => RelayResponse::Refused { reason: "this entry is behind".to_owned() },
+            _ => behind(),
         }
     }
 
-    async fn pass_on(&self, from: u64) -> RelayResponse {
-        match self.direct.read(LogStream::Records, from, u32::MAX, 0).await {
-            Err(error) => failure(error),
-            Ok(page) => records(page, Duration::ZERO),
+    /// A snapshot of this entry's own state.
+    fn own_chunks(&self) -> RelayResponse {
+        if self.replica.log.age_ms().is_none_or(|age_ms| age_ms > MAX_AGE_MS) {
+            return behind();
+        }
+        let state = self.replica.state().clone();
+        match snapshot::chunks_of(self.replica.incarnation, &state) {
+            Err(error) => RelayResponse::Refused { reason: error.to_string() },
+            Ok(chunks) => {
+                let chunks = chunks.iter().map(|chunk| chunk.to_vec()).collect();
+                RelayResponse::Chunks { chunks }
+            }
         }
     }
 }
 
+fn behind() -> RelayResponse {
+    RelayResponse::Refused { reason: "this entry is behind".to_owned() }
+}
+
 fn records(page: LogPage, waited: Duration) -> RelayResponse {
     RelayResponse::Records {
         oldest: page.oldest,
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -19,48 +19,66 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_taskgraph::record::ProcessRole;
 use tokio::time::Instant;
 
+use crate::direct_path::DirectPath;
 use crate::membership::Membership;
 use crate::membership::MembershipError;
 use crate::peer_list::PeerList;
+use crate::relay_link::PauseTable;
 use crate::relay_link::RelayCaller;
 
-/// Time for which the log itself is passed over after it failed this process.
-const DIRECT_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which entries must have failed before an agent reads the log itself. Entries that were
+/// restarted serve again within two seconds; a lease lasts for 6 s and more.
+const AGENT_PATIENCE: Duration = Duration::from_millis(2_500);
 /// Longest wait for a record in one read through an entry, in ms. The answer also tells how fresh
 /// the entry is.
 const RELAY_WAIT_MS: u32 = 600;
 
 /// The log, itself or through an entry.
 pub struct RelayedLog {
-    direct: Arc<dyn LogStore>,
+    direct: DirectPath,
     peers: Arc<PeerList>,
     reads: RelayCaller,
     calls: RelayCaller,
-    paused_until: Mutex<Option<Instant>>,
+    /// Time for which entries must have failed before an agent reads the log itself.
+    patience: Duration,
+    unread_since: Mutex<Option<Instant>>,
 }
 
 impl RelayedLog {
-    /// Reaches the log `direct`ly or through the entries of `peers`.
-    pub fn new(direct: Arc<dyn LogStore>, peers: Arc<PeerList>, dialer: &LinkDialer) -> Self {
+    /// Reaches the log `direct`ly or through the entries of `peers`, as a process of this role
+    /// does.
+    pub fn new(
+        direct: Arc<dyn LogStore>,
+        peers: Arc<PeerList>,
+        dialer: &LinkDialer,
+        role: ProcessRole,
+    ) -> Self {
+        let pauses = Arc::new(PauseTable::default());
+        let patience = match role {
+            ProcessRole::Agent => AGENT_PATIENCE,
+            ProcessRole::Entry => Duration::ZERO,
+        };
         Self {
-            direct,
+            patience,
+            unread_since: Mutex::new(None),
+            direct: DirectPath::new(direct),
             peers,
-            reads: RelayCaller::new(dialer.clone()),
-            calls: RelayCaller::new(dialer.clone()),
-            paused_until: Mutex::new(None),
+            reads: RelayCaller::new(dialer.clone(), Arc::clone(&pauses)),
+            calls: RelayCaller::new(dialer.clone(), pauses),
         }
     }
 
-    fn is_direct_paused(&self) -> bool {
-        let paused = self.paused_until.lock().unwrap_or_else(PoisonError::into_inner);
-        paused.is_some_and(|until| Instant::now() < until)
+    /// Whether entries have failed for so long that the log itself has to be read.
+    fn is_out_of_patience(&self) -> bool {
+        let mut since = self.unread_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.get_or_insert_with(Instant::now).elapsed() >= self.patience
     }
 
-    fn pause_direct(&self) {
-        let until = Instant::now() + DIRECT_PAUSE;
-        *self.paused_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    fn note_read(&self) {
+        *self.unread_since.lock().unwrap_or_else(PoisonError::into_inner) = None;
     }
 
     /// Asks the entries that this process may fall back on; nothing where none answers.
@@ -92,18 +110,17 @@
 #[async_trait]
 impl LogStore for RelayedLog {
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
-        let mut error = LogError::Unavailable { reason: "passed over after a failure".to_owned() };
-        if !self.is_direct_paused() {
-            match self.direct.append(stream, body.clone()).await {
-                Err(LogError::Unavailable { reason }) => {
-                    self.pause_direct();
-                    error = LogError::Unavailable { reason };
-                }
-                Err(uncertain) => {
-                    self.pause_direct();
-                    return Err(uncertain);
-                }
+        let mut error = broken_path();
+        if !self.direct.is_broken() {
+            match self.direct.log.append(stream, body.clone()).await {
                 Ok(offset) => return Ok(offset),
+                Err(failure) => {
+                    self.direct.note_failure(&failure);
+                    if matches!(failure, LogError::Uncertain { .. }) {
+                        return Err(failure);
+                    }
+                    error = failure;
+                }
             }
         }
         match self.fall_back(RelayRequest::Append { body: body.to_vec() }).await {
@@ -121,21 +138,25 @@
         wait_ms: u32,
     ) -> Result<LogPage, LogError> {
         if stream != LogStream::Records {
-            return self.direct.read(stream, from, limit, wait_ms).await;
+            return self.direct.log.read(stream, from, limit, wait_ms).await;
         }
         let choice = self.peers.choice();
         if let Some(result) = self.read_through(&choice.readers, from, wait_ms).await {
+            self.note_read();
             return result;
         }
-        let mut error = LogError::Unavailable { reason: "passed over after a failure".to_owned() };
-        if !self.is_direct_paused() {
-            match self.direct.read(stream, from, limit, wait_ms).await {
+        let mut error = broken_path();
+        if self.is_out_of_patience() && !self.direct.is_broken() {
+            match self.direct.log.read(stream, from, limit, wait_ms).await {
                 Err(LogError::Expired { oldest }) => return Err(LogError::Expired { oldest }),
                 Err(failure) => {
-                    self.pause_direct();
+                    self.direct.note_failure(&failure);
                     error = failure;
                 }
-                Ok(page) => return Ok(page),
+                Ok(page) => {
+                    self.direct.note_end(page.next);
+                    return Ok(page);
+                }
             }
         }
         let result = self.read_through(&choice.fallbacks, from, wait_ms).await;
@@ -143,7 +164,7 @@
     }
 
     async fn save_chunks(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
-        let error = match self.direct.save_chunks(chunks.clone()).await {
+        let error = match self.direct.log.save_chunks(chunks.clone()).await {
             Err(error) => error,
             Ok(()) => return Ok(()),
         };
@@ -155,7 +176,16 @@
     }
 
     async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
-        let error = match self.direct.load_chunks().await {
+        let readers = self.peers.choice().readers;
+        let request = RelayRequest::LoadChunks;
+        let answer = self.calls.call(&readers, &request, Duration::ZERO, true).await;
+        if let Some(RelayResponse::Chunks { chunks }) = answer {
+            return Ok(chunks);
+        }
+        if !self.is_out_of_patience() {
+            return Err(LogError::Unavailable { reason: "no entry answers yet".to_owned() });
+        }
+        let error = match self.direct.log.load_chunks().await {
             Err(error) => error,
             Ok(chunks) => return Ok(chunks),
         };
@@ -166,6 +196,10 @@
     }
 }
 
+fn broken_path() -> LogError {
+    LogError::Unavailable { reason: "the log does not answer this process".to_owned() }
+}
+
 /// The list of live agents, entered by this process or by an entry on its behalf.
 pub struct RelayedMembership {
     direct: Arc<dyn Membership>,
@@ -176,7 +210,7 @@
 impl RelayedMembership {
     /// Reaches the list `direct`ly or through the entries of `peers`.
     pub fn new(direct: Arc<dyn Membership>, peers: Arc<PeerList>, dialer: &LinkDialer) -> Self {
-        Self { direct, peers, calls: RelayCaller::new(dialer.clone()) }
+        Self { direct, peers, calls: RelayCaller::new(dialer.clone(), Arc::default()) }
     }
 }
 
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -61,7 +61,7 @@
         dialer: &LinkDialer,
     ) -> Arc<Self> {
         let incarnation = rand::random();
-        let store = Arc::new(RelayedLog::new(direct, Arc::clone(&peers), dialer));
+        let store = Arc::new(RelayedLog::new(direct, Arc::clone(&peers), dialer, place.role));
         let log = Arc::new(ConfirmedLog::new(store, Arc::clone(&clock)));
         let writer = LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms);
         let applied = watch::Sender::new(0);
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -93,6 +93,20 @@
     writer: u64,
     state: &F,
 ) -> Result<usize, SnapshotError>
+where
+    F: Fold,
+{
+    let chunks = chunks_of(writer, state)?;
+    let bytes = chunks.iter().map(Bytes::len).sum();
+    store.save_chunks(chunks).await.context(LogSnafu)?;
+    Ok(bytes)
+}
+
+/// The chunks of a snapshot of the state, in order.
+///
+/// # Errors
+/// [`SnapshotError::Codec`] when the state has no such form.
+pub fn chunks_of<F>(writer: u64, state: &F) -> Result<Vec<Bytes>, SnapshotError>
 where
     F: Fold,
 {
@@ -107,8 +121,7 @@
         let body = codec::encode(&chunk).context(CodecSnafu)?;
         chunks.push(Bytes::from(body));
     }
-    store.save_chunks(chunks).await.context(LogSnafu)?;
-    Ok(bytes.len())
+    Ok(chunks)
 }
 
 /// The latest whole snapshot on the stream; one that fails its checksum is passed over.
--- a/crates/ledger/tests/lost_answers.rs
+++ b/crates/ledger/tests/lost_answers.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,10 +27,16 @@
     entries: Mutex<Vec<Vec<u8>>>,
 }
 
+impl MuteLog {
+    fn entries(&self) -> MutexGuard<'_, Vec<Vec<u8>>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[async_trait]
 impl LogStore for MuteLog {
     async fn append(&self, _stream: LogStream, body: Bytes) -> Result<u64, LogError> {
-        self.entries.lock().unwrap().push(body.to_vec());
+        self.entries().push(body.to_vec());
         std::future::pending().await
     }
 
@@ -40,7 +48,7 @@
         _wait_ms: u32,
     ) -> Result<LogPage, LogError> {
         tokio::time::sleep(Duration::from_millis(5)).await;
-        let entries = self.entries.lock().unwrap();
+        let entries = self.entries();
         let next = entries.len() as u64;
         let entries = entries.iter().skip(from as usize).cloned().collect();
         Ok(LogPage { next, first: from, entries, ..LogPage::default() })
@@ -66,7 +74,8 @@
     let began = Instant::now();
     for epoch in 1..=5 {
         let record = Record::PlannerClaimed { epoch, instance: 7 };
-        let settled = writer.write(record, Duration::from_secs(2)).await.unwrap();
+        let settled =
+            writer.write(record, Duration::from_secs(2)).await.expect("the record is written");
         assert_eq!(settled.offset, epoch - 1);
     }
     assert!(began.elapsed() < Duration::from_secs(1));
