--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -32,7 +32,11 @@
 const RACK_WAIT_FACTOR: u64 = 1;
 
 /// Work of others that urgent work beyond its team's guarantee may cost, in percent of its own.
-const LOSS_PERCENT: u64 = 50;
+const URGENT_LOSS_PERCENT: u64 = 50;
+/// Work of less urgent jobs that other work may cost once it is pressed, in percent of its own.
+const PRESSED_LOSS_PERCENT: u64 = 25;
+/// A job is pressed once less than this share of its objective is left, in percent.
+const PRESSED_PERCENT: u64 = 60;
 
 /// What the planner knows besides the log.
 #[derive(Clone, Debug, Default)]
@@ -151,12 +155,21 @@
         if waiting.is_covered {
             return Some(u64::MAX);
         }
-        let is_urgent = waiting.job.terms.priority == 0 && !waiting.spec.long_running;
-        if !is_urgent || waiting.timeliness != Timeliness::OnTime {
+        if waiting.spec.long_running || waiting.timeliness != Timeliness::OnTime {
             return None;
         }
+        let percent = if waiting.job.terms.priority == 0 {
+            URGENT_LOSS_PERCENT
+        } else {
+            let left_ms = waiting.objective_at_ms.saturating_sub(self.now_ms);
+            let is_pressed = left_ms * 100 < waiting.job.objective_ms() * PRESSED_PERCENT;
+            if !is_pressed {
+                return None;
+            }
+            PRESSED_LOSS_PERCENT
+        };
         let own = waiting.spec.room.weight() * u64::from(count) / 1_000;
-        Some(own * u64::from(waiting.spec.estimate_ms) * LOSS_PERCENT / 100)
+        Some(own * u64::from(waiting.spec.estimate_ms) * percent / 100)
     }
 
     /// Workers on which the step failed, unless that leaves none.
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -1,8 +1,8 @@
 //! Steps that can be placed, in the order in which they are to be.
 //!
-//! Urgent jobs within their team's guarantee go first, by acceptance. Then come jobs that can still
-//! be on time, then those that are late, then those so late that nobody waits for them; each by
-//! priority, then by the time at which they cease to be on time.
+//! Urgent jobs within their team's guarantee go first, by acceptance. The others follow by priority;
+//! of one priority, those that can still be on time go before those that are late, then by the time
+//! at which they cease to be on time. Jobs so late that nobody waits for them fill what is left.
 
 use std::collections::BTreeMap;
 
@@ -59,13 +59,14 @@
         self.job.steps.get(&(self.key.occurrence, self.key.step))
     }
 
-    fn rank(&self) -> (bool, u64, Timeliness, u8, u64, JobId) {
+    fn rank(&self) -> (bool, u64, bool, u8, Timeliness, u64, JobId) {
         let accepted_ms = if self.is_covered { self.job.accepted_ms } else { 0 };
         (
             !self.is_covered,
             accepted_ms,
-            self.timeliness,
+            self.timeliness == Timeliness::TooLate,
             self.job.terms.priority,
+            self.timeliness,
             self.objective_at_ms,
             self.key.job,
         )
--- a/crates/taskgraph/tests/graph/load_patterns.rs
+++ b/crates/taskgraph/tests/graph/load_patterns.rs
@@ -62,3 +62,36 @@
     graph.plan();
     assert_eq!((graph.runs_of(late).len(), graph.runs_of(fresh).len()), (0, 1));
 }
+
+/// Urgent work goes first even when it is late: what it brings for its room is still more.
+#[test]
+fn late_urgent_work_goes_before_sweeps_that_can_be_on_time() {
+    let mut graph = GraphBuilder::new(1, 1);
+    let blocker = graph.submit(1, 1, vec![tasks(1, 8)]);
+    graph.plan();
+    let urgent = graph.submit(2, 0, vec![gang(1, 8)]);
+    graph.now_ms += 12_000;
+    let sweep = graph.submit(3, 2, vec![tasks(1, 8)]);
+    graph.end_all(blocker, cuminbarrow_taskgraph::record::EndKind::Done);
+    graph.plan();
+    assert_eq!((graph.runs_of(urgent).len(), graph.runs_of(sweep).len()), (1, 0));
+}
+
+/// Whole-worker tasks wait behind a fleet that is filled with small sweeps; once more than a third
+/// of their time is gone, they stop sweeps that lose little.
+#[test]
+fn pressed_whole_worker_tasks_get_room_from_small_sweeps() {
+    let mut graph = GraphBuilder::new(1, 2);
+    let mut sweep_step = tasks(16, 1);
+    sweep_step.saves_progress = true;
+    let sweep = graph.submit(1, 2, vec![sweep_step]);
+    graph.plan();
+    let whole = graph.submit(2, 1, vec![tasks(1, 8)]);
+    assert_eq!(graph.plan().records, [], "it has time to wait");
+    graph.now_ms += 6_000;
+    graph.plan();
+    graph.obey_stops();
+    graph.plan();
+    assert_eq!(graph.runs_of(whole).len(), 1);
+    assert_eq!(graph.runs_of(sweep).len(), 8, "one worker is enough");
+}
