--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod agent_core;
 pub mod clock;
+pub mod combined_log;
 pub mod configuration;
 pub mod confirmed_log;
 mod direct_path;
--- a/crates/dispatch/src/peer_list.rs
+++ b/crates/dispatch/src/peer_list.rs
@@ -32,6 +32,9 @@
 pub struct PeerChoice {
     /// Entries to read through before the log itself is asked.
     pub readers: Vec<SocketAddr>,
+    /// Entries to append through before the log itself is asked: the one that reads the log for
+    /// the region combines what all its processes write.
+    pub appenders: Vec<SocketAddr>,
     /// Entries to go through when the log does not answer this process.
     pub fallbacks: Vec<SocketAddr>,
 }
@@ -48,7 +51,7 @@
             .collect();
         ranked.sort_unstable();
         let readers: Vec<SocketAddr> = ranked.into_iter().map(|(_, _, address)| address).collect();
-        Self { fallbacks: readers.clone(), readers }
+        Self { fallbacks: readers.clone(), appenders: Vec::new(), readers }
     }
 
     /// The choice of the process `incarnation` at `place`.
@@ -72,11 +75,12 @@
         ranked.sort_by_key(|(distance, spread, _)| (*distance, *spread));
         let fallbacks: Vec<SocketAddr> =
             ranked.iter().map(|(_, _, process)| process.address).collect();
+        let appenders: Vec<SocketAddr> = region_reader(state, place).into_iter().collect();
         let readers = match place.role {
             ProcessRole::Agent => fallbacks.clone(),
-            ProcessRole::Entry => region_reader(state, place).into_iter().collect(),
+            ProcessRole::Entry => appenders.clone(),
         };
-        Self { readers, fallbacks }
+        Self { readers, appenders, fallbacks }
     }
 }
 
@@ -104,7 +108,8 @@
         .values()
         .filter(|process| is_other_entry(place, process) && process.region == place.region);
     let first = entries.min_by_key(|process| &process.instance)?;
-    (first.instance < place.instance).then_some(first.address)
+    let is_before = place.role == ProcessRole::Agent || first.instance < place.instance;
+    is_before.then_some(first.address)
 }
 
 /// The choice as of the newest state, shared between a replica and its log.
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -113,6 +113,18 @@
 #[async_trait]
 impl LogStore for RelayedLog {
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        if stream != LogStream::Records {
+            return self.direct.log.append(stream, body).await;
+        }
+        let appenders = self.peers.choice().appenders;
+        let request = RelayRequest::Append { body: body.to_vec() };
+        match self.calls.call(&appenders, &request, Duration::ZERO, false).await {
+            Some(RelayResponse::Appended { offset }) => return Ok(offset),
+            Some(RelayResponse::Uncertain { reason }) => {
+                return Err(LogError::Uncertain { reason });
+            }
+            _ => {}
+        }
         let mut error = broken_path();
         if !self.direct.is_broken() {
             match self.direct.log.append(stream, body.clone()).await {
@@ -126,7 +138,7 @@
                 }
             }
         }
-        match self.fall_back(RelayRequest::Append { body: body.to_vec() }).await {
+        match self.fall_back(request).await {
             Some(RelayResponse::Appended { offset }) => Ok(offset),
             Some(RelayResponse::Uncertain { reason }) => Err(LogError::Uncertain { reason }),
             _ => Err(error),
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -81,6 +81,27 @@
     /// not known.
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError>;
 
+    /// Appends entries one after the other, all or none where the service can do so, and gives the
+    /// offset of the first.
+    ///
+    /// # Errors
+    /// As [`LogStore::append`]; after [`LogError::Uncertain`] some or all may be there.
+    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
+        let mut first = None;
+        for body in bodies {
+            match self.append(stream, body).await {
+                Ok(offset) => {
+                    first.get_or_insert(offset);
+                }
+                Err(LogError::Unavailable { reason }) if first.is_some() => {
+                    return Err(LogError::Uncertain { reason });
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        first.ok_or(LogError::Unavailable { reason: "there is nothing to append".to_owned() })
+    }
+
     /// Reads up to `limit` entries from offset `from`, waiting up to `wait_ms` for the first.
     ///
     /// # Errors
