Keep room that urgent work took back from background work for a while

What was taken back is now kept free of background work for 3 s, at most a quarter of the service; urgent work beyond its guarantee may cost 30 % of its own work instead of 50; and a gang waits for one rack for twice its estimate, since elsewhere it takes three times as long.

--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -107,6 +107,9 @@
     ) -> GraphEffect {
         for &run in runs {
             let Some(worker) = self.worker_of(run) else { continue };
+            if cause == StopCause::Reclaimed {
+                self.note_reclaimed_run(worker, run);
+            }
             let step = run.task.step;
             let spec = self.jobs.get(&step.job).and_then(|job| job.step_spec(step.step));
             if spec.is_some_and(|spec| spec.gang) {
@@ -121,6 +124,13 @@
         GraphEffect::Done
     }
 
+    fn note_reclaimed_run(&mut self, worker: WorkerKey, run: RunKey) {
+        let Some(known) = self.workers.get(&worker) else { return };
+        let Some(held) = known.runs.get(&run).filter(|held| held.stop.is_none()) else { return };
+        let (service, accelerators) = (known.spec.service.clone(), held.room.accelerators);
+        self.note_reclaim(service, accelerators);
+    }
+
     pub(crate) fn runs_ended(
         &mut self,
         worker: WorkerKey,
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -53,6 +53,10 @@
     pub since: u64,
 }
 
+/// Time for which a reclaim is remembered, in ms. Urgent work comes in bursts of seconds; room that
+/// was taken back for it is wanted again soon.
+const RECLAIM_KEPT_MS: u64 = 3_000;
+
 /// How long runs of a queue's tasks take.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunDuration {
@@ -137,6 +141,8 @@
     pub active: BTreeSet<JobId>,
     /// Jobs that have ended, oldest first, with when.
     pub ended: VecDeque<(u64, JobId)>,
+    /// Accelerators taken back from less urgent work of late, with when, by service.
+    pub reclaims: BTreeMap<SmolStr, VecDeque<(u64, u32)>>,
     /// How long runs take, by queue.
     pub durations: BTreeMap<SmolStr, RunDuration>,
     pub(crate) next_worker: u32,
@@ -304,6 +310,22 @@
         report.ended.push(job);
     }
 
+    pub(crate) fn note_reclaim(&mut self, service: SmolStr, accelerators: u32) {
+        let reclaims = self.reclaims.entry(service).or_default();
+        reclaims.push_back((self.clock_ms, accelerators));
+        let kept_from_ms = self.clock_ms.saturating_sub(RECLAIM_KEPT_MS);
+        while reclaims.front().is_some_and(|(at_ms, _)| *at_ms < kept_from_ms) {
+            reclaims.pop_front();
+        }
+    }
+
+    /// Accelerators of a service that were taken back from less urgent work of late.
+    pub fn reclaimed_lately(&self, service: &str, now_ms: u64) -> u32 {
+        let kept_from_ms = now_ms.saturating_sub(RECLAIM_KEPT_MS);
+        let reclaims = self.reclaims.get(service).into_iter().flatten();
+        reclaims.filter(|(at_ms, _)| *at_ms >= kept_from_ms).map(|(_, count)| count).sum()
+    }
+
     /// Worker on which a run holds room.
     pub fn worker_of(&self, run: RunKey) -> Option<WorkerKey> {
         let step = run.task.step;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -29,15 +29,20 @@
 
 /// Longest wait for the rack on which a step is fastest, in parts of its estimate. Elsewhere it
 /// takes three times as long, so a wait of up to twice the estimate pays.
-const RACK_WAIT_FACTOR: u64 = 1;
+const RACK_WAIT_FACTOR: u64 = 2;
 
 /// Work of others that urgent work beyond its team's guarantee may cost, in percent of its own.
-const URGENT_LOSS_PERCENT: u64 = 50;
+const URGENT_LOSS_PERCENT: u64 = 30;
 /// Work of less urgent jobs that other work may cost once it is pressed, in percent of its own.
 const PRESSED_LOSS_PERCENT: u64 = 25;
 /// A job is pressed once less than this share of its objective is left, in percent.
 const PRESSED_PERCENT: u64 = 60;
 
+/// Priority from which on work leaves room for what is more urgent.
+const BACKGROUND_PRIORITY: u8 = 2;
+/// Share of a service's accelerators that is kept for urgent work at most, in percent.
+const MAX_KEPT_PERCENT: u32 = 25;
+
 /// What the planner knows besides the log.
 #[derive(Clone, Debug, Default)]
 pub struct PlanView {
@@ -78,7 +83,7 @@
     };
     round.leave_draining(state);
     for waiting in waiting_steps(state, &covered, view.now_ms) {
-        round.place(&waiting);
+        round.place(state, &waiting);
     }
     round.plan
 }
@@ -117,7 +122,7 @@
         }
     }
 
-    fn place(&mut self, waiting: &WaitingStep<'_>) {
+    fn place(&mut self, state: &GraphState, waiting: &WaitingStep<'_>) {
         let failed_on = self.failed_on(waiting);
         let request = StepRequest {
             step: waiting.key,
@@ -126,6 +131,13 @@
             failed_on: &failed_on,
         };
         let count = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
+        let allowed = self.allowed(state, waiting, count);
+        if allowed == 0 {
+            let reason = "room is kept for urgent work";
+            self.plan.waits.push(WaitNote { job: waiting.key.job, reason });
+            return;
+        }
+        let count = allowed;
         let places = self.find_places(waiting, &request, count);
         let found: u32 = places.iter().map(|(_, count)| count).sum();
         let is_enough = if waiting.spec.gang { found == count } else { found > 0 };
@@ -148,6 +160,24 @@
         }
     }
 
+    /// Tasks of a step that may be placed without taking the room that urgent work took back of
+    /// late and will want again. Placing there only to be stopped throws work away.
+    fn allowed(&self, state: &GraphState, waiting: &WaitingStep<'_>, count: u32) -> u32 {
+        let each = waiting.spec.room.accelerators;
+        if waiting.job.terms.priority < BACKGROUND_PRIORITY || each == 0 {
+            return count;
+        }
+        let service = &waiting.job.terms.service;
+        let rooms = self.map.rooms.iter().filter(|room| room.state.spec.service == *service);
+        let (free, all) = rooms.fold((0, 0), |(free, all), room| {
+            (free + room.free.accelerators, all + room.state.spec.room.accelerators)
+        });
+        let kept = state.reclaimed_lately(service, self.now_ms);
+        let kept = kept.min(all * MAX_KEPT_PERCENT / 100);
+        let allowed = (free.saturating_sub(kept) / each).min(count);
+        if waiting.spec.gang && allowed < count { 0 } else { allowed }
+    }
+
     /// Work of others that the step may cost, in core-ms; nothing where it may stop none. What a
     /// guarantee covers begins at any cost. Other urgent work that can be on time may cost less
     /// than it brings.
