Stop runs that stand still, and let refused callers come back later the longer an outage lasts

An agent now tells the log of runs without progress for 2.5 s or a quarter of their estimate; they are stopped and run elsewhere. A gang stands still everywhere, so it blames no worker.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -16,6 +16,8 @@
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
+use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
+use cuminbarrow_taskgraph::progress_watch::RunOutlook;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GoneCause;
 use cuminbarrow_taskgraph::record::GraphRecord;
@@ -125,6 +127,9 @@
     known_ends: BTreeSet<u64>,
     checkpoints: BTreeMap<RunKey, SmolStr>,
     saved: BTreeMap<RunKey, SmolStr>,
+    progress: ProgressWatch,
+    /// Runs that stand still, to be told to the log.
+    stalled: Vec<RunKey>,
     refused_since_ms: Option<u64>,
     is_fenced: bool,
 }
@@ -430,6 +435,14 @@
         ends.extend(stray_ends(&inner, &lists.ended, &ends));
         note_ends(&mut inner, &lists.ended, ends);
         note_checkpoints(&mut inner, lists);
+        let state = self.replica.state();
+        let now_ms = self.replica.clock.now_ms();
+        let stalled = inner.progress.look(&lists.running, now_ms, |run| outlook_of(&state, run));
+        drop(state);
+        if !stalled.is_empty() {
+            inner.stalled.extend(stalled);
+            self.wake_reports.notify_one();
+        }
         if !inner.outgoing.is_empty() {
             self.wake_reports.notify_one();
         }
@@ -617,6 +630,7 @@
     async fn report_ends(&self) {
         loop {
             self.wake_reports.notified().await;
+            self.report_stalled().await;
             loop {
                 let (worker, outgoing) = {
                     let mut inner = self.inner();
@@ -628,6 +642,22 @@
         }
     }
 
+    /// Tells the log of runs that stand still. One that still does is told again later.
+    async fn report_stalled(&self) {
+        let (worker, runs) = {
+            let mut inner = self.inner();
+            (inner.worker, std::mem::take(&mut inner.stalled))
+        };
+        let Some(worker) = worker.filter(|_| !runs.is_empty()) else { return };
+        for run in &runs {
+            log::warn!(run:% = run, worker:% = worker; "run stands still");
+        }
+        let record = GraphRecord::RunsStalled { worker, runs };
+        if let Err(error) = self.replica.write(record, WRITE_TIMEOUT).await {
+            log::warn!(worker:% = worker; "stalled runs are not written: {error}");
+        }
+    }
+
     async fn report(&self, worker: WorkerKey, outgoing: Vec<(Option<u64>, RunEnd)>) {
         let ends: Vec<RunEnd> = outgoing.iter().map(|(_, end)| end.clone()).collect();
         for end in &ends {
@@ -717,6 +747,15 @@
         .collect()
 }
 
+fn outlook_of(state: &GraphState, run: RunKey) -> Option<RunOutlook> {
+    let spec = state.jobs.get(&run.task.step.job)?.step_spec(run.task.step.step)?;
+    Some(RunOutlook {
+        estimate_ms: spec.estimate_ms,
+        is_gang: spec.gang,
+        is_lasting: spec.long_running,
+    })
+}
+
 /// Notes the ends that the worker listed, and which of them the log has to get.
 fn note_ends(inner: &mut Inner, listed: &[WorkerEnd], ends: Vec<RunEnd>) {
     for entry in listed {
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -25,8 +25,11 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Longest time that a question waits for the replica to be fresh.
 const FRESH_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// When callers may come back while the log takes no records.
+/// When callers may come back at the earliest and the latest while the log takes no records. An
+/// outage that has lasted for a while lasts about as long again; a caller that comes back too early
+/// wastes one of its few tries.
 const LOG_RETRY: Duration = Duration::from_secs(1);
+const MAX_LOG_RETRY: Duration = Duration::from_secs(4);
 
 /// Why a job was not accepted, cancelled or told.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -184,7 +187,9 @@
             return Ok(());
         }
         let reason = "the log can't be read now";
-        Err(JobServiceError::NotDone { reason, retry_after: LOG_RETRY })
+        let age_ms = self.replica.log.age_ms().unwrap_or(0);
+        let retry_after = Duration::from_millis(age_ms).clamp(LOG_RETRY, MAX_LOG_RETRY);
+        Err(JobServiceError::NotDone { reason, retry_after })
     }
 
     async fn wait_fresh(&self) -> Result<(), JobServiceError> {
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -124,6 +124,37 @@
         GraphEffect::Done
     }
 
+    /// Stops runs that stand still, and remembers where that was.
+    pub(crate) fn runs_stalled(
+        &mut self,
+        worker: WorkerKey,
+        runs: &[RunKey],
+        report: &mut GraphReport,
+    ) -> GraphEffect {
+        let is_here = |run: &RunKey| self.worker_of(*run) == Some(worker);
+        let runs: Vec<RunKey> = runs.iter().copied().filter(is_here).collect();
+        for &run in &runs {
+            self.note_stall(worker, run);
+        }
+        self.runs_stopped(StopCause::Stalled, &runs, report)
+    }
+
+    /// A gang stands still everywhere when one member does, so it tells nothing of one worker.
+    fn note_stall(&mut self, worker: WorkerKey, run: RunKey) {
+        let step = run.task.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let spec = job.spec.clone();
+        let Some(spec) = spec.steps.get(usize::from(step.step)) else { return };
+        let Some(state) = job.step_mut(step.occurrence, step.step) else { return };
+        if let Some(keeper) = state.keeper_mut(spec, run.task.index) {
+            keeper.note_bad_place(worker);
+        }
+        if let Some(known) = self.workers.get_mut(&worker).filter(|_| !spec.gang) {
+            known.failures_in_row = known.failures_in_row.saturating_add(1);
+            known.failed_ms = self.clock_ms;
+        }
+    }
+
     fn note_reclaimed_run(&mut self, worker: WorkerKey, run: RunKey) {
         let Some(known) = self.workers.get(&worker) else { return };
         let Some(held) = known.runs.get(&run).filter(|held| held.stop.is_none()) else { return };
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -265,6 +265,9 @@
                 self.planner.instance = None;
                 Ok(GraphEffect::Done)
             }
+            GraphRecord::RunsStalled { worker, runs } => {
+                Ok(self.runs_stalled(*worker, runs, report))
+            }
             GraphRecord::SnapshotTaken { offset } => {
                 self.snapshot_offset = self.snapshot_offset.max(*offset);
                 Ok(GraphEffect::Done)
--- /dev/null
+++ b/crates/taskgraph/src/progress_watch.rs
@@ -0,0 +1,74 @@
+//! Finds runs that stand still while their worker calls itself healthy.
+
+use std::collections::BTreeMap;
+
+use crate::run_table::WorkerRun;
+use crate::task_key::RunKey;
+
+/// Least time without progress after which a run stands still, in ms: two looks at the worker, and
+/// some.
+const STALL_MS: u64 = 2_500;
+/// Part of a run's estimate for which it may show no progress: percents are whole.
+const ESTIMATE_PART: u64 = 4;
+/// Progress of a run that has nothing left to do.
+const DONE_PERCENT: u32 = 100;
+/// Added for a gang that has made none yet, in ms. Its members wait up to 4 s for each other.
+const GANG_START_MS: u64 = 4_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    percent: u32,
+    since_ms: u64,
+}
+
+/// What is expected of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunOutlook {
+    /// Estimate of its duration, in ms.
+    pub estimate_ms: u32,
+    /// Whether it is a gang's.
+    pub is_gang: bool,
+    /// Whether it runs until its job is cancelled, and has no end to progress towards.
+    pub is_lasting: bool,
+}
+
+/// Progress of the runs of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct ProgressWatch {
+    runs: BTreeMap<RunKey, Progress>,
+}
+
+impl ProgressWatch {
+    /// Takes what the worker lists at `now_ms`, and gives the runs that stand still.
+    pub fn look<F>(&mut self, running: &[WorkerRun], now_ms: u64, outlook: F) -> Vec<RunKey>
+    where
+        F: Fn(RunKey) -> Option<RunOutlook>,
+    {
+        self.runs.retain(|run, _| running.iter().any(|entry| entry.run == *run));
+        let mut stalled = Vec::new();
+        for entry in running {
+            let fresh = Progress { percent: entry.percent, since_ms: now_ms };
+            let known = self.runs.entry(entry.run).or_insert(fresh);
+            if known.percent != entry.percent {
+                *known = fresh;
+            }
+            let Some(outlook) = outlook(entry.run).filter(|outlook| !outlook.is_lasting) else {
+                continue;
+            };
+            // A member that has done its part waits for the others of its gang.
+            if entry.percent >= DONE_PERCENT {
+                known.since_ms = now_ms;
+                continue;
+            }
+            let mut limit_ms = STALL_MS.max(u64::from(outlook.estimate_ms) / ESTIMATE_PART);
+            if outlook.is_gang && known.percent == 0 {
+                limit_ms += GANG_START_MS;
+            }
+            if now_ms >= known.since_ms + limit_ms {
+                known.since_ms = now_ms;
+                stalled.push(entry.run);
+            }
+        }
+        stalled
+    }
+}
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -201,6 +201,13 @@
         /// Its incarnation.
         incarnation: u64,
     },
+    /// An agent sees runs that make no progress.
+    RunsStalled {
+        /// The worker.
+        worker: WorkerKey,
+        /// The runs.
+        runs: Vec<RunKey>,
+    },
     /// A snapshot is kept.
     SnapshotTaken {
         /// Offset of the first batch that it does not cover.
--- a/crates/taskgraph/tests/graph/run_table.rs
+++ b/crates/taskgraph/tests/graph/run_table.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
+use cuminbarrow_taskgraph::progress_watch::RunOutlook;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::RunEnd;
 use cuminbarrow_taskgraph::room::Room;
@@ -122,6 +124,34 @@
     assert_eq!(ends, [end(run(2), EndKind::Stopped)]);
 }
 
+#[test]
+fn a_run_that_makes_no_progress_stands_still() {
+    let mut watch = ProgressWatch::default();
+    let outlook = |_| Some(RunOutlook { estimate_ms: 4_000, is_gang: false, is_lasting: false });
+    let at = |percent| [WorkerRun { percent, ..running(run(1)) }];
+    assert_eq!(watch.look(&at(10), 0, outlook), []);
+    assert_eq!(watch.look(&at(20), 2_000, outlook), []);
+    assert_eq!(watch.look(&at(20), 4_000, outlook), []);
+    assert_eq!(watch.look(&at(20), 4_500, outlook), [run(1)]);
+    assert_eq!(watch.look(&at(20), 4_600, outlook), [], "it is told once for a while");
+}
+
+#[test]
+fn long_runs_and_gangs_that_gather_are_given_time() {
+    let mut watch = ProgressWatch::default();
+    let long = |_| Some(RunOutlook { estimate_ms: 3_600_000, is_gang: false, is_lasting: false });
+    assert_eq!(watch.look(&[running(run(1))], 0, long), []);
+    assert_eq!(watch.look(&[running(run(1))], 600_000, long), []);
+    let gang = |_| Some(RunOutlook { estimate_ms: 1_000, is_gang: true, is_lasting: false });
+    let waiting = [WorkerRun { percent: 0, ..running(run(2)) }];
+    assert_eq!(watch.look(&waiting, 600_000, gang), []);
+    assert_eq!(watch.look(&waiting, 606_000, gang), []);
+    assert_eq!(watch.look(&waiting, 606_500, gang), [run(2)]);
+    let ready = [WorkerRun { percent: 100, ..running(run(2)) }];
+    assert_eq!(watch.look(&ready, 700_000, gang), []);
+    assert_eq!(watch.look(&ready, 800_000, gang), [], "it waits for the others");
+}
+
 #[test]
 fn listed_ends_are_told_once_and_strays_are_stopped() {
     let mut table = table();
