Never register again a worker that said that it ends

Cause: between the record that a worker left and forgetting what it said of itself, the agent found its worker missing from the log and registered it anew. The report is now forgotten first, and an agent gives up a worker that the log has and it does not.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -217,7 +217,6 @@
         tokio::time::sleep(LEAVE_WAIT).await;
         log::info!(worker:% = own.key; "the worker left");
         self.give_up(own.key, GoneCause::Left).await;
-        self.heard.send_replace(None);
     }
 
     /// Extends the lease as far as it may, before this process ends.
@@ -344,6 +343,10 @@
                     () = self.wake_looks.notified() => {}
                     () = tokio::time::sleep(LOOK_RETRY) => {}
                 }
+                if let Some(orphan) = self.orphan() {
+                    log::warn!(worker:% = orphan; "the log still has a worker that is gone");
+                    self.give_up(orphan, GoneCause::Lapsed).await;
+                }
                 continue;
             };
             let is_idle = self.inner().table.is_idle();
@@ -489,6 +492,16 @@
         log::warn!(call; "{error}");
     }
 
+    /// A worker that this agent registered and that it has given up since.
+    fn orphan(&self) -> Option<WorkerKey> {
+        if self.heard.borrow().is_some() {
+            return None;
+        }
+        let state = self.replica.state();
+        let (key, worker) = state.worker_on(&self.replica.place.instance)?;
+        (worker.agent == self.replica.incarnation).then_some(key)
+    }
+
     /// Gives up a worker that crashed, or whose lease has run out without an answer.
     async fn check_crashed(&self, own: &OwnWorker) {
         let now_ms = self.replica.clock.now_ms();
@@ -504,11 +517,13 @@
         if is_silent && (is_refused || has_lapsed) {
             log::warn!(worker:% = own.key, silent_ms = now_ms - heard_ms; "the worker is gone");
             self.give_up(own.key, GoneCause::Lapsed).await;
-            self.heard.send_replace(None);
         }
     }
 
+    /// Tells the log that the worker is gone. What it said of itself is forgotten first, or it
+    /// would be registered again as soon as the log has it.
     async fn give_up(&self, worker: WorkerKey, cause: GoneCause) {
+        self.heard.send_replace(None);
         let record = GraphRecord::WorkerGone { worker, cause, suspicion: 0 };
         loop {
             match self.replica.write(record.clone(), WRITE_TIMEOUT).await {
