--- a/crates/cuminbarrow/src/daemon_error.rs
+++ b/crates/cuminbarrow/src/daemon_error.rs
@@ -6,7 +6,7 @@
 use cuminbarrow_agent::agent_settings::AgentSettingsError;
 use cuminbarrow_entry::entry_daemon::EntryError;
 use cuminbarrow_entry::entry_settings::EntrySettingsError;
-use cuminbarrow_platform::entry_process::ProcessError;
+use cuminbarrow_platform::process_error::ProcessError;
 use cuminbarrow_telemetry::log_setup::LogSetupError;
 use snafu::Snafu;
 
--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -73,6 +73,9 @@
 /// Time without a word from a worker that refuses connections after which it is gone, in ms. A
 /// worker reports itself about every 1.5 s.
 const CRASHED_MS: u64 = 3_500;
+/// Time without an answer after which a worker's lease is extended no more, in ms: a look and a
+/// second try.
+const QUIET_MS: u64 = 2_000;
 /// Added to the end of a lease before its runs are given up, in ms: the worker's look at it.
 const LAPSE_SLACK_MS: u64 = 300;
 
@@ -115,6 +118,8 @@
     worker: Option<WorkerKey>,
     table: RunTable,
     sample: Option<ClockSample>,
+    /// When the worker answered last, on the boot-time clock in ms.
+    answered_ms: u64,
     /// When the last lease granted ends at the latest, on the boot-time clock in ms.
     leased_until_ms: u64,
     /// Highest end that the worker listed.
@@ -211,8 +216,15 @@
 
     /// The worker of this name says that it ends now. What it ran is given up shortly after.
     pub async fn note_left(&self, name: &str) {
-        let Some(own) = self.own_worker().filter(|own| own.name == name) else { return };
-        *self.left_life() = Some((own.name.clone(), own.born_ms));
+        let own = self.own_worker().filter(|own| own.name == name);
+        let born_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.report.spec.born_ms);
+        *self.left_life() = Some((SmolStr::new(name), born_ms));
+        let Some(own) = own else {
+            // It may be on its way into the log.
+            log::info!(worker = name; "a worker left before it was registered");
+            self.heard.send_replace(None);
+            return;
+        };
         self.look_once(&own, 0).await;
         tokio::time::sleep(LEAVE_WAIT).await;
         log::info!(worker:% = own.key; "the worker left");
@@ -325,7 +337,11 @@
         };
         let mut inner = self.inner();
         if inner.worker != Some(own.key) {
-            *inner = Inner { worker: Some(own.key), ..Inner::default() };
+            // An agent before this one may have granted a lease until now.
+            let answered_ms = self.replica.clock.now_ms();
+            let leased_until_ms = answered_ms.saturating_add(self.lease.hold_ms);
+            let worker = Some(own.key);
+            *inner = Inner { worker, answered_ms, leased_until_ms, ..Inner::default() };
         }
         inner.table.sync(&wanted);
         inner.table.set_closed(self.is_leaving());
@@ -433,6 +449,7 @@
             return false;
         }
         inner.refused_since_ms = None;
+        inner.answered_ms = self.replica.clock.now_ms();
         self.note_clock(&mut inner, clock_ms);
         let mut ends = inner.table.looked(look, &lists.running, &lists.ended);
         ends.extend(stray_ends(&inner, &lists.ended, &ends));
@@ -453,9 +470,15 @@
         !inner.unrecorded.is_empty()
     }
 
-    /// End of a lease that may be granted now, on the worker's clock, and on the boot-time clock.
+    /// End of a lease that may be granted now, on the worker's clock, and on the boot-time clock. A
+    /// worker that does not answer gets none: an order without an answer may have been carried out,
+    /// and the lease that it carried would have to be waited for.
     fn lease_end(&self, inner: &Inner) -> (Option<u64>, u64) {
         let Some(confirmed_ms) = self.replica.confirmed_ms() else { return (None, 0) };
+        let quiet_ms = self.replica.clock.now_ms().saturating_sub(inner.answered_ms);
+        if quiet_ms > QUIET_MS {
+            return (None, 0);
+        }
         let deadline_ms =
             inner.sample.and_then(|sample| self.lease.deadline_ms(sample, confirmed_ms));
         (deadline_ms, confirmed_ms.saturating_add(self.lease.hold_ms))
@@ -512,7 +535,7 @@
             let is_refused =
                 inner.refused_since_ms.is_some_and(|since_ms| now_ms >= since_ms + CRASHED_MS / 2);
             let lapses_ms = inner.leased_until_ms + LAPSE_SLACK_MS;
-            (is_refused, inner.leased_until_ms > 0 && now_ms >= lapses_ms)
+            (is_refused, now_ms >= lapses_ms)
         };
         if is_silent && (is_refused || has_lapsed) {
             log::warn!(worker:% = own.key, silent_ms = now_ms - heard_ms; "the worker is gone");
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -164,6 +164,11 @@
         Ok(self.replica.state().pending_of(queue))
     }
 
+    /// Offset of the next batch to apply, and the age of the last confirmed read in ms.
+    pub fn freshness(&self) -> (u64, Option<u64>) {
+        (self.replica.state().offset, self.replica.log.age_ms())
+    }
+
     /// Team that owns a job.
     pub fn owner(&self, job: JobId) -> Option<SmolStr> {
         self.replica.state().jobs.get(&job).map(|known| known.terms.team.clone())
