--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -118,8 +118,8 @@
     worker: Option<WorkerKey>,
     table: RunTable,
     sample: Option<ClockSample>,
-    /// When the worker answered last, on the boot-time clock in ms.
-    answered_ms: u64,
+    /// When the first question was asked that is not answered, on the boot-time clock in ms.
+    unanswered_since_ms: Option<u64>,
     /// When the last lease granted ends at the latest, on the boot-time clock in ms.
     leased_until_ms: u64,
     /// Highest end that the worker listed.
@@ -338,10 +338,8 @@
         let mut inner = self.inner();
         if inner.worker != Some(own.key) {
             // An agent before this one may have granted a lease until now.
-            let answered_ms = self.replica.clock.now_ms();
-            let leased_until_ms = answered_ms.saturating_add(self.lease.hold_ms);
-            let worker = Some(own.key);
-            *inner = Inner { worker, answered_ms, leased_until_ms, ..Inner::default() };
+            let leased_until_ms = self.replica.clock.now_ms().saturating_add(self.lease.hold_ms);
+            *inner = Inner { worker: Some(own.key), leased_until_ms, ..Inner::default() };
         }
         inner.table.sync(&wanted);
         inner.table.set_closed(self.is_leaving());
@@ -424,6 +422,7 @@
     fn hold_order(&self, own: &OwnWorker, wait_ms: u64) -> (LookNumber, HoldOrder) {
         let mut inner = self.inner();
         let (deadline_ms, until_ms) = self.lease_end(&inner);
+        inner.unanswered_since_ms.get_or_insert(self.replica.clock.now_ms());
         // The lease counts as granted before it is asked for.
         inner.leased_until_ms = inner.leased_until_ms.max(until_ms);
         let order = HoldOrder {
@@ -449,7 +448,7 @@
             return false;
         }
         inner.refused_since_ms = None;
-        inner.answered_ms = self.replica.clock.now_ms();
+        inner.unanswered_since_ms = None;
         self.note_clock(&mut inner, clock_ms);
         let mut ends = inner.table.looked(look, &lists.running, &lists.ended);
         ends.extend(stray_ends(&inner, &lists.ended, &ends));
@@ -475,8 +474,8 @@
     /// and the lease that it carried would have to be waited for.
     fn lease_end(&self, inner: &Inner) -> (Option<u64>, u64) {
         let Some(confirmed_ms) = self.replica.confirmed_ms() else { return (None, 0) };
-        let quiet_ms = self.replica.clock.now_ms().saturating_sub(inner.answered_ms);
-        if quiet_ms > QUIET_MS {
+        let now_ms = self.replica.clock.now_ms();
+        if inner.unanswered_since_ms.is_some_and(|since_ms| now_ms > since_ms + QUIET_MS) {
             return (None, 0);
         }
         let deadline_ms =
