--- /dev/null
+++ b/crates/dispatch/src/agent_orders.rs
@@ -0,0 +1,121 @@
+//! An agent's orders to its worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminbarrow_taskgraph::run_table::Order;
+use cuminbarrow_taskgraph::run_table::StartAnswer;
+use cuminbarrow_taskgraph::task_key::RunKey;
+
+use crate::agent_core::AgentCore;
+use crate::agent_core::OwnWorker;
+use crate::worker_port::StartOrder;
+
+/// Wait before an order is sent again.
+const ORDER_RETRY: Duration = Duration::from_millis(200);
+
+impl AgentCore {
+    pub(crate) async fn send_orders(self: Arc<Self>) {
+        loop {
+            self.wake_orders.notified().await;
+            let Some(own) = self.own_worker() else { continue };
+            let orders = {
+                let mut life = self.life();
+                if life.worker != Some(own.key) {
+                    continue;
+                }
+                life.table.set_closed(self.is_leaving());
+                life.table.next_orders()
+            };
+            for order in orders {
+                let core = Arc::clone(&self);
+                let own = own.clone();
+                tokio::spawn(async move {
+                    match order {
+                        Order::Start(run) => core.start(&own, run).await,
+                        Order::Stop(run) => core.stop(&own, run).await,
+                    }
+                });
+            }
+        }
+    }
+
+    pub(crate) async fn start(&self, own: &OwnWorker, run: RunKey) {
+        let answer = match self.start_order(own, run) {
+            None => StartAnswer::Unknown,
+            Some(order) => match self.port.start(order).await {
+                Ok(timed) => {
+                    self.take_clock(own, timed.clock_ms);
+                    timed.answer
+                }
+                Err(error) => {
+                    self.note_port_error(&error, "start");
+                    StartAnswer::Unknown
+                }
+            },
+        };
+        log::info!(run:% = run, worker:% = own.key, answer:? = answer; "start");
+        self.take_start_answer(own, run, answer);
+        self.wake_looks.notify_one();
+        if matches!(answer, StartAnswer::Unknown | StartAnswer::TooLate) {
+            tokio::time::sleep(ORDER_RETRY).await;
+            self.wake_orders.notify_one();
+        }
+    }
+
+    pub(crate) fn take_start_answer(&self, own: &OwnWorker, run: RunKey, answer: StartAnswer) {
+        let mut life = self.life();
+        if life.worker != Some(own.key) {
+            return;
+        }
+        if let Some(end) = life.table.start_answered(run, answer) {
+            life.outgoing.push((None, end));
+            self.wake_reports.notify_one();
+        }
+    }
+
+    /// The order, unless the lease could not be extended now or the run is not wanted any more.
+    pub(crate) fn start_order(&self, own: &OwnWorker, run: RunKey) -> Option<StartOrder> {
+        let mut life = self.life();
+        let (deadline_ms, until_ms) = self.lease_end(&life);
+        let deadline_ms = deadline_ms?;
+        life.leased_until_ms = life.leased_until_ms.max(until_ms);
+        drop(life);
+        let state = self.replica.state();
+        let step = run.task.step;
+        let job = state.jobs.get(&step.job).filter(|job| job.is_active())?;
+        let spec = job.step_spec(step.step)?;
+        let steps = job.steps.get(&(step.occurrence, step.step))?;
+        let checkpoint = steps.keeper(spec, run.task.index)?.checkpoint.clone();
+        Some(StartOrder {
+            worker: own.name.clone(),
+            run,
+            payload: job.spec.payload.clone(),
+            deadline_ms,
+            fence: own.fence,
+            checkpoint,
+        })
+    }
+
+    pub(crate) async fn stop(&self, own: &OwnWorker, run: RunKey) {
+        let result = self.port.stop(own.name.clone(), run, own.fence).await;
+        let is_acknowledged = result.is_ok();
+        log::info!(run:% = run, worker:% = own.key, is_acknowledged; "stop");
+        if let Err(error) = &result {
+            self.note_port_error(error, "stop");
+        }
+        self.take_stop_answer(own, run, is_acknowledged);
+        self.wake_looks.notify_one();
+        if !is_acknowledged {
+            tokio::time::sleep(ORDER_RETRY).await;
+            self.wake_orders.notify_one();
+        }
+    }
+
+    pub(crate) fn take_stop_answer(&self, own: &OwnWorker, run: RunKey, is_acknowledged: bool) {
+        let mut life = self.life();
+        if life.worker == Some(own.key) {
+            life.table.stop_answered(run, is_acknowledged);
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,9 @@
 //! agents ([`membership`]).
 
 pub mod agent_core;
+mod agent_looks;
+mod agent_orders;
+mod agent_reports;
 pub mod clock;
 pub mod combined_log;
 pub mod configuration;
@@ -25,5 +28,6 @@
 pub mod relayed_log;
 pub mod replica;
 pub mod snapshot_keeper;
+mod worker_life;
 pub mod worker_port;
 pub mod worker_watch;
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -5,6 +5,8 @@
 //! through an entry for everything. An append whose answer is lost may be sent again by another
 //! way: the fold drops the copy.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -91,7 +93,7 @@
 
     async fn read_through(
         &self,
-        peers: &[std::net::SocketAddr],
+        peers: &[SocketAddr],
         from: u64,
         wait_ms: u32,
     ) -> Option<Result<LogPage, LogError>> {
@@ -245,7 +247,7 @@
         }
     }
 
-    async fn members(&self) -> Result<std::collections::BTreeSet<u64>, MembershipError> {
+    async fn members(&self) -> Result<BTreeSet<u64>, MembershipError> {
         self.direct.members().await
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/worker_life.rs
@@ -0,0 +1,100 @@
+//! What an agent knows of one lifetime of its worker.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cuminbarrow_taskgraph::graph_state::GraphState;
+use cuminbarrow_taskgraph::lease_terms::ClockSample;
+use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
+use cuminbarrow_taskgraph::progress_watch::RunOutlook;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::RunEnd;
+use cuminbarrow_taskgraph::run_table::LookNumber;
+use cuminbarrow_taskgraph::run_table::RunTable;
+use cuminbarrow_taskgraph::run_table::WorkerEnd;
+use cuminbarrow_taskgraph::task_key::RunKey;
+use cuminbarrow_taskgraph::worker::WorkerKey;
+use smol_str::SmolStr;
+
+use crate::worker_port::WorkerLists;
+
+/// What belongs to one lifetime of the worker.
+#[derive(Default)]
+pub(crate) struct WorkerLife {
+    pub(crate) worker: Option<WorkerKey>,
+    pub(crate) table: RunTable,
+    pub(crate) sample: Option<ClockSample>,
+    /// When the first question was asked that is not answered, on the boot-time clock in ms.
+    pub(crate) unanswered_since_ms: Option<u64>,
+    /// When the last lease granted ends at the latest, on the boot-time clock in ms.
+    pub(crate) leased_until_ms: u64,
+    /// Highest end that the worker listed.
+    pub(crate) listed_through: u64,
+    /// Ends listed that are not in the log yet, or must not be acknowledged.
+    pub(crate) unrecorded: BTreeSet<u64>,
+    /// Ends to be written.
+    pub(crate) outgoing: Vec<(Option<u64>, RunEnd)>,
+    /// Numbers of the ends seen, so that each is handed out once.
+    pub(crate) known_ends: BTreeSet<u64>,
+    pub(crate) checkpoints: BTreeMap<RunKey, SmolStr>,
+    pub(crate) saved: BTreeMap<RunKey, SmolStr>,
+    pub(crate) progress: ProgressWatch,
+    /// Runs that stand still, to be told to the log.
+    pub(crate) stalled: Vec<RunKey>,
+    pub(crate) refused_since_ms: Option<u64>,
+    pub(crate) is_fenced: bool,
+}
+
+impl WorkerLife {
+    /// Highest number up to which every end is in the log.
+    pub(crate) fn acked_through(&self) -> u64 {
+        self.unrecorded.first().map_or(self.listed_through, |first| first - 1)
+    }
+
+    /// Takes what the worker lists. Ends that the log has to get are put out.
+    pub(crate) fn take_lists(&mut self, look: LookNumber, lists: &WorkerLists) {
+        let mut ends = self.table.looked(look, &lists.running, &lists.ended);
+        ends.extend(self.stray_ends(&lists.ended, &ends));
+        self.note_ends(&lists.ended, ends);
+        for entry in lists.running.iter().filter(|entry| !entry.checkpoint.is_empty()) {
+            self.checkpoints.insert(entry.run, entry.checkpoint.clone());
+        }
+    }
+
+    /// Listed ends of runs that the log no longer has here, but may yet count: those that finished.
+    fn stray_ends(&self, listed: &[WorkerEnd], ends: &[RunEnd]) -> Vec<RunEnd> {
+        listed
+            .iter()
+            .filter(|entry| entry.end.how == EndKind::Done)
+            .filter(|entry| !self.known_ends.contains(&entry.number))
+            .filter(|entry| !ends.iter().any(|end| end.run == entry.end.run))
+            .map(|entry| entry.end.clone())
+            .collect()
+    }
+
+    /// Notes the ends that the worker listed, and which of them the log has to get.
+    fn note_ends(&mut self, listed: &[WorkerEnd], ends: Vec<RunEnd>) {
+        for entry in listed {
+            self.listed_through = self.listed_through.max(entry.number);
+            self.known_ends.insert(entry.number);
+        }
+        for end in ends {
+            let listed = listed.iter().find(|entry| entry.end.run == end.run);
+            let number = listed.map(|entry| entry.number);
+            if let Some(number) = number {
+                self.unrecorded.insert(number);
+            }
+            self.outgoing.push((number, end));
+        }
+    }
+}
+
+/// What is expected of a run.
+pub(crate) fn outlook_of(state: &GraphState, run: RunKey) -> Option<RunOutlook> {
+    let spec = state.jobs.get(&run.task.step.job)?.step_spec(run.task.step.step)?;
+    Some(RunOutlook {
+        estimate_ms: spec.estimate_ms,
+        is_gang: spec.gang,
+        is_lasting: spec.long_running,
+    })
+}
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -1,5 +1,7 @@
 //! Records about runs.
 
+use std::collections::BTreeSet;
+
 use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ensure;
@@ -374,7 +376,7 @@
         ensure!(!state.is_done(), not_ready("it is done"));
     }
     let next_run = state.last_run() + 1;
-    let mut seen = std::collections::BTreeSet::new();
+    let mut seen = BTreeSet::new();
     for placed in tasks {
         let run = RunKey { task: step.task(placed.index), run: placed.run };
         let task = state.tasks.get(placed.index as usize);
