--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -25,8 +25,8 @@
 use crate::clock::wall_ms;
 use crate::membership::Membership;
 use crate::replica::Replica;
-use crate::worker_life::WorkerLife;
 use crate::worker_port::WorkerPort;
+use crate::worker_session::WorkerSession;
 
 /// Time between signs of life in the list of live agents. Two fit into their time to live.
 const JOIN_EVERY: Duration = Duration::from_millis(1_200);
@@ -44,7 +44,7 @@
     pub spec: WorkerSpec,
     /// Least time for which it goes on, in ms, once it leaves.
     pub leaves_in_ms: Option<u64>,
-    /// Number of the report within the worker's lifetime.
+    /// Number of the report within the worker's incarnation.
     pub sequence: u64,
 }
 
@@ -62,11 +62,11 @@
     pub(crate) membership: Arc<dyn Membership>,
     pub(crate) lease: LeaseTerms,
     pub(crate) heard: watch::Sender<Option<HeardReport>>,
-    pub(crate) life: Mutex<WorkerLife>,
-    /// Name and start of the last lifetime that said that it ends.
-    pub(crate) left_life: Mutex<Option<(SmolStr, u64)>>,
+    pub(crate) session: Mutex<WorkerSession>,
+    /// Name and start of the last incarnation that said that it ends.
+    pub(crate) left_worker: Mutex<Option<(SmolStr, u64)>>,
     pub(crate) wake_orders: Notify,
-    pub(crate) wake_looks: Notify,
+    pub(crate) wake_polls: Notify,
     pub(crate) wake_reports: Notify,
 }
 
@@ -93,10 +93,10 @@
             membership,
             lease,
             heard: watch::Sender::new(None),
-            life: Mutex::default(),
-            left_life: Mutex::default(),
+            session: Mutex::default(),
+            left_worker: Mutex::default(),
             wake_orders: Notify::new(),
-            wake_looks: Notify::new(),
+            wake_polls: Notify::new(),
             wake_reports: Notify::new(),
         })
     }
@@ -107,7 +107,7 @@
             self.stay_member(),
             self.keep_registered(),
             self.follow_log(),
-            self.look_at_worker(),
+            self.poll_worker(),
             Arc::clone(&self).send_orders(),
             self.report_ends(),
             self.save_checkpoints(),
@@ -115,10 +115,10 @@
     }
 
     /// Takes a report of the worker. An older one than the newest is dropped, and so is one of a
-    /// lifetime that said that it ends.
+    /// incarnation that said that it ends.
     pub fn note_report(&self, report: WorkerReport) {
-        let life = (report.spec.name.clone(), report.spec.born_ms);
-        if report.spec.born_ms > 0 && *self.left_life() == Some(life) {
+        let session = (report.spec.name.clone(), report.spec.born_ms);
+        if report.spec.born_ms > 0 && *self.left_worker() == Some(session) {
             return;
         }
         let at_ms = self.replica.clock.now_ms();
@@ -143,14 +143,14 @@
     pub async fn note_left(&self, name: &str) {
         let own = self.own_worker().filter(|own| own.name == name);
         let born_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.report.spec.born_ms);
-        *self.left_life() = Some((SmolStr::new(name), born_ms));
+        *self.left_worker() = Some((SmolStr::new(name), born_ms));
         let Some(own) = own else {
             // It may be on its way into the log.
             log::info!(worker = name; "a worker left before it was registered");
             self.heard.send_replace(None);
             return;
         };
-        self.look_once(&own, 0).await;
+        self.poll_once(&own, 0).await;
         tokio::time::sleep(LEAVE_WAIT).await;
         log::info!(worker:% = own.key; "the worker left");
         self.give_up(own.key, GoneCause::Left).await;
@@ -159,16 +159,16 @@
     /// Extends the lease as far as it may, before this process ends.
     pub async fn extend_last(&self) {
         if let Some(own) = self.own_worker() {
-            self.look_once(&own, 0).await;
+            self.poll_once(&own, 0).await;
         }
     }
 
-    fn left_life(&self) -> MutexGuard<'_, Option<(SmolStr, u64)>> {
-        self.left_life.lock().unwrap_or_else(PoisonError::into_inner)
+    fn left_worker(&self) -> MutexGuard<'_, Option<(SmolStr, u64)>> {
+        self.left_worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn life(&self) -> MutexGuard<'_, WorkerLife> {
-        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn session(&self) -> MutexGuard<'_, WorkerSession> {
+        self.session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The worker, while this agent may act on it.
@@ -233,7 +233,9 @@
         let Some((worker, known)) = own.filter(|(_, known)| !known.is_suspected()) else {
             return Some(up);
         };
-        if known.spec.room != heard.report.spec.room || std::mem::take(&mut self.life().is_fenced) {
+        if known.spec.room != heard.report.spec.room
+            || std::mem::take(&mut self.session().is_fenced)
+        {
             return Some(up);
         }
         let is_draining = matches!(known.status, WorkerStatus::Draining { .. });
@@ -259,18 +261,22 @@
             let state = self.replica.state();
             state.workers.get(&own.key).map(|worker| worker.runs.clone()).unwrap_or_default()
         };
-        let mut life = self.life();
-        if life.worker != Some(own.key) {
+        let mut session = self.session();
+        if session.worker != Some(own.key) {
             // An agent before this one may have granted a lease until now.
-            let leased_until_ms = self.replica.clock.now_ms().saturating_add(self.lease.hold_ms);
-            *life = WorkerLife { worker: Some(own.key), leased_until_ms, ..WorkerLife::default() };
+            let leased_until_ms = self.replica.clock.now_ms().saturating_add(self.lease.length_ms);
+            *session = WorkerSession {
+                worker: Some(own.key),
+                leased_until_ms,
+                ..WorkerSession::default()
+            };
         }
-        life.table.sync(&wanted);
-        life.table.set_closed(self.is_leaving());
-        life.saved.retain(|run, _| wanted.contains_key(run));
-        drop(life);
+        session.table.sync(&wanted);
+        session.table.set_closed(self.is_leaving());
+        session.saved.retain(|run, _| wanted.contains_key(run));
+        drop(session);
         self.wake_orders.notify_one();
-        self.wake_looks.notify_one();
+        self.wake_polls.notify_one();
     }
 }
 
@@ -281,7 +287,7 @@
     agent: u64,
 ) -> Option<(WorkerKey, &'a WorkerState)> {
     let (key, worker) = state.worker_on(&spec.instance)?;
-    (worker.spec.is_same_life(spec) && worker.agent == agent).then_some((key, worker))
+    (worker.spec.is_same_incarnation(spec) && worker.agent == agent).then_some((key, worker))
 }
 
 fn log_registration<R>(record: &GraphRecord, result: &R)
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -20,12 +20,12 @@
             self.wake_orders.notified().await;
             let Some(own) = self.own_worker() else { continue };
             let orders = {
-                let mut life = self.life();
-                if life.worker != Some(own.key) {
+                let mut session = self.session();
+                if session.worker != Some(own.key) {
                     continue;
                 }
-                life.table.set_closed(self.is_leaving());
-                life.table.next_orders()
+                session.table.set_closed(self.is_leaving());
+                session.table.next_orders()
             };
             for order in orders {
                 let core = Arc::clone(&self);
@@ -56,7 +56,7 @@
         };
         log::info!(run:% = run, worker:% = own.key, answer:? = answer; "start");
         self.take_start_answer(own, run, answer);
-        self.wake_looks.notify_one();
+        self.wake_polls.notify_one();
         if matches!(answer, StartAnswer::Unknown | StartAnswer::TooLate) {
             tokio::time::sleep(ORDER_RETRY).await;
             self.wake_orders.notify_one();
@@ -64,23 +64,23 @@
     }
 
     pub(crate) fn take_start_answer(&self, own: &OwnWorker, run: RunKey, answer: StartAnswer) {
-        let mut life = self.life();
-        if life.worker != Some(own.key) {
+        let mut session = self.session();
+        if session.worker != Some(own.key) {
             return;
         }
-        if let Some(end) = life.table.start_answered(run, answer) {
-            life.outgoing.push((None, end));
+        if let Some(end) = session.table.start_answered(run, answer) {
+            session.outgoing.push((None, end));
             self.wake_reports.notify_one();
         }
     }
 
     /// The order, unless the lease could not be extended now or the run is not wanted any more.
     pub(crate) fn start_order(&self, own: &OwnWorker, run: RunKey) -> Option<StartOrder> {
-        let mut life = self.life();
-        let (deadline_ms, until_ms) = self.lease_end(&life);
+        let mut session = self.session();
+        let (deadline_ms, until_ms) = self.lease_end(&session);
         let deadline_ms = deadline_ms?;
-        life.leased_until_ms = life.leased_until_ms.max(until_ms);
-        drop(life);
+        session.leased_until_ms = session.leased_until_ms.max(until_ms);
+        drop(session);
         let state = self.replica.state();
         let step = run.task.step;
         let job = state.jobs.get(&step.job).filter(|job| job.is_active())?;
@@ -105,7 +105,7 @@
             self.note_port_error(error, "stop");
         }
         self.take_stop_answer(own, run, is_acknowledged);
-        self.wake_looks.notify_one();
+        self.wake_polls.notify_one();
         if !is_acknowledged {
             tokio::time::sleep(ORDER_RETRY).await;
             self.wake_orders.notify_one();
@@ -113,9 +113,9 @@
     }
 
     pub(crate) fn take_stop_answer(&self, own: &OwnWorker, run: RunKey, is_acknowledged: bool) {
-        let mut life = self.life();
-        if life.worker == Some(own.key) {
-            life.table.stop_answered(run, is_acknowledged);
+        let mut session = self.session();
+        if session.worker == Some(own.key) {
+            session.table.stop_answered(run, is_acknowledged);
         }
     }
 }
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -29,8 +29,8 @@
             self.report_stalled().await;
             loop {
                 let (worker, outgoing) = {
-                    let mut life = self.life();
-                    (life.worker, std::mem::take(&mut life.outgoing))
+                    let mut session = self.session();
+                    (session.worker, std::mem::take(&mut session.outgoing))
                 };
                 let Some(worker) = worker.filter(|_| !outgoing.is_empty()) else { break };
                 self.report(worker, outgoing).await;
@@ -41,8 +41,8 @@
     /// Tells the log of runs that stand still. One that still does is told again later.
     pub(crate) async fn report_stalled(&self) {
         let (worker, runs) = {
-            let mut life = self.life();
-            (life.worker, std::mem::take(&mut life.stalled))
+            let mut session = self.session();
+            (session.worker, std::mem::take(&mut session.stalled))
         };
         let Some(worker) = worker.filter(|_| !runs.is_empty()) else { return };
         for run in &runs {
@@ -74,7 +74,7 @@
             // The worker was given up meanwhile; its ends are listed again under its next key.
             other => log::warn!(worker:% = worker, outcome:? = other; "ends were not taken"),
         }
-        self.wake_looks.notify_one();
+        self.wake_polls.notify_one();
     }
 
     /// Ends in the log may be acknowledged, but for those of runs that were superseded.
@@ -84,15 +84,15 @@
         outgoing: &[(Option<u64>, RunEnd)],
         superseded: &[RunKey],
     ) {
-        let mut life = self.life();
-        if life.worker != Some(worker) {
+        let mut session = self.session();
+        if session.worker != Some(worker) {
             return;
         }
         for (number, end) in outgoing {
             if superseded.contains(&end.run) {
                 log::warn!(run:% = end.run, worker:% = worker; "an end came too late to count");
             } else if let Some(number) = number {
-                life.unrecorded.remove(number);
+                session.unrecorded.remove(number);
             }
         }
     }
@@ -103,14 +103,14 @@
             tokio::time::sleep(pause).await;
             let began = Instant::now();
             let (worker, saved) = {
-                let mut life = self.life();
-                let fresh = std::mem::take(&mut life.checkpoints);
+                let mut session = self.session();
+                let fresh = std::mem::take(&mut session.checkpoints);
                 let saved: Vec<(RunKey, SmolStr)> = fresh
                     .into_iter()
-                    .filter(|(run, checkpoint)| life.saved.get(run) != Some(checkpoint))
+                    .filter(|(run, checkpoint)| session.saved.get(run) != Some(checkpoint))
                     .collect();
-                life.saved.extend(saved.iter().cloned());
-                (life.worker, saved)
+                session.saved.extend(saved.iter().cloned());
+                (session.worker, saved)
             };
             let Some(worker) = worker.filter(|_| !saved.is_empty()) else { continue };
             let record = GraphRecord::CheckpointsSaved { worker, saved };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,8 +9,8 @@
 //! agents ([`membership`]).
 
 pub mod agent_core;
-mod agent_looks;
 mod agent_orders;
+mod agent_polls;
 mod agent_reports;
 pub mod clock;
 pub mod combined_log;
@@ -28,6 +28,6 @@
 pub mod relayed_log;
 pub mod replica;
 pub mod snapshot_keeper;
-mod worker_life;
 pub mod worker_port;
+mod worker_session;
 pub mod worker_watch;
--- a/crates/dispatch/src/worker_port.rs
+++ b/crates/dispatch/src/worker_port.rs
@@ -18,9 +18,9 @@
     /// The worker obeys a later agent.
     #[snafu(display("the worker has seen a higher fencing token"))]
     Fenced,
-    /// Another lifetime of the worker answered.
-    #[snafu(display("another lifetime of the worker answered"))]
-    OtherLife,
+    /// Another incarnation of the worker answered.
+    #[snafu(display("another incarnation of the worker answered"))]
+    OtherIncarnation,
     /// It is not known whether the order was carried out.
     #[snafu(display("no answer from the worker: {reason}"))]
     NoAnswer {
@@ -54,7 +54,7 @@
 
 /// A question for what the worker runs, which may extend its lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HoldOrder {
+pub struct RenewalOrder {
     /// Worker meant.
     pub worker: SmolStr,
     /// New end of the lease, on the worker's clock in ms.
@@ -79,7 +79,7 @@
 /// What the worker lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerLists {
-    /// Start of the lifetime that answered, in ms since the Unix epoch, where it told.
+    /// Start of the incarnation that answered, in ms since the Unix epoch, where it told.
     pub born_ms: Option<u64>,
     /// Runs that go on.
     pub running: Vec<WorkerRun>,
@@ -106,5 +106,5 @@
     ///
     /// # Errors
     /// [`PortError`].
-    async fn hold(&self, order: HoldOrder) -> Result<Timed<WorkerLists>, PortError>;
+    async fn renew(&self, order: RenewalOrder) -> Result<Timed<WorkerLists>, PortError>;
 }
--- a/crates/dispatch/src/worker_life.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -1,4 +1,4 @@
-//! What an agent knows of one lifetime of its worker.
+//! What an agent knows of one incarnation of its worker.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -9,7 +9,7 @@
 use cuminbarrow_taskgraph::progress_watch::RunOutlook;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::RunEnd;
-use cuminbarrow_taskgraph::run_table::LookNumber;
+use cuminbarrow_taskgraph::run_table::PollNumber;
 use cuminbarrow_taskgraph::run_table::RunTable;
 use cuminbarrow_taskgraph::run_table::WorkerEnd;
 use cuminbarrow_taskgraph::task_key::RunKey;
@@ -18,9 +18,9 @@
 
 use crate::worker_port::WorkerLists;
 
-/// What belongs to one lifetime of the worker.
+/// What belongs to one incarnation of the worker.
 #[derive(Default)]
-pub(crate) struct WorkerLife {
+pub(crate) struct WorkerSession {
     pub(crate) worker: Option<WorkerKey>,
     pub(crate) table: RunTable,
     pub(crate) sample: Option<ClockSample>,
@@ -45,15 +45,15 @@
     pub(crate) is_fenced: bool,
 }
 
-impl WorkerLife {
+impl WorkerSession {
     /// Highest number up to which every end is in the log.
     pub(crate) fn acked_through(&self) -> u64 {
         self.unrecorded.first().map_or(self.listed_through, |first| first - 1)
     }
 
     /// Takes what the worker lists. Ends that the log has to get are put out.
-    pub(crate) fn take_lists(&mut self, look: LookNumber, lists: &WorkerLists) {
-        let mut ends = self.table.looked(look, &lists.running, &lists.ended);
+    pub(crate) fn take_lists(&mut self, poll: PollNumber, lists: &WorkerLists) {
+        let mut ends = self.table.polled(poll, &lists.running, &lists.ended);
         ends.extend(self.stray_ends(&lists.ended, &ends));
         self.note_ends(&lists.ended, ends);
         for entry in lists.running.iter().filter(|entry| !entry.checkpoint.is_empty()) {
--- a/crates/dispatch/src/worker_watch.rs
+++ b/crates/dispatch/src/worker_watch.rs
@@ -1,7 +1,7 @@
 //! Finds workers whose agents are not heard from, and gives up their runs once it is safe.
 //!
 //! First the suspicion goes to the log, which ends the agent's authority to extend leases; after a
-//! whole hold time no lease can be left, and the worker is taken away. An agent that lives sees the
+//! whole lease length no lease can be left, and the worker is taken away. An agent that lives sees the
 //! suspicion and registers anew, which takes it back.
 
 use std::collections::BTreeMap;
@@ -19,7 +19,7 @@
 const MISSING_MS: u64 = 1_500;
 /// Time for which an entry must be missing before nobody reads through it any more, in ms.
 const MISSING_ENTRY_MS: u64 = 2_000;
-/// Added to the hold time before a worker is taken away, in ms: rounding of leases to whole ms and
+/// Added to the lease length before a worker is taken away, in ms: rounding of leases to whole ms and
 /// the worker's look at them.
 const LAPSE_SLACK_MS: u64 = 300;
 
--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -30,7 +30,7 @@
     ) -> GraphOutcome {
         let fence = offset + 1;
         if let Some((key, known)) = self.worker_on(&spec.instance) {
-            if known.spec.is_same_life(spec) {
+            if known.spec.is_same_incarnation(spec) {
                 self.take_over(key, agent, fence, spec);
                 report.touched.insert(key);
                 return Ok(GraphEffect::Worker { worker: key });
--- a/crates/taskgraph/src/lease_terms.rs
+++ b/crates/taskgraph/src/lease_terms.rs
@@ -1,9 +1,9 @@
 //! Arithmetic of leases.
 //!
 //! An agent may extend the lease of what its worker runs only on the strength of a read of the log
-//! that showed no suspicion of the worker. The lease then ends at most one hold time after that
+//! that showed no suspicion of the worker. The lease then ends at most one lease length after that
 //! read was confirmed, whenever the extension itself is sent. Who suspects a worker waits for a
-//! hold time after the suspicion stood in the log; no lease outlives that wait.
+//! lease length after the suspicion stood in the log; no lease outlives that wait.
 //!
 //! Times are of two clocks: the agent's boot-time clock, which goes on while the instance is
 //! suspended, and the worker's own clock, on which leases are stated.
@@ -25,14 +25,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
     /// Longest time from a confirmed read to the end of a lease that rests on it, in ms.
-    pub hold_ms: u64,
+    pub length_ms: u64,
 }
 
 impl LeaseTerms {
     /// End of a lease that rests on a read confirmed at `confirmed_ms` on the agent's boot-time
     /// clock, on the worker's clock in ms. Nothing when that time is over.
     pub fn deadline_ms(&self, sample: ClockSample, confirmed_ms: u64) -> Option<u64> {
-        let ends_ms = confirmed_ms.saturating_add(self.hold_ms);
+        let ends_ms = confirmed_ms.saturating_add(self.length_ms);
         let left_ms = ends_ms.checked_sub(sample.at_ms).filter(|left_ms| *left_ms > 0)?;
         // A slow clock shows less time than passes, so it is given less.
         Some(sample.worker_ms + left_ms * (1_000 - DRIFT_PERMILLE) / 1_000)
@@ -41,6 +41,6 @@
     /// Whether every lease that rests on a read confirmed before `since_ms` has ended at `now_ms`,
     /// both on one boot-time clock.
     pub fn has_lapsed(&self, since_ms: u64, now_ms: u64) -> bool {
-        now_ms >= since_ms.saturating_add(self.hold_ms)
+        now_ms >= since_ms.saturating_add(self.length_ms)
     }
 }
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -67,7 +67,7 @@
 pub enum GoneCause {
     /// It left in order.
     Left,
-    /// A later lifetime took its place.
+    /// A later incarnation took its place.
     Replaced,
     /// Its leases have run out unrenewed.
     Lapsed,
--- a/crates/taskgraph/src/refusal.rs
+++ b/crates/taskgraph/src/refusal.rs
@@ -82,7 +82,7 @@
         /// The worker.
         worker: WorkerKey,
     },
-    /// A later agent or lifetime of the worker registered.
+    /// A later agent or incarnation of the worker registered.
     #[snafu(display("worker {worker} was registered anew"))]
     Superseded {
         /// The worker.
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -17,7 +17,7 @@
 /// What a worker said of a run that ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerEnd {
-    /// Number of the end within the worker's lifetime.
+    /// Number of the end within the worker's incarnation.
     pub number: u64,
     /// The end.
     pub end: RunEnd,
@@ -58,9 +58,9 @@
     Unknown,
 }
 
-/// One look at the worker's lists. Looks are numbered in the order in which they were asked for.
+/// One poll of the worker's lists. Polls are numbered in the order in which they were asked for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LookNumber(u64);
+pub struct PollNumber(u64);
 
 #[derive(Clone, Debug, Default)]
 struct LocalRun {
@@ -68,21 +68,21 @@
     order: Option<Order>,
     /// Set once an order to start was sent that may have been carried out.
     may_run: bool,
-    /// First look asked for after a start was acknowledged or the run was listed.
-    known_since: Option<LookNumber>,
-    /// First look asked for after a stop was acknowledged.
-    stopped_since: Option<LookNumber>,
+    /// First poll asked for after a start was acknowledged or the run was listed.
+    known_since: Option<PollNumber>,
+    /// First poll asked for after a stop was acknowledged.
+    stopped_since: Option<PollNumber>,
     /// Whether an end was handed out for the log.
     is_reported: bool,
 }
 
-/// Runs of one worker lifetime.
+/// Runs of one worker incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct RunTable {
     runs: BTreeMap<RunKey, LocalRun>,
     strays: BTreeSet<RunKey>,
-    looks: u64,
-    has_looked: bool,
+    polls: u64,
+    has_polled: bool,
     is_closed: bool,
 }
 
@@ -93,7 +93,7 @@
         for (run, held) in wanted {
             let local = self.runs.entry(*run).or_insert_with(|| LocalRun {
                 // After a restart the run may have been started by the agent before this one.
-                may_run: !self.has_looked,
+                may_run: !self.has_polled,
                 ..LocalRun::default()
             });
             local.is_stop_wanted = held.stop.is_some();
@@ -107,13 +107,13 @@
 
     /// Whether there is anything to watch.
     pub fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.strays.is_empty() && self.has_looked
+        self.runs.is_empty() && self.strays.is_empty() && self.has_polled
     }
 
     /// Orders to send now; each is out until it is answered.
     pub fn next_orders(&mut self) -> Vec<Order> {
         let mut orders = Vec::new();
-        if !self.has_looked {
+        if !self.has_polled {
             return orders;
         }
         for (run, local) in &mut self.runs {
@@ -123,7 +123,7 @@
             let is_given_back = self.is_closed && local.known_since.is_none();
             let is_stop_wanted = local.is_stop_wanted || is_given_back;
             if is_stop_wanted && !local.may_run {
-                local.stopped_since.get_or_insert(LookNumber::default());
+                local.stopped_since.get_or_insert(PollNumber::default());
             }
             // A stop goes out beside an unanswered start: once it is acknowledged, the worker
             // rejects the start.
@@ -148,7 +148,7 @@
 
     /// Takes the answer to an order to start. Gives an end for the log where nothing runs.
     pub fn start_answered(&mut self, run: RunKey, answer: StartAnswer) -> Option<RunEnd> {
-        let next_look = LookNumber(self.looks + 1);
+        let next_look = PollNumber(self.polls + 1);
         let local = self.runs.get_mut(&run)?;
         if local.order == Some(Order::Start(run)) {
             local.order = None;
@@ -172,7 +172,7 @@
 
     /// Takes the answer to an order to stop.
     pub fn stop_answered(&mut self, run: RunKey, is_acknowledged: bool) {
-        let next_look = LookNumber(self.looks + 1);
+        let next_look = PollNumber(self.polls + 1);
         let Some(local) = self.runs.get_mut(&run) else { return };
         if local.order == Some(Order::Stop(run)) {
             local.order = None;
@@ -182,21 +182,21 @@
         }
     }
 
-    /// Numbers a look that is about to be asked for.
-    pub fn begin_look(&mut self) -> LookNumber {
-        self.looks += 1;
-        LookNumber(self.looks)
+    /// Numbers a poll that is about to be asked for.
+    pub fn begin_poll(&mut self) -> PollNumber {
+        self.polls += 1;
+        PollNumber(self.polls)
     }
 
     /// Takes what the worker lists. Gives the ends that the log does not have: those listed, and
     /// those of runs that the worker no longer knows.
-    pub fn looked(
+    pub fn polled(
         &mut self,
-        look: LookNumber,
+        poll: PollNumber,
         running: &[WorkerRun],
         ended: &[WorkerEnd],
     ) -> Vec<RunEnd> {
-        self.has_looked = true;
+        self.has_polled = true;
         let listed: BTreeSet<RunKey> = running.iter().map(|entry| entry.run).collect();
         let mut ends = Vec::new();
         for entry in ended {
@@ -213,7 +213,7 @@
                     self.strays.insert(*run);
                 }
                 Some(local) => {
-                    local.known_since.get_or_insert(LookNumber(look.0 + 1));
+                    local.known_since.get_or_insert(PollNumber(poll.0 + 1));
                 }
             }
         }
@@ -222,7 +222,7 @@
             if is_listed || local.is_reported {
                 continue;
             }
-            let is_settled = |since: Option<LookNumber>| since.is_some_and(|since| since <= look);
+            let is_settled = |since: Option<PollNumber>| since.is_some_and(|since| since <= poll);
             if is_settled(local.stopped_since) {
                 local.is_reported = true;
                 ends.push(end_of(*run, EndKind::Stopped));
--- a/crates/taskgraph/src/worker.rs
+++ b/crates/taskgraph/src/worker.rs
@@ -10,7 +10,7 @@
 use crate::room::Room;
 use crate::task_key::RunKey;
 
-/// Key of one lifetime of a worker, handed out in log order and never reused.
+/// Key of one incarnation of a worker, handed out in log order and never reused.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -29,7 +29,7 @@
 pub struct WorkerSpec {
     /// Name of the worker.
     pub name: SmolStr,
-    /// Start of this lifetime, in ms since the Unix epoch.
+    /// Start of this incarnation, in ms since the Unix epoch.
     pub born_ms: u64,
     /// Instance on which it stands.
     pub instance: SmolStr,
@@ -46,8 +46,8 @@
 }
 
 impl WorkerSpec {
-    /// Whether both are the same lifetime of the same worker.
-    pub fn is_same_life(&self, other: &Self) -> bool {
+    /// Whether both are the same incarnation of the same worker.
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.name == other.name && self.born_ms == other.born_ms && self.instance == other.instance
     }
 }
--- a/crates/taskgraph/tests/graph/fold.rs
+++ b/crates/taskgraph/tests/graph/fold.rs
@@ -200,7 +200,7 @@
 }
 
 #[test]
-fn a_new_lifetime_of_a_worker_takes_its_runs_away() {
+fn a_new_incarnation_of_a_worker_takes_its_runs_away() {
     let mut graph = GraphBuilder::new(1, 1);
     let job = graph.submit(1, 1, vec![tasks(1, 1)]);
     graph.plan();
--- a/crates/taskgraph/tests/graph/run_table.rs
+++ b/crates/taskgraph/tests/graph/run_table.rs
@@ -36,8 +36,8 @@
 /// A table whose agent has looked at an empty worker.
 fn table() -> RunTable {
     let mut table = RunTable::default();
-    let look = table.begin_look();
-    assert_eq!(table.looked(look, &[], &[]), []);
+    let look = table.begin_poll();
+    assert_eq!(table.polled(look, &[], &[]), []);
     table
 }
 
@@ -46,8 +46,8 @@
     let mut table = RunTable::default();
     table.sync(&wanted(&[(run(1), None)]));
     assert_eq!(table.next_orders(), []);
-    let look = table.begin_look();
-    table.looked(look, &[running(run(1))], &[]);
+    let look = table.begin_poll();
+    table.polled(look, &[running(run(1))], &[]);
     assert_eq!(table.next_orders(), [], "what runs is adopted");
 }
 
@@ -58,8 +58,8 @@
     assert_eq!(table.next_orders(), [Order::Start(run(1))]);
     assert_eq!(table.next_orders(), [], "one order at a time");
     assert_eq!(table.start_answered(run(1), StartAnswer::Unknown), None);
-    let look = table.begin_look();
-    assert_eq!(table.looked(look, &[], &[]), [], "it may begin yet");
+    let look = table.begin_poll();
+    assert_eq!(table.polled(look, &[], &[]), [], "it may begin yet");
     assert_eq!(table.next_orders(), [Order::Start(run(1))]);
 }
 
@@ -68,13 +68,13 @@
     let mut table = table();
     table.sync(&wanted(&[(run(1), None)]));
     table.next_orders();
-    let early = table.begin_look();
+    let early = table.begin_poll();
     table.start_answered(run(1), StartAnswer::Started);
-    assert_eq!(table.looked(early, &[], &[]), []);
-    let late = table.begin_look();
-    assert_eq!(table.looked(late, &[], &[]), [end(run(1), EndKind::Vanished)]);
-    let again = table.begin_look();
-    assert_eq!(table.looked(again, &[], &[]), [], "it is told once");
+    assert_eq!(table.polled(early, &[], &[]), []);
+    let late = table.begin_poll();
+    assert_eq!(table.polled(late, &[], &[]), [end(run(1), EndKind::Vanished)]);
+    let again = table.begin_poll();
+    assert_eq!(table.polled(again, &[], &[]), [], "it is told once");
 }
 
 #[test]
@@ -84,11 +84,11 @@
     table.next_orders();
     table.sync(&wanted(&[(run(1), Some(StopCause::Cancelled))]));
     assert_eq!(table.next_orders(), [Order::Stop(run(1))]);
-    let early = table.begin_look();
-    assert_eq!(table.looked(early, &[], &[]), [], "the start may be carried out yet");
+    let early = table.begin_poll();
+    assert_eq!(table.polled(early, &[], &[]), [], "the start may be carried out yet");
     table.stop_answered(run(1), true);
-    let late = table.begin_look();
-    assert_eq!(table.looked(late, &[], &[]), [end(run(1), EndKind::Stopped)]);
+    let late = table.begin_poll();
+    assert_eq!(table.polled(late, &[], &[]), [end(run(1), EndKind::Stopped)]);
 }
 
 #[test]
@@ -96,8 +96,8 @@
     let mut table = table();
     table.sync(&wanted(&[(run(1), Some(StopCause::Cancelled))]));
     assert_eq!(table.next_orders(), []);
-    let look = table.begin_look();
-    assert_eq!(table.looked(look, &[], &[]), [end(run(1), EndKind::Stopped)]);
+    let look = table.begin_poll();
+    assert_eq!(table.polled(look, &[], &[]), [end(run(1), EndKind::Stopped)]);
 }
 
 #[test]
@@ -119,8 +119,8 @@
     table.set_closed(true);
     assert_eq!(table.next_orders(), [Order::Stop(run(2))]);
     table.stop_answered(run(2), true);
-    let look = table.begin_look();
-    let ends = table.looked(look, &[running(run(1))], &[]);
+    let look = table.begin_poll();
+    let ends = table.polled(look, &[running(run(1))], &[]);
     assert_eq!(ends, [end(run(2), EndKind::Stopped)]);
 }
 
@@ -159,9 +159,9 @@
     table.next_orders();
     table.start_answered(run(1), StartAnswer::Started);
     let listed = [WorkerEnd { number: 4, end: end(run(1), EndKind::Done) }];
-    let look = table.begin_look();
-    assert_eq!(table.looked(look, &[running(run(9))], &listed), [end(run(1), EndKind::Done)]);
+    let look = table.begin_poll();
+    assert_eq!(table.polled(look, &[running(run(9))], &listed), [end(run(1), EndKind::Done)]);
     assert_eq!(table.next_orders(), [Order::Stop(run(9))]);
-    let look = table.begin_look();
-    assert_eq!(table.looked(look, &[], &listed), []);
+    let look = table.begin_poll();
+    assert_eq!(table.polled(look, &[], &listed), []);
 }
