--- a/crates/taskgraph/tests/graph/fold.rs
+++ b/crates/taskgraph/tests/graph/fold.rs
@@ -290,3 +290,20 @@
     graph.apply(GraphRecord::PlannerRenewed { epoch: 1 }).unwrap();
     assert!(!graph.state.jobs.contains_key(&job));
 }
+
+#[test]
+fn a_task_is_never_placed_beside_a_run_of_it_or_after_it_is_done() {
+    let mut graph = GraphBuilder::new(1, 2);
+    let job = graph.submit(1, 1, vec![tasks(2, 1)]);
+    graph.plan();
+    let step = StepKey { job, occurrence: 0, step: 0 };
+    let place = |run| vec![TaskPlacement { index: 0, run, worker: WorkerKey(1) }];
+    let refusal = graph.apply(GraphRecord::RunsPlaced { epoch: 1, step, tasks: place(2) });
+    let reason = "the task is placed";
+    assert_eq!(refusal, Err(GraphRefusal::StepNotReady { step, reason }));
+    let (run, worker) = graph.runs_of(job)[0];
+    graph.end(run, worker, EndKind::Done).unwrap();
+    let refusal = graph.apply(GraphRecord::RunsPlaced { epoch: 1, step, tasks: place(2) });
+    let reason = "the task is done";
+    assert_eq!(refusal, Err(GraphRefusal::StepNotReady { step, reason }));
+}
