Keep what a process appended, for replicas that the log left with a gap

Cause: the log's history was dropped after an append and before any replica had read it.

A process now keeps its last appends and reads them back where the log has dropped them; entries give theirs to each other, and each entry appends for its region. Such a page tells nothing of where the log ends, so no lease rests on it.

Left: a batch that an agent appended by itself, and an entry that dies in the same second.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod entry_announcer;
 pub mod entry_directory;
 pub mod job_service;
+pub mod kept_log;
 pub mod membership;
 pub mod peer_list;
 pub mod planner_task;
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use crate::kept_log::KeptLog;
 use crate::membership::Membership;
 use crate::peer_list::PeerList;
 use crate::replica::Replica;
@@ -42,6 +43,8 @@
     pub peers: Arc<PeerList>,
     /// The log itself, never through another entry.
     pub direct: Arc<dyn LogStore>,
+    /// What this entry appended.
+    pub kept: Arc<KeptLog>,
     /// The list of live agents.
     pub membership: Arc<dyn Membership>,
 }
@@ -94,6 +97,12 @@
                 RelayResponse::Refused { reason }
             }
             RelayRequest::Read { from, wait_ms, .. } => self.read(from, wait_ms).await,
+            RelayRequest::ReadAppended { from, oldest } => {
+                match self.kept.page_from(from, oldest) {
+                    None => RelayResponse::Expired { oldest },
+                    Some(page) => records(page, Duration::ZERO),
+                }
+            }
             RelayRequest::SaveChunks { chunks } => {
                 let chunks = chunks.into_iter().map(Bytes::from).collect();
                 match self.direct.save_chunks(chunks).await {
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::direct_path::DirectPath;
+use crate::kept_log::lost_page;
 use crate::membership::Membership;
 use crate::membership::MembershipError;
 use crate::peer_list::PeerList;
@@ -91,6 +92,21 @@
         self.calls.call(&peers, &request, Duration::ZERO, false).await
     }
 
+    /// Batches that the log dropped, from an entry that appended them.
+    async fn read_lost(&self, from: u64, oldest: u64) -> Result<LogPage, LogError> {
+        // A process that begins takes a snapshot.
+        let peers = if from == 0 { Vec::new() } else { self.peers.choice().fallbacks };
+        let request = RelayRequest::ReadAppended { from, oldest };
+        for peer in peers {
+            let answer = self.calls.call(&[peer], &request, Duration::ZERO, true).await;
+            if let Some(RelayResponse::Records { entries, .. }) = answer {
+                log::info!(from, oldest, batches = entries.len(), entry:% = peer; "read lost batches");
+                return Ok(lost_page(from, oldest, entries));
+            }
+        }
+        Err(LogError::Expired { oldest })
+    }
+
     async fn read_through(
         &self,
         peers: &[SocketAddr],
@@ -158,7 +174,7 @@
         let mut error = broken_path();
         if self.is_out_of_patience() && !self.direct.is_broken() {
             match self.direct.log.read(stream, from, limit, wait_ms).await {
-                Err(LogError::Expired { oldest }) => return Err(LogError::Expired { oldest }),
+                Err(LogError::Expired { oldest }) => return self.read_lost(from, oldest).await,
                 Err(failure) => {
                     self.direct.note_failure(&failure);
                     error = failure;
--- /dev/null
+++ b/crates/dispatch/tests/kept_log.rs
@@ -0,0 +1,95 @@
+//! What a process appended outlives the log's history.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_dispatch::kept_log::KeptLog;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
+
+/// Oldest offset of the log below.
+const OLDEST: u64 = 40;
+
+/// A log that dropped all before [`OLDEST`]; an append's body tells its offset.
+struct ForgetfulLog;
+
+#[async_trait]
+impl LogStore for ForgetfulLog {
+    async fn append(&self, _stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        Ok(u64::from(body[0]))
+    }
+
+    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
+        self.append(stream, bodies[0].clone()).await
+    }
+
+    async fn read(
+        &self,
+        _stream: LogStream,
+        from: u64,
+        _limit: u32,
+        _wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        if from < OLDEST {
+            return Err(LogError::Expired { oldest: OLDEST });
+        }
+        Ok(LogPage { oldest: OLDEST, next: from, first: from, ..LogPage::default() })
+    }
+
+    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
+        Ok(())
+    }
+
+    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
+        Ok(Vec::new())
+    }
+}
+
+async fn log_with(offsets: &[&[u8]]) -> KeptLog {
+    let log = KeptLog::new(Arc::new(ForgetfulLog));
+    for offsets in offsets {
+        let bodies = offsets.iter().map(|offset| Bytes::copy_from_slice(&[*offset])).collect();
+        log.append_all(LogStream::Records, bodies).await.unwrap();
+    }
+    log
+}
+
+#[tokio::test]
+async fn own_batches_are_read_up_to_the_first_of_another_process() {
+    let log = log_with(&[&[36], &[37, 38], &[39]]).await;
+    let page = log.read(LogStream::Records, 37, 10, 0).await.unwrap();
+    assert_eq!(page.entries, [vec![37], vec![38], vec![39]]);
+    let log = log_with(&[&[36], &[38]]).await;
+    let page = log.read(LogStream::Records, 36, 10, 0).await.unwrap();
+    assert_eq!(page.entries, [vec![36]]);
+    let expired = log.read(LogStream::Records, 37, 10, 0).await;
+    assert!(matches!(expired, Err(LogError::Expired { oldest: OLDEST })), "{expired:?}");
+}
+
+#[tokio::test]
+async fn own_batches_confirm_nothing_about_the_end_of_the_log() {
+    let log = log_with(&[&[39]]).await;
+    let page = log.read(LogStream::Records, 39, 10, 0).await.unwrap();
+    let read_to = page.first + page.entries.len() as u64;
+    assert!(read_to < page.next, "records after {read_to} may exist");
+}
+
+#[tokio::test]
+async fn old_batches_make_room_for_new_ones() {
+    let log = KeptLog::new(Arc::new(ForgetfulLog));
+    let body = |offset: u8| {
+        let mut body = vec![0; 1024 * 1024];
+        body[0] = offset;
+        Bytes::from(body)
+    };
+    for offset in [36, 37, 38] {
+        log.append(LogStream::Records, body(offset)).await.unwrap();
+    }
+    assert_eq!(log.page_from(36, OLDEST), None);
+    assert_eq!(log.page_from(37, OLDEST).unwrap().entries.len(), 2);
+}
--- a/crates/protocol/src/relay_message.rs
+++ b/crates/protocol/src/relay_message.rs
@@ -33,6 +33,13 @@
         /// The chunks, in order.
         chunks: Vec<Vec<u8>>,
     },
+    /// Asks for records that the log dropped and that this entry appended.
+    ReadAppended {
+        /// Offset of the first.
+        from: u64,
+        /// Oldest offset that the log keeps.
+        oldest: u64,
+    },
 }
 
 /// Answer to a [`RelayRequest`].
