Stop no more lasting tasks of a step than may be away

Cause, by reading the planner: it stopped lasting tasks for urgent work without a look at how many of their step may be away at once, and a covered step that could not be placed whole by stopping others got nothing.

A step's limit now bounds what one round may stop; tasks that are away for any cause, or were placed less than 5.5 s ago, count as away. A lasting gang larger than its limit is never stopped. A covered step of single tasks begins as far as it can.

--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -11,6 +11,7 @@
 mod apply_jobs;
 mod apply_runs;
 mod apply_workers;
+mod disruption_budget;
 pub mod graph_state;
 pub mod job_id;
 pub mod job_spec;
--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::disruption_budget::DisruptionBudget;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::room::Room;
@@ -80,9 +81,27 @@
         for members in gangs.into_values() {
             table.add_gang(members);
         }
+        table.keep_within(state, &DisruptionBudget::new(state, now_ms));
         table
     }
 
+    /// Takes out what must not be stopped now: of each step that limits how many of its tasks may
+    /// be away, all but the cheapest ones within the limit.
+    fn keep_within(&mut self, state: &GraphState, budget: &DisruptionBudget) {
+        let mut steps: BTreeMap<StepKey, Vec<(u64, RunKey)>> = BTreeMap::new();
+        for (run, cost) in &self.cost {
+            steps.entry(run.task.step).or_default().push((*cost, *run));
+        }
+        for (step, mut runs) in steps {
+            let Some(stoppable) = budget.stoppable(state, step) else { continue };
+            runs.sort_unstable();
+            let is_whole = runs.iter().any(|(_, run)| self.group(*run).len() > stoppable);
+            let kept = if is_whole { 0 } else { stoppable };
+            let spared: Vec<RunKey> = runs.into_iter().skip(kept).map(|(_, run)| run).collect();
+            self.remove(&spared);
+        }
+    }
+
     fn add_gang(&mut self, members: Vec<(RunKey, WorkerKey, Room)>) {
         let cost: u64 = members.iter().filter_map(|(run, _, _)| self.cost.get(run)).sum();
         for (run, _, _) in &members {
@@ -115,8 +134,8 @@
     }
 }
 
-/// The cheapest place for a gang or for `count` tasks of a step; nothing where even stopping
-/// everything that may be stopped gives no room.
+/// The cheapest place for a gang or for `count` tasks of a step, for fewer tasks where `reach` is
+/// everything; nothing where even stopping everything that may be stopped gives no room.
 pub fn plan_reclaim(
     map: &RoomMap<'_>,
     table: &VictimTable,
@@ -166,8 +185,8 @@
                 choice,
             ))
         });
-        let (_, _, place, choice) =
-            options.min_by_key(|(cost, left, place, _)| (*cost, *left, *place))?;
+        let cheapest = options.min_by_key(|(cost, left, place, _)| (*cost, *left, *place));
+        let Some((_, _, place, choice)) = cheapest else { break };
         plan.cost += choice.cost;
         for victim in choice.victims {
             for (run, worker, room) in table.group(victim) {
@@ -183,9 +202,12 @@
         *free = free.minus(&request.spec.held_room());
         *taken.get_mut(place)? += 1;
     }
+    let found: u32 = taken.iter().sum();
+    // What a guarantee covers begins as far as it can; a gang begins whole.
+    let is_partial_useful = reach == Reach::Everything && !request.spec.gang;
     plan.victims = stopped;
     plan.places = taken.into_iter().enumerate().filter(|(_, count)| *count > 0).collect();
-    Some(plan)
+    (found == count || (found > 0 && is_partial_useful)).then_some(plan)
 }
 
 fn per_worker_limit(room: &WorkerRoom<'_>, request: &StepRequest<'_>) -> u32 {
--- a/crates/taskgraph/tests/graph/planning.rs
+++ b/crates/taskgraph/tests/graph/planning.rs
@@ -1,5 +1,7 @@
 //! What a round of planning decides.
 
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::worker::StopCause;
@@ -158,3 +160,51 @@
     graph.plan();
     assert_ne!(graph.runs_of(job)[0].1, worker, "runs take 4 s, 2 s are left");
 }
+
+/// Four lasting tasks fill two workers; one of them may be away.
+fn lasting_tasks(is_gang: bool) -> (GraphBuilder, JobId) {
+    let mut graph = GraphBuilder::new(1, 2);
+    let lasting = StepSpec { long_running: true, may_miss: Some(1), gang: is_gang, ..tasks(4, 4) };
+    let lasting = graph.submit(1, 2, vec![lasting]);
+    graph.plan();
+    graph.now_ms += 10_000;
+    graph.guarantees.insert("team".into(), 16);
+    (graph, lasting)
+}
+
+#[test]
+fn lasting_tasks_are_stopped_one_after_the_other() {
+    let (mut graph, lasting) = lasting_tasks(false);
+    graph.submit(2, 0, vec![tasks(2, 4)]);
+    graph.plan();
+    graph.obey_stops();
+    assert_eq!(graph.runs_of(lasting).len(), 3, "one may be away");
+    graph.plan();
+    graph.plan();
+    graph.obey_stops();
+    assert_eq!(graph.runs_of(lasting).len(), 3, "it is away yet");
+}
+
+#[test]
+fn a_task_that_has_just_come_back_counts_as_away() {
+    let (mut graph, lasting) = lasting_tasks(false);
+    let (run, worker) = graph.runs_of(lasting)[0];
+    graph.end(run, worker, EndKind::Lapsed).unwrap();
+    graph.plan();
+    assert_eq!(graph.runs_of(lasting).len(), 4);
+    graph.submit(2, 0, vec![tasks(1, 4)]);
+    graph.now_ms += 5_000;
+    assert_eq!(graph.plan().records, []);
+    graph.now_ms += 1_000;
+    graph.plan();
+    graph.obey_stops();
+    assert_eq!(graph.runs_of(lasting).len(), 3);
+}
+
+#[test]
+fn a_lasting_gang_larger_than_its_limit_is_not_stopped() {
+    let (mut graph, lasting) = lasting_tasks(true);
+    graph.submit(2, 0, vec![tasks(1, 4)]);
+    assert_eq!(graph.plan().records, []);
+    assert_eq!(graph.runs_of(lasting).len(), 4);
+}
