Ask which workers may run the steps of advised queues, and carry the tickets

Cause: steps of such queues were placed anywhere and every start would have been refused, so their jobs never ran. The planner now asks before it places, at most 30 workers in a question, and the answers are records of the log. Asking by each agent was weighed and not taken (docs/design/users-platform.md).

--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -87,6 +87,8 @@
         let spec = job.step_spec(step.step)?;
         let steps = job.steps.get(&(step.occurrence, step.step))?;
         let checkpoint = steps.keeper(spec, run.task.index)?.checkpoint.clone();
+        let advice = state.advice_for(step);
+        let ticket = advice.map(|advice| advice.ticket(own.key)).unwrap_or_default();
         Some(StartOrder {
             worker: own.name.clone(),
             run,
@@ -94,6 +96,7 @@
             deadline_ms,
             fence: own.fence,
             checkpoint,
+            ticket,
         })
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,8 @@
 //! the log ([`cuminbarrow_resources::log_store`]), the worker ([`worker_port`]) and the list of live
 //! agents ([`membership`]).
 
+mod advice_desk;
+pub mod advice_port;
 pub mod agent_core;
 mod agent_orders;
 mod agent_polls;
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -19,6 +19,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::advice_desk::AdviceDesk;
+use crate::advice_port::AdvicePort;
 use crate::clock::wall_ms;
 use crate::configuration::Configuration;
 use crate::membership::Membership;
@@ -52,12 +54,16 @@
     pub membership: Arc<dyn Membership>,
     /// How long leases last.
     pub lease: LeaseTerms,
+    /// The service that advises queues, where there is one.
+    pub advice: Option<Arc<dyn AdvicePort>>,
 }
 
 impl PlannerTask {
     /// Plans whenever this process holds the role, until `shutdown` turns true.
     pub async fn run(self, mut shutdown: watch::Receiver<bool>) {
+        let advice = AdviceDesk::new(self.advice.clone(), Arc::clone(&self.replica));
         let mut planner = Planner {
+            advice,
             watch: WorkerWatch::default(),
             heard: Instant::now(),
             heard_offset: 0,
@@ -85,6 +91,7 @@
 
 struct Planner {
     task: PlannerTask,
+    advice: AdviceDesk,
     watch: WorkerWatch,
     /// When a batch was last seen.
     heard: Instant,
@@ -170,6 +177,8 @@
         let view = PlanView { now_ms: wall_ms(), guarantees: guarantees.unwrap_or_default() };
         let plan = plan_round(&self.task.replica.state(), &view);
         self.note_waits(&plan.waits);
+        let epoch = self.task.replica.state().planner.epoch;
+        self.advice.ask(epoch, plan.advice);
         if !plan.records.is_empty() {
             plan.records.iter().for_each(log_decision);
             self.write(plan.records).await;
--- a/crates/dispatch/src/worker_port.rs
+++ b/crates/dispatch/src/worker_port.rs
@@ -50,6 +50,8 @@
     pub fence: u64,
     /// Checkpoint to go on from; empty for none.
     pub checkpoint: SmolStr,
+    /// Permission to run the step here; empty where none is needed.
+    pub ticket: SmolStr,
 }
 
 /// A question for what the worker runs, which may extend its lease.
--- /dev/null
+++ b/crates/taskgraph/src/advice_choice.rs
@@ -0,0 +1,53 @@
+//! Which workers to ask about before an advised step is placed.
+
+use crate::room_map::RoomMap;
+use crate::room_map::StepRequest;
+use crate::room_map::WorkerRoom;
+use crate::step_queue::WaitingStep;
+use crate::task_key::StepKey;
+use crate::worker::WorkerKey;
+
+/// Workers named in one question. The answer takes longer with each.
+const MAX_ASKED: usize = 30;
+
+/// A question for the service that advises a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdviceWanted {
+    /// The step.
+    pub step: StepKey,
+    /// Workers to ask about.
+    pub workers: Vec<WorkerKey>,
+}
+
+/// Workers without a good ticket on which the step might run: those on its rack and those with free
+/// room first. Where none has room, only a step that may stop any other work asks.
+pub(crate) fn advice_wanted(
+    map: &RoomMap<'_>,
+    waiting: &WaitingStep<'_>,
+    request: &StepRequest<'_>,
+) -> Option<AdviceWanted> {
+    let anywhere = StepRequest { advice: None, ..*request };
+    let near_rack = waiting.spec.near_rack.as_ref();
+    let is_open = |room: &&WorkerRoom<'_>| {
+        let advice = request.advice.as_ref();
+        let is_known = advice.is_some_and(|advice| advice.is_known(room.key));
+        room.is_fit(&anywhere) && !request.failed_on.contains(&room.key) && !is_known
+    };
+    let mut open: Vec<(bool, bool, WorkerKey)> = map
+        .rooms
+        .iter()
+        .filter(is_open)
+        .map(|room| {
+            let is_far = near_rack.is_some_and(|near| room.state.spec.rack != *near);
+            (room.fit(&anywhere) == 0, is_far, room.key)
+        })
+        .collect();
+    open.sort_unstable();
+    let has_room = open.first().is_some_and(|(is_full, _, _)| !is_full);
+    if !has_room && !waiting.is_covered {
+        return None;
+    }
+    let workers: Vec<WorkerKey> =
+        open.into_iter().take(MAX_ASKED).map(|(_, _, worker)| worker).collect();
+    (!workers.is_empty()).then_some(AdviceWanted { step: waiting.key, workers })
+}
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -204,6 +204,7 @@
         if job.finished.contains(&step.occurrence) {
             return;
         }
+        let is_advised = job.terms.is_advised;
         let Some(state) = job.step_mut(step.occurrence, step.step) else { return };
         if let Some(task) = state.tasks.get_mut(index as usize) {
             task.current.retain(|place| place.run != end.run.run);
@@ -233,6 +234,12 @@
                     self.break_gang(step, spec);
                 }
             }
+            EndKind::Refused if is_advised => {
+                if let Some(advice) = self.advice.get_mut(&step) {
+                    advice.expire(worker);
+                }
+                self.break_gang(step, spec);
+            }
             EndKind::Refused => {
                 if let Some(keeper) = state.keeper_mut(spec, index) {
                     keeper.note_bad_place(worker);
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -21,7 +21,9 @@
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
 use crate::refusal::StaleEpochSnafu;
+use crate::step_advice::StepAdvice;
 use crate::task_key::RunKey;
+use crate::task_key::StepKey;
 use crate::worker::StopCause;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerState;
@@ -139,6 +141,8 @@
     pub durations: BTreeMap<SmolStr, RunDuration>,
     pub(crate) next_worker: u32,
     pub(crate) writers: BTreeMap<u64, WriterMark>,
+    /// Which workers may run steps of advised queues.
+    pub(crate) advice: BTreeMap<StepKey, StepAdvice>,
 }
 
 impl GraphState {
@@ -259,6 +263,10 @@
                 self.snapshot_offset = self.snapshot_offset.max(*offset);
                 Ok(GraphEffect::Done)
             }
+            GraphRecord::StepAdvised { epoch, step, asked, tickets, until_ms } => {
+                self.check_epoch(*epoch)?;
+                self.step_advised(*step, asked, tickets, *until_ms)
+            }
             GraphRecord::PlannerRenewed { epoch } => {
                 self.check_epoch(*epoch).map(|()| GraphEffect::Done)
             }
@@ -296,6 +304,7 @@
         state.finished.clear();
         state.spec = Default::default();
         self.active.remove(&job);
+        self.forget_advice(job);
         self.ended.push_back((clock_ms, job));
     }
 
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -8,6 +8,7 @@
 //! The planner ([`plan_round`]), the agent's bookkeeping ([`run_table`]) and the arithmetic of
 //! leases ([`lease_terms`]) are pure as well: they take a state and a time and give decisions.
 
+pub mod advice_choice;
 mod apply_jobs;
 mod apply_runs;
 mod apply_workers;
@@ -26,6 +27,7 @@
 pub mod room;
 pub mod room_map;
 pub mod run_table;
+pub mod step_advice;
 pub mod step_queue;
 pub mod task_key;
 pub mod worker;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -8,6 +8,8 @@
 
 use smol_str::SmolStr;
 
+use crate::advice_choice::AdviceWanted;
+use crate::advice_choice::advice_wanted;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_state::TaskState;
@@ -16,6 +18,7 @@
 use crate::reclaim::plan_reclaim;
 use crate::record::GraphRecord;
 use crate::record::TaskPlacement;
+use crate::room_map::AdviceView;
 use crate::room_map::RoomMap;
 use crate::room_map::StepRequest;
 use crate::room_map::WorkerRoom;
@@ -73,6 +76,8 @@
     pub records: Vec<GraphRecord>,
     /// Steps left waiting.
     pub waits: Vec<WaitNote>,
+    /// What to ask the services that advise queues.
+    pub advice: Vec<AdviceWanted>,
 }
 
 /// Plans one round.
@@ -134,6 +139,11 @@
             spec: waiting.spec,
             terms: &waiting.job.terms,
             failed_on: &failed_on,
+            advice: waiting
+                .job
+                .terms
+                .is_advised
+                .then(|| AdviceView { advice: state.advice_for(waiting.key), now_ms: self.now_ms }),
         };
         let count = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
         let allowed = self.allowed(state, waiting, count);
@@ -153,6 +163,14 @@
         if rest == 0 {
             return;
         }
+        if request.advice.is_some()
+            && let Some(wanted) = advice_wanted(&self.map, waiting, &request)
+        {
+            self.plan.advice.push(wanted);
+            let reason = "advice is asked for";
+            self.plan.waits.push(WaitNote { job: waiting.key.job, reason });
+            return;
+        }
         let limit = self.loss_limit(waiting, rest);
         let is_reclaimed = limit.is_some_and(|limit| self.reclaim(waiting, &request, rest, limit));
         if !is_reclaimed {
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -61,6 +61,15 @@
     pub worker: WorkerKey,
 }
 
+/// A worker's permission to run a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerTicket {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// What an order to start carries.
+    pub text: SmolStr,
+}
+
 /// Why a worker is no longer there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -213,4 +222,17 @@
         /// Offset of the first batch that it does not cover.
         offset: u64,
     },
+    /// The planner learned which workers may run a step.
+    StepAdvised {
+        /// Epoch of the planner.
+        epoch: u64,
+        /// The step.
+        step: StepKey,
+        /// Workers asked about.
+        asked: Vec<WorkerKey>,
+        /// Those that may run it.
+        tickets: Vec<WorkerTicket>,
+        /// When the tickets run out, in ms since the Unix epoch.
+        until_ms: u64,
+    },
 }
--- a/crates/taskgraph/src/room_map.rs
+++ b/crates/taskgraph/src/room_map.rs
@@ -6,6 +6,7 @@
 use crate::job_spec::StepSpec;
 use crate::job_terms::JobTerms;
 use crate::room::Room;
+use crate::step_advice::StepAdvice;
 use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerState;
@@ -30,6 +31,30 @@
     pub terms: &'a JobTerms,
     /// Workers on which it failed before.
     pub failed_on: &'a [WorkerKey],
+    /// Which workers may run it; nothing where all may.
+    pub advice: Option<AdviceView<'a>>,
+}
+
+/// What is known of the workers that may run an advised step, at some time.
+#[derive(Clone, Copy, Debug)]
+pub struct AdviceView<'a> {
+    /// What is known; nothing before the first answer.
+    pub advice: Option<&'a StepAdvice>,
+    /// Wall clock, in ms since the Unix epoch.
+    pub now_ms: u64,
+}
+
+impl AdviceView<'_> {
+    /// Whether a task may be placed on a worker now.
+    pub fn is_usable(&self, worker: WorkerKey) -> bool {
+        self.advice.is_some_and(|advice| advice.is_usable(worker, self.now_ms))
+    }
+
+    /// Whether there is nothing to ask about a worker now.
+    pub fn is_known(&self, worker: WorkerKey) -> bool {
+        let is_forbidden = self.advice.is_some_and(|advice| advice.is_forbidden(worker));
+        is_forbidden || self.is_usable(worker)
+    }
 }
 
 /// Room of one worker.
@@ -56,6 +81,7 @@
             && !self.is_quarantined
             && self.state.spec.service == request.terms.service
             && self.state.has_label(request.spec.requires.as_ref())
+            && request.advice.is_none_or(|advice| advice.is_usable(self.key))
             && self.state.spec.room.covers(&request.spec.held_room())
     }
 
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -62,18 +62,19 @@
         self.submit_spec(id, priority, spec)
     }
 
+    /// A job of a queue whose policy only an outside service knows.
+    pub(crate) fn submit_advised(&mut self, id: u64, priority: u8, steps: Vec<StepSpec>) -> JobId {
+        let spec = JobSpec { steps, ..JobSpec::default() };
+        let terms = JobTerms { is_advised: true, ..terms(priority) };
+        self.submit_on(id, spec, terms)
+    }
+
     pub(crate) fn submit_spec(&mut self, id: u64, priority: u8, spec: JobSpec) -> JobId {
+        self.submit_on(id, spec, terms(priority))
+    }
+
+    fn submit_on(&mut self, id: u64, spec: JobSpec, terms: JobTerms) -> JobId {
         let job = JobId(id);
-        let terms = JobTerms {
-            queue: "queue".into(),
-            service: "service".into(),
-            team: "team".into(),
-            priority,
-            max_attempts: 2,
-            stretch_permille: 3_000,
-            target_latency_ms: 1_000,
-            is_advised: false,
-        };
         self.apply(GraphRecord::JobAccepted { job, spec, terms }).unwrap();
         job
     }
@@ -151,3 +152,16 @@
 pub(crate) fn gang(count: u32, accelerators: u32) -> StepSpec {
     StepSpec { gang: true, ..tasks(count, accelerators) }
 }
+
+fn terms(priority: u8) -> JobTerms {
+    JobTerms {
+        queue: "queue".into(),
+        service: "service".into(),
+        team: "team".into(),
+        priority,
+        max_attempts: 2,
+        stretch_permille: 3_000,
+        target_latency_ms: 1_000,
+        is_advised: false,
+    }
+}
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
 
+mod advice;
 mod fold;
 mod graph_builder;
 mod leases;
