Slow filling tasks down while a task beside them misses its target

The agent now looks at latencies every 0.4 s while its worker has both kinds, and paces what fills.

Weighed: keeping images apart that disturb each other (learned too slowly; amounts change within seconds).

--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -9,6 +9,7 @@
 
 use crate::agent_core::AgentCore;
 use crate::agent_core::OwnWorker;
+use crate::worker_port::PaceOrder;
 use crate::worker_port::StartOrder;
 
 /// Wait before an order is sent again.
@@ -19,14 +20,17 @@
         loop {
             self.wake_orders.notified().await;
             let Some(own) = self.own_worker() else { continue };
-            let orders = {
+            let (orders, paces) = {
                 let mut session = self.session();
                 if session.worker != Some(own.key) {
                     continue;
                 }
                 session.table.set_closed(self.is_leaving());
-                session.table.next_orders()
+                (session.table.next_orders(), session.pace.orders())
             };
+            for (run, percent) in paces {
+                self.pace(&own, run, percent).await;
+            }
             for order in orders {
                 let core = Arc::clone(&self);
                 let own = own.clone();
@@ -100,6 +104,22 @@
         })
     }
 
+    /// Sends a pace; one without an answer is sent again after the next poll.
+    async fn pace(&self, own: &OwnWorker, run: RunKey, percent: u32) {
+        let order = PaceOrder { worker: own.name.clone(), run, percent, fence: own.fence };
+        match self.port.pace(order).await {
+            Err(error) => self.note_port_error(&error, "pace"),
+            Ok(timed) => {
+                log::info!(run:% = run, worker:% = own.key, percent; "pace");
+                self.take_clock(own, timed.clock_ms);
+                let mut session = self.session();
+                if session.worker == Some(own.key) {
+                    session.pace.acknowledged(run, percent);
+                }
+            }
+        }
+    }
+
     pub(crate) async fn stop(&self, own: &OwnWorker, run: RunKey) {
         let result = self.port.stop(own.name.clone(), run, own.fence).await;
         let is_acknowledged = result.is_ok();
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -20,9 +20,13 @@
 use crate::worker_port::WorkerLists;
 use crate::worker_session::WorkerSession;
 use crate::worker_session::outlook_of;
+use crate::worker_session::pace_role_of;
 
 /// Longest wait of one poll for an end, in ms.
 const POLL_WAIT_MS: u64 = 1_000;
+/// Longest wait of one poll while filling tasks may disturb tasks that serve, in ms. Latencies are
+/// those of the last half second.
+const PACED_POLL_WAIT_MS: u64 = 400;
 /// Wait after a poll that failed.
 const POLL_RETRY: Duration = Duration::from_millis(200);
 /// Wait between polls while listed ends are on their way to the log; the worker answers at once
@@ -77,10 +81,12 @@
     pub(crate) fn poll_wait_ms(&self, polled: Instant) -> u64 {
         let session = self.session();
         let is_recent = polled.elapsed() < Duration::from_millis(2 * POLL_WAIT_MS);
-        if session.sample.is_some() && is_recent && session.unrecorded.is_empty() {
-            POLL_WAIT_MS
-        } else {
+        if session.sample.is_none() || !is_recent || !session.unrecorded.is_empty() {
             0
+        } else if session.pace.is_needed() {
+            PACED_POLL_WAIT_MS
+        } else {
+            POLL_WAIT_MS
         }
     }
 
@@ -147,6 +153,9 @@
         let state = self.replica.state();
         let now_ms = self.replica.clock.now_ms();
         let stalled = session.progress.look(&lists.running, now_ms, |run| outlook_of(&state, run));
+        let paced: Vec<_> =
+            lists.running.iter().filter_map(|entry| pace_role_of(&state, entry)).collect();
+        session.pace.look(&paced, now_ms);
         drop(state);
         if !stalled.is_empty() {
             session.stalled.extend(stalled);
--- a/crates/dispatch/src/worker_port.rs
+++ b/crates/dispatch/src/worker_port.rs
@@ -54,6 +54,19 @@
     pub ticket: SmolStr,
 }
 
+/// An order to work faster or slower.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// Worker meant.
+    pub worker: SmolStr,
+    /// The run.
+    pub run: RunKey,
+    /// Share of its full pace, in percent.
+    pub percent: u32,
+    /// Fencing token.
+    pub fence: u64,
+}
+
 /// A question for what the worker runs, which may extend its lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RenewalOrder {
@@ -104,6 +117,12 @@
     /// [`PortError`].
     async fn stop(&self, worker: SmolStr, run: RunKey, fence: u64) -> Result<Timed<()>, PortError>;
 
+    /// Lets a run work at a share of its pace, in percent.
+    ///
+    /// # Errors
+    /// [`PortError`].
+    async fn pace(&self, order: PaceOrder) -> Result<Timed<()>, PortError>;
+
     /// Asks what runs and what ended.
     ///
     /// # Errors
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -5,6 +5,8 @@
 
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
+use cuminbarrow_taskgraph::pace_control::PaceControl;
+use cuminbarrow_taskgraph::pace_control::PaceRole;
 use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
 use cuminbarrow_taskgraph::progress_watch::RunOutlook;
 use cuminbarrow_taskgraph::record::EndKind;
@@ -12,6 +14,7 @@
 use cuminbarrow_taskgraph::run_table::PollNumber;
 use cuminbarrow_taskgraph::run_table::RunTable;
 use cuminbarrow_taskgraph::run_table::WorkerEnd;
+use cuminbarrow_taskgraph::run_table::WorkerRun;
 use cuminbarrow_taskgraph::task_key::RunKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use smol_str::SmolStr;
@@ -39,6 +42,7 @@
     pub(crate) checkpoints: BTreeMap<RunKey, SmolStr>,
     pub(crate) saved: BTreeMap<RunKey, SmolStr>,
     pub(crate) progress: ProgressWatch,
+    pub(crate) pace: PaceControl,
     /// Runs that stand still, to be told to the log.
     pub(crate) stalled: Vec<RunKey>,
     pub(crate) refused_since_ms: Option<u64>,
@@ -89,12 +93,27 @@
     }
 }
 
+/// What a run is to the others on its worker; nothing where it neither serves nor fills.
+pub(crate) fn pace_role_of(state: &GraphState, entry: &WorkerRun) -> Option<(RunKey, PaceRole)> {
+    let step = entry.run.task.step;
+    let spec = state.jobs.get(&step.job)?.step_spec(step.step)?;
+    if spec.fills {
+        Some((entry.run, PaceRole::Filling))
+    } else if spec.target_ms > 0 {
+        let role = PaceRole::Serving { latency_ms: entry.load, target_ms: spec.target_ms };
+        Some((entry.run, role))
+    } else {
+        None
+    }
+}
+
 /// What is expected of a run.
 pub(crate) fn outlook_of(state: &GraphState, run: RunKey) -> Option<RunOutlook> {
     let spec = state.jobs.get(&run.task.step.job)?.step_spec(run.task.step.step)?;
     Some(RunOutlook {
         estimate_ms: spec.estimate_ms,
         is_gang: spec.gang,
-        is_lasting: spec.long_running,
+        // A filling task may be slowed down to nothing.
+        is_lasting: spec.long_running || spec.fills,
     })
 }
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job_state;
 pub mod job_terms;
 pub mod lease_terms;
+pub mod pace_control;
 pub mod plan_round;
 pub mod progress_watch;
 pub mod reclaim;
--- a/crates/taskgraph/src/progress_watch.rs
+++ b/crates/taskgraph/src/progress_watch.rs
@@ -28,7 +28,7 @@
     pub estimate_ms: u32,
     /// Whether it is a gang's.
     pub is_gang: bool,
-    /// Whether it runs until its job is cancelled, and has no end to progress towards.
+    /// Whether it runs until its job is cancelled, or may be told to stand still.
     pub is_lasting: bool,
 }
 
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -32,6 +32,8 @@
     pub checkpoint: SmolStr,
     /// Progress, in percent.
     pub percent: u32,
+    /// Of a task that serves, its tail latency in ms; of others, the processor time in use.
+    pub load: u32,
 }
 
 /// An order to the worker.
--- a/crates/taskgraph/tests/graph/run_table.rs
+++ b/crates/taskgraph/tests/graph/run_table.rs
@@ -26,7 +26,7 @@
 }
 
 fn running(run: RunKey) -> WorkerRun {
-    WorkerRun { run, checkpoint: Default::default(), percent: 10 }
+    WorkerRun { run, checkpoint: Default::default(), percent: 10, load: 0 }
 }
 
 fn end(run: RunKey, how: EndKind) -> RunEnd {
