Use a log that is back within a second

A probe that the store had received while it was silent held up the next for 1.2 s, a read in flight was waited for, the tail paused for 0.5 s and the writer for up to 2 s.

The writer's waits count from the start of a try; a refused record can still be taken back between two tries, so refusals stay true.

Ruled out: a shorter cap of the writer's waits (more than one try a second in a long outage: the test of the backlog caught it); no pause at all between tries (a caller was told 504 where 503 was true: caught too).

--- a/crates/dispatch/src/combined_log.rs
+++ b/crates/dispatch/src/combined_log.rs
@@ -56,11 +56,23 @@
         }
         let bodies = waiting.iter().map(|append| append.body.clone()).collect();
         let result = log.append_all(LogStream::Records, bodies).await;
+        let is_unanswered = matches!(result, Err(LogError::Uncertain { .. }));
         for (place, append) in (0..).zip(waiting) {
             let result = result.clone().map(|offset| offset + place);
             // The caller may be gone; its record is told by the log.
             let _ = append.answer.send(result);
         }
+        if is_unanswered {
+            refuse_waiting(&mut receiver);
+        }
+    }
+}
+
+/// Refuses what was not sent, so that it takes another way instead of a second silent call.
+fn refuse_waiting(receiver: &mut mpsc::Receiver<WaitingAppend>) {
+    while let Ok(append) = receiver.try_recv() {
+        let reason = "the append before this one got no answer".to_owned();
+        let _ = append.answer.send(Err(LogError::Unavailable { reason }));
     }
 }
 
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::direct_path::DirectPath;
+use crate::direct_path::broken_path;
 use crate::kept_log::lost_page;
 use crate::membership::Membership;
 use crate::membership::MembershipError;
@@ -35,6 +36,8 @@
 /// Time for which entries must have failed before an agent reads the log itself. Entries that were
 /// restarted serve again within two seconds; a lease lasts for 6 s and more.
 const AGENT_PATIENCE: Duration = Duration::from_millis(2_500);
+/// Longest wait of one call for a path that is broken.
+const WORKING_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait for a record in one read through an entry, in ms. The answer also tells how fresh
 /// the entry is.
 const RELAY_WAIT_MS: u32 = 600;
@@ -92,6 +95,21 @@
         self.calls.call(&peers, &request, Duration::ZERO, false).await
     }
 
+    async fn read_direct(&self, from: u64, limit: u32, wait_ms: u32) -> Result<LogPage, LogError> {
+        match self.direct.read(from, limit, wait_ms).await {
+            Err(LogError::Expired { oldest }) => self.read_lost(from, oldest).await,
+            Err(failure) => {
+                self.direct.note_failure(&failure);
+                Err(failure)
+            }
+            Ok(page) => {
+                self.direct.note_end(page.next);
+                self.peers.note_reading_through(false);
+                Ok(page)
+            }
+        }
+    }
+
     /// Batches that the log dropped, from an entry that appended them.
     async fn read_lost(&self, from: u64, oldest: u64) -> Result<LogPage, LogError> {
         // A process that begins takes a snapshot.
@@ -140,12 +158,17 @@
         if let Some(result) = append_result(answer) {
             return result;
         }
-        match self.direct.append(body).await {
-            Err(error @ LogError::Unavailable { .. }) => {
-                append_result(self.fall_back(request).await).unwrap_or(Err(error))
-            }
-            result => result,
+        let error = match self.direct.append(body.clone()).await {
+            Err(error @ LogError::Unavailable { .. }) => error,
+            result => return result,
+        };
+        if let Some(result) = append_result(self.fall_back(request).await) {
+            return result;
         }
+        if self.direct.is_broken() && self.direct.wait_working(WORKING_WAIT).await {
+            return self.direct.append(body).await;
+        }
+        Err(error)
     }
 
     async fn read(
@@ -163,23 +186,27 @@
             self.note_read();
             return result;
         }
+        let began = Instant::now();
+        let is_direct = self.is_out_of_patience();
         let mut error = broken_path();
-        if self.is_out_of_patience() && !self.direct.is_broken() {
-            match self.direct.log.read(stream, from, limit, wait_ms).await {
-                Err(LogError::Expired { oldest }) => return self.read_lost(from, oldest).await,
-                Err(failure) => {
-                    self.direct.note_failure(&failure);
+        if is_direct && !self.direct.is_broken() {
+            match self.read_direct(from, limit, wait_ms).await {
+                Err(failure @ (LogError::Unavailable { .. } | LogError::Uncertain { .. })) => {
                     error = failure;
                 }
-                Ok(page) => {
-                    self.direct.note_end(page.next);
-                    self.peers.note_reading_through(false);
-                    return Ok(page);
-                }
+                result => return result,
             }
         }
-        let result = self.read_through(&choice.fallbacks, from, wait_ms).await;
-        result.unwrap_or(Err(error))
+        if let Some(result) = self.read_through(&choice.fallbacks, from, wait_ms).await {
+            return result;
+        }
+        // Whoever reads is behind until the path works again, and callers wait for that.
+        if is_direct && self.direct.wait_working(WORKING_WAIT).await {
+            let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(0);
+            let page = self.read_direct(from, limit, 0).await?;
+            return Ok(LogPage { waited_ms, ..page });
+        }
+        Err(error)
     }
 
     async fn save_chunks(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
@@ -224,10 +251,6 @@
     }
 }
 
-fn broken_path() -> LogError {
-    LogError::Unavailable { reason: "the log does not answer this process".to_owned() }
-}
-
 /// The list of live agents, entered by this process or by an entry on its behalf.
 pub struct RelayedMembership {
     direct: Arc<dyn Membership>,
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -313,6 +313,7 @@
         let tickets = self.register(batch.sequence, requests);
         let mut is_certain = true;
         loop {
+            let began = Instant::now();
             let mut settled = self.settled.clone();
             let append = self.store.append(LogStream::Records, body.clone());
             let result = tokio::select! {
@@ -329,7 +330,7 @@
                     log::warn!("append {} was refused: {error}", batch.sequence);
                     if is_certain {
                         let requests = self.unregister(batch, tickets);
-                        backoff.wait().await;
+                        backoff.wait(began).await;
                         return resend(requests);
                     }
                 }
@@ -340,7 +341,7 @@
                     return Vec::new();
                 }
             }
-            backoff.wait().await;
+            backoff.wait(began).await;
         }
     }
 
@@ -393,11 +394,14 @@
 }
 
 impl Backoff {
-    async fn wait(&mut self) {
+    /// Waits between a try that began at `began` and the next. A try that itself waited for the log
+    /// needs no long second wait, but callers whose time is over may take their records back in it.
+    async fn wait(&mut self, began: Instant) {
         let limit_ms = (BACKOFF_BASE_MS << self.failures.min(10)).min(BACKOFF_CAP_MS);
         self.failures = self.failures.saturating_add(1);
         let wait_ms = rand::rng().random_range(limit_ms / 2..=limit_ms);
-        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let least = Instant::now() + Duration::from_millis(BACKOFF_BASE_MS);
+        tokio::time::sleep_until(least.max(began + Duration::from_millis(wait_ms))).await;
     }
 
     fn reset(&mut self) {
