--- a/crates/dispatch/src/advice_desk.rs
+++ b/crates/dispatch/src/advice_desk.rs
@@ -12,11 +12,11 @@
 use cuminbarrow_taskgraph::record::WorkerTicket;
 use cuminbarrow_taskgraph::task_key::StepKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use smol_str::SmolStr;
 
 use crate::advice_port::AdvicePort;
 use crate::advice_port::StepTickets;
-use crate::clock::wall_ms;
 use crate::replica::Replica;
 
 /// Questions under way at once. The service answers one after the other and lets 32 wait.
--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -18,11 +18,11 @@
 use cuminbarrow_taskgraph::worker::WorkerSpec;
 use cuminbarrow_taskgraph::worker::WorkerState;
 use cuminbarrow_taskgraph::worker::WorkerStatus;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use crate::clock::wall_ms;
 use crate::membership::JOIN_EVERY;
 use crate::membership::Membership;
 use crate::replica::Replica;
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -26,10 +26,12 @@
                     continue;
                 }
                 session.table.set_closed(self.is_leaving());
-                (session.table.next_orders(), session.pace.orders())
+                (session.table.next_orders(), session.pace.next_orders())
             };
             for (run, percent) in paces {
-                self.pace(&own, run, percent).await;
+                let core = Arc::clone(&self);
+                let own = own.clone();
+                tokio::spawn(async move { core.pace(&own, run, percent).await });
             }
             for order in orders {
                 let core = Arc::clone(&self);
@@ -107,16 +109,16 @@
     /// Sends a pace; one without an answer is sent again after the next poll.
     async fn pace(&self, own: &OwnWorker, run: RunKey, percent: u32) {
         let order = PaceOrder { worker: own.name.clone(), run, percent, fence: own.fence };
-        match self.port.pace(order).await {
+        let result = self.port.pace(order).await;
+        let is_acknowledged = result.is_ok();
+        log::info!(run:% = run, worker:% = own.key, percent, is_acknowledged; "pace");
+        match result {
             Err(error) => self.note_port_error(&error, "pace"),
-            Ok(timed) => {
-                log::info!(run:% = run, worker:% = own.key, percent; "pace");
-                self.take_clock(own, timed.clock_ms);
-                let mut session = self.session();
-                if session.worker == Some(own.key) {
-                    session.pace.acknowledged(run, percent);
-                }
-            }
+            Ok(timed) => self.take_clock(own, timed.clock_ms),
+        }
+        let mut session = self.session();
+        if session.worker == Some(own.key) {
+            session.pace.answered(run, percent, is_acknowledged);
         }
     }
 
--- a/crates/dispatch/src/clock.rs
+++ b/crates/dispatch/src/clock.rs
@@ -2,8 +2,6 @@
 //! while an instance is suspended; timers are not.
 
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use nix::time::ClockId;
 
@@ -29,9 +27,3 @@
         }
     }
 }
-
-/// Wall clock, in ms since the Unix epoch.
-pub fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -16,12 +16,12 @@
 use cuminbarrow_taskgraph::plan_round::plan_round;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::step_queue::next_due_ms;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::advice_desk::AdviceDesk;
 use crate::advice_port::AdvicePort;
-use crate::clock::wall_ms;
 use crate::configuration::Configuration;
 use crate::membership::Membership;
 use crate::replica::Replica;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -17,10 +17,10 @@
 use cuminbarrow_taskgraph::graph_state::GraphReport;
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use tokio::sync::watch;
 
 use crate::clock::BootClock;
-use crate::clock::wall_ms;
 use crate::confirmed_log::ConfirmedLog;
 use crate::direct_path::DirectPath;
 use crate::peer_list::PeerChoice;
--- a/crates/entry/src/api_explain.rs
+++ b/crates/entry/src/api_explain.rs
@@ -11,6 +11,7 @@
 use cuminbarrow_model::keys::WorkerKey;
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_policy::placement_policy::WaitReason;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use smol_str::format_smolstr;
@@ -22,7 +23,6 @@
 use crate::api_types::ExplainView;
 use crate::api_types::JobView;
 use crate::api_types::PastAttemptView;
-use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
 use crate::planner_loop::policy_of;
 
@@ -41,7 +41,7 @@
     let explanation = match queue_position {
         None => "it does not wait".to_owned(),
         Some(_) => {
-            let plan = policy_of(&core.settings).plan(&state, EntryCore::wall_ms());
+            let plan = policy_of(&core.settings).plan(&state, wall_ms());
             let note = plan.waits.iter().find(|note| note.job == key);
             note.map_or_else(
                 || "the next round looks at it or places it".to_owned(),
--- a/crates/entry/src/entry_core.rs
+++ b/crates/entry/src/entry_core.rs
@@ -7,8 +7,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use cuminbarrow_ledger::apply::BatchReport;
 use cuminbarrow_ledger::apply::Effect;
@@ -106,12 +104,6 @@
         }
     }
 
-    /// Wall clock, in ms since the Unix epoch.
-    pub(crate) fn wall_ms() -> u64 {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Everything that the worker's agent is to do now.
     pub(crate) fn sync_message(&self, state: &State, worker: WorkerKey) -> EntryMessage {
         EntryMessage::Sync { worker, offset: state.offset, assignments: assignments(state, worker) }
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -29,6 +29,7 @@
 use cuminbarrow_telemetry::meter_registry::MeterError;
 use cuminbarrow_telemetry::meter_registry::MeterRegistry;
 use cuminbarrow_telemetry::probe_router::probe_router;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -167,7 +168,7 @@
     settings.check().context(SettingsSnafu)?;
     let tokens = TokenTable::new(&settings.tokens).context(SettingsSnafu)?;
     let instance = rand::random();
-    let writer = LogWriter::spawn(store, instance, EntryCore::wall_ms);
+    let writer = LogWriter::spawn(store, instance, wall_ms);
     Ok(Arc::new(EntryCore {
         limiter: TeamLimiter::new(settings.team_submissions_per_s),
         dialer: LinkDialer::new(settings.shared_key.clone(), counter),
--- a/crates/entry/src/planner_loop.rs
+++ b/crates/entry/src/planner_loop.rs
@@ -18,12 +18,12 @@
 use cuminbarrow_policy::placement_policy::WaitNote;
 use cuminbarrow_policy::policy_weights::PolicyWeights;
 use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_telemetry::wall_clock::wall_ms;
 use smol_str::SmolStr;
 use statig::blocking::IntoStateMachineExt;
 use statig::blocking::StateMachine;
 use tokio::time::Instant;
 
-use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
 use crate::entry_core::lock;
 use crate::entry_metrics::EntryMetrics;
@@ -155,7 +155,7 @@
         let began = std::time::Instant::now();
         let (epoch, decisions) = {
             let state = self.core.tail.state();
-            let plan = self.policy.plan(&state, EntryCore::wall_ms());
+            let plan = self.policy.plan(&state, wall_ms());
             for decision in &plan.decisions {
                 log_decision(&state, decision, &plan.waits);
             }
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -122,9 +122,7 @@
     fn note_stall(&mut self, worker: WorkerKey, run: RunKey) {
         let step = run.task.step;
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
-        let spec = job.spec.clone();
-        let Some(spec) = spec.steps.get(usize::from(step.step)) else { return };
-        let Some(state) = job.step_mut(step.occurrence, step.step) else { return };
+        let Some((spec, state)) = job.step_parts(step) else { return };
         if let Some(keeper) = state.keeper_mut(spec, run.task.index) {
             keeper.note_bad_place(worker);
         }
@@ -293,9 +291,7 @@
             }
             let step = run.task.step;
             let Some(job) = self.jobs.get_mut(&step.job) else { continue };
-            let spec = job.spec.clone();
-            let Some(spec) = spec.steps.get(usize::from(step.step)) else { continue };
-            let Some(state) = job.step_mut(step.occurrence, step.step) else { continue };
+            let Some((spec, state)) = job.step_parts(step) else { continue };
             if let Some(keeper) = state.keeper_mut(spec, run.task.index) {
                 keeper.checkpoint = checkpoint.clone();
             }
--- a/crates/taskgraph/src/job_state.rs
+++ b/crates/taskgraph/src/job_state.rs
@@ -11,6 +11,7 @@
 use crate::job_spec::JobSpec;
 use crate::job_spec::StepSpec;
 use crate::job_terms::JobTerms;
+use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
 
 /// Most workers remembered on which a task failed.
@@ -158,6 +159,13 @@
         spec.depends_on.iter().all(|earlier| self.is_step_done(occurrence, *earlier))
     }
 
+    /// What a step is made of, and its state.
+    pub(crate) fn step_parts(&mut self, step: StepKey) -> Option<(&StepSpec, &mut StepState)> {
+        let spec = self.spec.steps.get(usize::from(step.step))?;
+        let entry = self.steps.entry((step.occurrence, step.step));
+        Some((spec, entry.or_insert_with(|| StepState::new(spec.count))))
+    }
+
     /// State of a step, made when it is first needed.
     pub(crate) fn step_mut(&mut self, occurrence: u32, step: u16) -> Option<&mut StepState> {
         let count = self.step_spec(step)?.count;
--- a/crates/taskgraph/src/pace_control.rs
+++ b/crates/taskgraph/src/pace_control.rs
@@ -36,13 +36,23 @@
     Filling,
 }
 
+/// What a filling run was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// The worker acknowledged this pace.
+    Pace(u32),
+    /// An order is under way; a second one could overtake it.
+    Sending,
+    /// An order got no answer.
+    Unknown,
+}
+
 /// Pace of the filling tasks on one worker.
 #[derive(Clone, Debug)]
 pub struct PaceControl {
     pace: u32,
     changed_ms: u64,
-    /// What each filling run was told, and the worker acknowledged.
-    told: BTreeMap<RunKey, u32>,
+    told: BTreeMap<RunKey, Told>,
     has_both: bool,
 }
 
@@ -62,7 +72,7 @@
             .collect();
         self.told.retain(|run, _| filling.contains(run));
         for run in &filling {
-            self.told.entry(*run).or_insert(FULL);
+            self.told.entry(*run).or_insert(Told::Pace(FULL));
         }
         let load = runs.iter().filter_map(|(_, role)| load_percent(*role)).max();
         self.has_both = load.is_some() && !filling.is_empty();
@@ -95,16 +105,24 @@
         self.has_both
     }
 
-    /// Runs that are to work at another pace than they were told, with that pace in percent.
-    pub fn orders(&self) -> Vec<(RunKey, u32)> {
-        let changed = self.told.iter().filter(|(_, told)| **told != self.pace);
-        changed.map(|(run, _)| (*run, self.pace)).collect()
+    /// Runs that are to work at another pace than they were told, with that pace in percent. Each
+    /// order is out until it is answered.
+    pub fn next_orders(&mut self) -> Vec<(RunKey, u32)> {
+        let pace = self.pace;
+        let mut orders = Vec::new();
+        for (run, told) in &mut self.told {
+            if *told != Told::Sending && *told != Told::Pace(pace) {
+                *told = Told::Sending;
+                orders.push((*run, pace));
+            }
+        }
+        orders
     }
 
-    /// Notes that the worker acknowledged a pace.
-    pub fn acknowledged(&mut self, run: RunKey, percent: u32) {
+    /// Takes the answer to an order: whether the worker acknowledged the pace.
+    pub fn answered(&mut self, run: RunKey, percent: u32, is_acknowledged: bool) {
         if let Some(told) = self.told.get_mut(&run) {
-            *told = percent;
+            *told = if is_acknowledged { Told::Pace(percent) } else { Told::Unknown };
         }
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod log_setup;
 pub mod meter_registry;
 pub mod probe_router;
+pub mod wall_clock;
--- a/crates/telemetry/src/log_setup.rs
+++ b/crates/telemetry/src/log_setup.rs
@@ -1,8 +1,6 @@
 //! Sets up the log: JSON lines on standard output, or text on standard error.
 
 use std::collections::BTreeMap;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use fern::Output;
 use log::LevelFilter;
@@ -20,6 +18,7 @@
 use crate::log_settings::LogFormat;
 use crate::log_settings::LogLevel;
 use crate::log_settings::LogSettings;
+use crate::wall_clock::wall_ms;
 
 /// Why the log could not be set up.
 #[derive(Debug, Snafu)]
@@ -69,7 +68,7 @@
         }
         LogFormat::Text => dispatch
             .format(|out, message, record| {
-                let (at_ms, level) = (now_ms(), record.level());
+                let (at_ms, level) = (wall_ms(), record.level());
                 let fields = text_fields(record);
                 let target = record.target();
                 out.finish(format_args!("{at_ms} {level:5} {target} {message}{fields}"));
@@ -82,7 +81,7 @@
 
 fn write_json(queue: &LineQueue, record: &Record<'_>) {
     let kind = (record.module_path_static().unwrap_or(""), record.line().unwrap_or(0));
-    let dropped = match queue.admit(kind, now_ms()) {
+    let dropped = match queue.admit(kind, wall_ms()) {
         Verdict::Drop => return,
         Verdict::Write => 0,
         Verdict::WriteAfter(dropped) => dropped,
@@ -96,7 +95,7 @@
 /// Tells of lines that were not written.
 fn dropped_line(target: &str, code_line: u32, dropped: u32, lost: u64) -> String {
     let line = serde_json::json!({
-        "at_ms": now_ms(),
+        "at_ms": wall_ms(),
         "level": "WARN",
         "target": target,
         "message": "lines were dropped",
@@ -109,7 +108,7 @@
 
 fn json_line(record: &Record<'_>) -> String {
     let line = JsonLine {
-        at_ms: now_ms(),
+        at_ms: wall_ms(),
         level: record.level().as_str(),
         target: record.target(),
         message: record.args().to_string(),
@@ -140,8 +139,3 @@
         Ok(())
     }
 }
-
-fn now_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
