--- a/crates/dispatch/src/direct_path.rs
+++ b/crates/dispatch/src/direct_path.rs
@@ -26,6 +26,7 @@
 pub struct DirectPath {
     pub(crate) log: Arc<dyn LogStore>,
     is_broken: watch::Sender<bool>,
+    /// Where the log ended when it was read last, which is where a probe reads.
     end: Arc<AtomicU64>,
 }
 
@@ -50,7 +51,8 @@
         result
     }
 
-    /// Reads records. A read is given up once another call finds the path broken.
+    /// Reads records, over a path that works or has just come back. A read is given up once another
+    /// call finds the path broken.
     ///
     /// # Errors
     /// As [`LogStore::read`].
@@ -61,10 +63,16 @@
         wait_ms: u32,
     ) -> Result<LogPage, LogError> {
         let mut is_broken = self.is_broken.subscribe();
-        tokio::select! {
+        let result = tokio::select! {
             result = self.log.read(LogStream::Records, from, limit, wait_ms) => result,
             Ok(_) = is_broken.wait_for(|is_broken| *is_broken) => Err(broken_path()),
+        };
+        match &result {
+            Ok(page) => self.end.store(page.next, Ordering::Relaxed),
+            Err(LogError::Expired { .. }) => {}
+            Err(error) => self.note_failure(error),
         }
+        result
     }
 
     pub(crate) fn is_broken(&self) -> bool {
@@ -78,13 +86,8 @@
         tokio::time::timeout(limit, working).await.is_ok_and(|result| result.is_ok())
     }
 
-    /// Notes where the log ends, which is where a probe reads.
-    pub(crate) fn note_end(&self, end: u64) {
-        self.end.store(end, Ordering::Relaxed);
-    }
-
     /// Notes that a call failed. The first failure starts the probes.
-    pub(crate) fn note_failure(&self, error: &LogError) {
+    fn note_failure(&self, error: &LogError) {
         if self.is_broken.send_replace(true) {
             return;
         }
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -115,7 +115,7 @@
         }
         self.trusted_since.get_or_insert_with(Instant::now);
         if planner.instance == Some(self.task.replica.incarnation) {
-            self.plan().await;
+            self.plan(planner.epoch).await;
             self.watch_workers().await;
             self.renew(planner.epoch).await;
         } else {
@@ -172,12 +172,11 @@
         until_due.map_or(longest, |until_due| longest.min(until_due))
     }
 
-    async fn plan(&mut self) {
+    async fn plan(&mut self, epoch: u64) {
         let guarantees = self.task.configuration.borrow().as_ref().map(|known| known.guarantees());
         let view = PlanView { now_ms: wall_ms(), guarantees: guarantees.unwrap_or_default() };
         let plan = plan_round(&self.task.replica.state(), &view);
         self.note_waits(&plan.waits);
-        let epoch = self.task.replica.state().planner.epoch;
         self.advice.ask(epoch, plan.advice);
         if !plan.records.is_empty() {
             plan.records.iter().for_each(log_decision);
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -98,12 +98,8 @@
     async fn read_direct(&self, from: u64, limit: u32, wait_ms: u32) -> Result<LogPage, LogError> {
         match self.direct.read(from, limit, wait_ms).await {
             Err(LogError::Expired { oldest }) => self.read_lost(from, oldest).await,
-            Err(failure) => {
-                self.direct.note_failure(&failure);
-                Err(failure)
-            }
+            Err(failure) => Err(failure),
             Ok(page) => {
-                self.direct.note_end(page.next);
                 self.peers.note_reading_through(false);
                 Ok(page)
             }
--- a/crates/taskgraph/src/advice_choice.rs
+++ b/crates/taskgraph/src/advice_choice.rs
@@ -19,19 +19,19 @@
     pub workers: Vec<WorkerKey>,
 }
 
-/// Workers without a good ticket on which the step might run: those on its rack and those with free
-/// room first. Where none has room, only a step that may stop any other work asks.
+/// Workers without a good ticket on which an advised step might run: those with free room first, and
+/// of these those on its rack. Where none has room, only a step that may stop any other work asks.
 pub(crate) fn advice_wanted(
     map: &RoomMap<'_>,
     waiting: &WaitingStep<'_>,
     request: &StepRequest<'_>,
 ) -> Option<AdviceWanted> {
+    let advice = request.advice?;
     let anywhere = StepRequest { advice: None, ..*request };
     let near_rack = waiting.spec.near_rack.as_ref();
     let is_open = |room: &&WorkerRoom<'_>| {
-        let advice = request.advice.as_ref();
-        let is_known = advice.is_some_and(|advice| advice.is_known(room.key));
-        room.is_fit(&anywhere) && !request.failed_on.contains(&room.key) && !is_known
+        let is_usual = room.is_fit(&anywhere) && !request.failed_on.contains(&room.key);
+        is_usual && !advice.is_known(room.key)
     };
     let mut open: Vec<(bool, bool, WorkerKey)> = map
         .rooms
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -56,7 +56,8 @@
     pub since: u64,
 }
 
-/// Time for which a reclaim is remembered, in ms. Bursts of urgent work last for some seconds.
+/// Time for which room that was taken back is kept, in ms. Tasks run for up to some ten seconds, and
+/// room that is wanted back within the time of a task is no room for it.
 const RECLAIM_KEPT_MS: u64 = 10_000;
 
 /// How long runs of a queue's tasks take.
@@ -317,11 +318,11 @@
         }
     }
 
-    /// Accelerators of a service that were taken back from less urgent work since `since_ms`, as
-    /// far back as reclaims are remembered.
-    pub fn reclaimed_since(&self, service: &str, since_ms: u64) -> u32 {
+    /// Accelerators of a service that were taken back from less urgent work of late.
+    pub fn reclaimed_lately(&self, service: &str, now_ms: u64) -> u32 {
+        let kept_from_ms = now_ms.saturating_sub(RECLAIM_KEPT_MS);
         let reclaims = self.reclaims.get(service).into_iter().flatten();
-        reclaims.filter(|(at_ms, _)| *at_ms >= since_ms).map(|(_, count)| count).sum()
+        reclaims.filter(|(at_ms, _)| *at_ms >= kept_from_ms).map(|(_, count)| count).sum()
     }
 
     /// Worker on which a run holds room.
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -47,9 +47,6 @@
 /// Share of a service's accelerators that is kept for urgent work at most, in percent. Work must not
 /// wait while less than half of a service is in use.
 const MAX_KEPT_PERCENT: u32 = 40;
-/// Time for which room that was taken back is kept, in ms. Tasks run for up to some ten seconds, and
-/// room that is wanted back within the time of a task is no room for it.
-const KEPT_MS: u64 = 10_000;
 
 /// What the planner knows besides the log.
 #[derive(Clone, Debug, Default)]
@@ -163,9 +160,7 @@
         if rest == 0 {
             return;
         }
-        if request.advice.is_some()
-            && let Some(wanted) = advice_wanted(&self.map, waiting, &request)
-        {
+        if let Some(wanted) = advice_wanted(&self.map, waiting, &request) {
             self.plan.advice.push(wanted);
             let reason = "advice is asked for";
             self.plan.waits.push(WaitNote { job: waiting.key.job, reason });
@@ -195,7 +190,7 @@
         let (free, all) = rooms.fold((0, 0), |(free, all), room| {
             (free + room.free.accelerators, all + room.state.spec.room.accelerators)
         });
-        let kept = state.reclaimed_since(service, self.now_ms.saturating_sub(KEPT_MS));
+        let kept = state.reclaimed_lately(service, self.now_ms);
         let kept = kept.min(all * MAX_KEPT_PERCENT / 100);
         let allowed = (free.saturating_sub(kept) / each).min(count);
         if waiting.spec.gang && allowed < count { 0 } else { allowed }
--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::disruption_budget::DisruptionBudget;
+use crate::disruption_budget::StepBudget;
+use crate::disruption_budget::limit_of;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::room::Room;
@@ -55,6 +56,7 @@
     /// Runs of jobs that no guarantee covers and that are not being stopped already.
     pub fn new(state: &GraphState, covered: &BTreeMap<JobId, bool>, now_ms: u64) -> Self {
         let mut gangs: BTreeMap<StepKey, Vec<(RunKey, WorkerKey, Room)>> = BTreeMap::new();
+        let mut limited: BTreeSet<StepKey> = BTreeSet::new();
         let mut table = Self::default();
         for (worker, entry) in &state.workers {
             for (run, held) in &entry.runs {
@@ -65,6 +67,9 @@
                     continue;
                 }
                 let Some(spec) = job.step_spec(step.step) else { continue };
+                if limit_of(spec).is_some() {
+                    limited.insert(step);
+                }
                 let ran_ms = now_ms.saturating_sub(held.placed_ms);
                 let lost_ms =
                     if spec.saves_progress { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms };
@@ -81,25 +86,23 @@
         for members in gangs.into_values() {
             table.add_gang(members);
         }
-        table.keep_within(state, &DisruptionBudget::new(state, now_ms));
+        for step in limited {
+            table.keep_within(StepBudget::of(state, step, now_ms));
+        }
         table
     }
 
-    /// Takes out what must not be stopped now: of each step that limits how many of its tasks may
-    /// be away, all but the cheapest ones within the limit.
-    fn keep_within(&mut self, state: &GraphState, budget: &DisruptionBudget) {
-        let mut steps: BTreeMap<StepKey, Vec<(u64, RunKey)>> = BTreeMap::new();
-        for (run, cost) in &self.cost {
-            steps.entry(run.task.step).or_default().push((*cost, *run));
-        }
-        for (step, mut runs) in steps {
-            let Some(stoppable) = budget.stoppable(state, step) else { continue };
-            runs.sort_unstable();
-            let is_whole = runs.iter().any(|(_, run)| self.group(*run).len() > stoppable);
-            let kept = if is_whole { 0 } else { stoppable };
-            let spared: Vec<RunKey> = runs.into_iter().skip(kept).map(|(_, run)| run).collect();
-            self.remove(&spared);
-        }
+    /// Takes out what must not be stopped now: all runs of a step but the cheapest ones within its
+    /// budget.
+    fn keep_within(&mut self, budget: Option<StepBudget>) {
+        let Some(StepBudget { runs, stoppable }) = budget else { return };
+        let cost_of = |run: RunKey| self.cost.get(&run).map(|cost| (*cost, run));
+        let mut runs: Vec<(u64, RunKey)> = runs.into_iter().filter_map(cost_of).collect();
+        runs.sort_unstable();
+        let is_beyond = runs.iter().any(|(_, run)| self.group(*run).len() > stoppable);
+        let kept = if is_beyond { 0 } else { stoppable };
+        let spared: Vec<RunKey> = runs.into_iter().skip(kept).map(|(_, run)| run).collect();
+        self.remove(&spared);
     }
 
     fn add_gang(&mut self, members: Vec<(RunKey, WorkerKey, Room)>) {
