--- a/crates/dispatch/src/relay_link.rs
+++ b/crates/dispatch/src/relay_link.rs
@@ -90,6 +90,9 @@
         wait: Duration,
         is_repeatable: bool,
     ) -> Option<RelayResponse> {
+        if addresses.is_empty() {
+            return None;
+        }
         let mut open = self.open.lock().await;
         for address in addresses {
             if self.pauses.is_paused(*address) {
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -47,7 +47,9 @@
     direct: Arc<DirectPath>,
     peers: Arc<PeerList>,
     reads: RelayCaller,
-    calls: RelayCaller,
+    appends: RelayCaller,
+    /// A snapshot takes long and may meet a silent entry; nothing else waits for it.
+    snapshots: RelayCaller,
     is_entry: bool,
     /// Time for which entries must have failed before an agent reads the log itself.
     patience: Duration,
@@ -75,7 +77,8 @@
             direct,
             peers,
             reads: RelayCaller::new(dialer.clone(), Arc::clone(&pauses)),
-            calls: RelayCaller::new(dialer.clone(), pauses),
+            appends: RelayCaller::new(dialer.clone(), Arc::clone(&pauses)),
+            snapshots: RelayCaller::new(dialer.clone(), pauses),
         }
     }
 
@@ -90,9 +93,13 @@
     }
 
     /// Asks the entries that this process may fall back on; nothing where none answers.
-    async fn fall_back(&self, request: RelayRequest) -> Option<RelayResponse> {
+    async fn fall_back(
+        &self,
+        caller: &RelayCaller,
+        request: RelayRequest,
+    ) -> Option<RelayResponse> {
         let peers = self.peers.choice().fallbacks;
-        self.calls.call(&peers, &request, Duration::ZERO, false).await
+        caller.call(&peers, &request, Duration::ZERO, false).await
     }
 
     async fn read_direct(&self, from: u64, limit: u32, wait_ms: u32) -> Result<LogPage, LogError> {
@@ -112,7 +119,7 @@
         let peers = if from == 0 { Vec::new() } else { self.peers.choice().fallbacks };
         let request = RelayRequest::ReadAppended { from, oldest };
         for peer in peers {
-            let answer = self.calls.call(&[peer], &request, Duration::ZERO, true).await;
+            let answer = self.reads.call(&[peer], &request, Duration::ZERO, true).await;
             if let Some(RelayResponse::Records { entries, .. }) = answer {
                 log::info!(from, oldest, batches = entries.len(), entry:% = peer; "read lost batches");
                 return Ok(lost_page(from, oldest, entries));
@@ -150,7 +157,7 @@
         }
         let appenders = self.peers.choice().appenders;
         let request = RelayRequest::Append { body: body.to_vec() };
-        let answer = self.calls.call(&appenders, &request, Duration::ZERO, false).await;
+        let answer = self.appends.call(&appenders, &request, Duration::ZERO, false).await;
         if let Some(result) = append_result(answer) {
             return result;
         }
@@ -158,7 +165,7 @@
             Err(error @ LogError::Unavailable { .. }) => error,
             result => return result,
         };
-        if let Some(result) = append_result(self.fall_back(request).await) {
+        if let Some(result) = append_result(self.fall_back(&self.appends, request).await) {
             return result;
         }
         if self.direct.is_broken() && self.direct.wait_working(WORKING_WAIT).await {
@@ -211,7 +218,7 @@
             Ok(()) => return Ok(()),
         };
         let chunks = chunks.iter().map(|chunk| chunk.to_vec()).collect();
-        match self.fall_back(RelayRequest::SaveChunks { chunks }).await {
+        match self.fall_back(&self.snapshots, RelayRequest::SaveChunks { chunks }).await {
             Some(RelayResponse::Done) => Ok(()),
             _ => Err(error),
         }
@@ -220,7 +227,7 @@
     async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
         let readers = self.peers.choice().readers;
         let request = RelayRequest::LoadChunks;
-        let answer = self.calls.call(&readers, &request, Duration::ZERO, true).await;
+        let answer = self.snapshots.call(&readers, &request, Duration::ZERO, true).await;
         if let Some(RelayResponse::Chunks { chunks }) = answer {
             return Ok(chunks);
         }
@@ -231,7 +238,7 @@
             Err(error) => error,
             Ok(chunks) => return Ok(chunks),
         };
-        match self.fall_back(RelayRequest::LoadChunks).await {
+        match self.fall_back(&self.snapshots, RelayRequest::LoadChunks).await {
             Some(RelayResponse::Chunks { chunks }) => Ok(chunks),
             _ => Err(error),
         }
--- /dev/null
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -0,0 +1,113 @@
+//! Calls through an entry do not hold up one another.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_dispatch::direct_path::DirectPath;
+use cuminbarrow_dispatch::peer_list::PeerChoice;
+use cuminbarrow_dispatch::peer_list::PeerList;
+use cuminbarrow_dispatch::relayed_log::RelayedLog;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::relay_message::RelayRequest;
+use cuminbarrow_protocol::relay_message::RelayResponse;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_taskgraph::record::ProcessRole;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// A call that meets no silent peer takes some ms.
+const CALL_LIMIT: Duration = Duration::from_millis(500);
+
+/// A log that takes records but no snapshots.
+struct RecordLog;
+
+#[async_trait]
+impl LogStore for RecordLog {
+    async fn append(&self, _stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
+        Ok(7)
+    }
+
+    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
+        self.append(stream, bodies[0].clone()).await
+    }
+
+    async fn read(
+        &self,
+        _stream: LogStream,
+        from: u64,
+        _limit: u32,
+        _wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        Ok(LogPage { next: from, first: from, ..LogPage::default() })
+    }
+
+    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
+        Err(LogError::Unavailable { reason: "no snapshots are taken".to_owned() })
+    }
+
+    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
+        Err(LogError::Unavailable { reason: "no snapshots are given".to_owned() })
+    }
+}
+
+/// An entry that appends and never answers anything else. Tells of each request that it got.
+async fn start_peer(key: SharedKey) -> (SocketAddr, mpsc::UnboundedReceiver<RelayRequest>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, requests) = mpsc::unbounded_channel();
+    tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
+        let seen = seen.clone();
+        tokio::spawn(async move {
+            let mut link: Link<RelayResponse, RelayRequest> = incoming.typed();
+            while let Ok(request) = link.receiver.receive().await {
+                let is_append = matches!(request, RelayRequest::Append { .. });
+                seen.send(request).unwrap();
+                if is_append {
+                    link.sender.send(&RelayResponse::Appended { offset: 9 }).await.unwrap();
+                }
+            }
+        });
+    }));
+    (address, requests)
+}
+
+/// Appends while a snapshot waits for a silent entry. Gives the append's offset.
+async fn append_beside_snapshot(appenders: fn(SocketAddr) -> Vec<SocketAddr>) -> u64 {
+    let key = SharedKey::new("key");
+    let (peer, mut requests) = start_peer(key.clone()).await;
+    let peers = Arc::new(PeerList::default());
+    let choice =
+        PeerChoice { appenders: appenders(peer), fallbacks: vec![peer], ..PeerChoice::default() };
+    peers.set(choice);
+    let direct = Arc::new(DirectPath::new(Arc::new(RecordLog)));
+    let dialer = LinkDialer::new(key, Arc::default());
+    let log = Arc::new(RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry));
+    let saver = Arc::clone(&log);
+    tokio::spawn(async move { saver.save_chunks(vec![Bytes::from_static(b"chunk")]).await });
+    let request = requests.recv().await.unwrap();
+    assert!(matches!(request, RelayRequest::SaveChunks { .. }), "{request:?}");
+    let append = log.append(LogStream::Records, Bytes::from_static(b"batch"));
+    timeout(CALL_LIMIT, append).await.expect("the append waits for the snapshot").unwrap()
+}
+
+#[tokio::test]
+async fn an_append_to_the_log_itself_does_not_wait_for_a_snapshot_that_is_passed_on() {
+    assert_eq!(append_beside_snapshot(|_| Vec::new()).await, 7);
+}
+
+#[tokio::test]
+async fn an_append_that_is_passed_on_does_not_wait_for_a_snapshot() {
+    assert_eq!(append_beside_snapshot(|peer| vec![peer]).await, 9);
+}
