Work leaves workers that turn slow, and goes to them last

The agent sees it in the lists that it reads anyway: a run that slows down to less than 40 % of its own speed, or slow runs of two jobs. Slow workers get work last; gangs get room of less urgent work on others first; urgent runs and those of middle priority move to free room where they end clearly sooner.

--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -8,6 +8,7 @@
 use cuminbarrow_taskgraph::record::GoneCause;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::run_table::PollNumber;
+use cuminbarrow_taskgraph::run_table::WorkerRun;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use tokio::time::Instant;
 
@@ -21,6 +22,7 @@
 use crate::worker_session::WorkerSession;
 use crate::worker_session::outlook_of;
 use crate::worker_session::pace_role_of;
+use crate::worker_session::usual_time_of;
 
 /// Longest wait of one poll for an end, in ms.
 const POLL_WAIT_MS: u64 = 1_000;
@@ -156,7 +158,16 @@
         let paced: Vec<_> =
             lists.running.iter().filter_map(|entry| pace_role_of(&state, entry)).collect();
         session.pace.look(&paced, now_ms);
+        let speed_news =
+            session.speed.look(&lists.running, now_ms, |run| usual_time_of(&state, run));
         drop(state);
+        if let Some(is_slow) = speed_news {
+            let runs = lists.running.iter().filter(|_| is_slow);
+            let percent = |entry: &WorkerRun| u8::try_from(entry.percent).unwrap_or(u8::MAX);
+            let progress = runs.map(|entry| (entry.run, percent(entry))).collect();
+            session.speed_news = Some((is_slow, progress));
+            self.wake_reports.notify_one();
+        }
         if !stalled.is_empty() {
             session.stalled.extend(stalled);
             self.wake_reports.notify_one();
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -24,6 +24,7 @@
         loop {
             self.wake_reports.notified().await;
             self.report_stalled().await;
+            self.report_speed().await;
             loop {
                 let (worker, outgoing) = {
                     let mut session = self.session();
@@ -51,6 +52,20 @@
         }
     }
 
+    /// Tells the log that the worker is slow, or no longer. News that does not get there comes again.
+    pub(crate) async fn report_speed(&self) {
+        let (worker, news) = {
+            let mut session = self.session();
+            (session.worker, session.speed_news.take())
+        };
+        let (Some(worker), Some((is_slow, progress))) = (worker, news) else { return };
+        log::warn!(worker:% = worker, is_slow; "the worker's speed changed");
+        let record = GraphRecord::WorkerSpeedSeen { worker, is_slow, progress };
+        if let Err(error) = self.replica.write(record).await {
+            log::warn!(worker:% = worker; "the worker's speed is not written: {error}");
+        }
+    }
+
     pub(crate) async fn report(&self, worker: WorkerKey, outgoing: Vec<(Option<u64>, RunEnd)>) {
         let ends: Vec<RunEnd> = outgoing.iter().map(|(_, end)| end.clone()).collect();
         for end in &ends {
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -15,6 +15,8 @@
 use cuminbarrow_taskgraph::run_table::RunTable;
 use cuminbarrow_taskgraph::run_table::WorkerEnd;
 use cuminbarrow_taskgraph::run_table::WorkerRun;
+use cuminbarrow_taskgraph::speed_watch::SpeedWatch;
+use cuminbarrow_taskgraph::speed_watch::UsualTime;
 use cuminbarrow_taskgraph::task_key::RunKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use smol_str::SmolStr;
@@ -42,6 +44,9 @@
     pub(crate) checkpoints: BTreeMap<RunKey, SmolStr>,
     pub(crate) saved: BTreeMap<RunKey, SmolStr>,
     pub(crate) progress: ProgressWatch,
+    pub(crate) speed: SpeedWatch,
+    /// Whether the worker is slow and how far its runs have come, to be told to the log.
+    pub(crate) speed_news: Option<(bool, Vec<(RunKey, u8)>)>,
     pub(crate) pace: PaceControl,
     /// Runs that stand still, to be told to the log.
     pub(crate) stalled: Vec<RunKey>,
@@ -107,6 +112,18 @@
     }
 }
 
+/// What a run may be expected to take; nothing for one that has no end.
+pub(crate) fn usual_time_of(state: &GraphState, run: RunKey) -> Option<UsualTime> {
+    let job = state.jobs.get(&run.task.step.job)?;
+    let spec = job.step_spec(run.task.step.step)?;
+    if spec.long_running || spec.fills {
+        return None;
+    }
+    let usual_ms = state.usual_ms(job, spec);
+    let estimate_ms = u64::from(spec.estimate_ms);
+    Some(UsualTime { shorter_ms: usual_ms.min(estimate_ms), longer_ms: usual_ms.max(estimate_ms) })
+}
+
 /// What is expected of a run.
 pub(crate) fn outlook_of(state: &GraphState, run: RunKey) -> Option<RunOutlook> {
     let spec = state.jobs.get(&run.task.step.job)?.step_spec(run.task.step.step)?;
--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -6,6 +6,7 @@
 use crate::graph_state::GraphEffect;
 use crate::graph_state::GraphOutcome;
 use crate::graph_state::GraphState;
+use crate::graph_state::SlowWorker;
 use crate::record::EndKind;
 use crate::record::RunEnd;
 use crate::refusal::NotSuspectedSnafu;
@@ -17,6 +18,10 @@
 use crate::worker::WorkerState;
 use crate::worker::WorkerStatus;
 
+/// Time for which a worker counts as slow after its agent saw it last, in ms: two looks that tell, and
+/// some. One on which nothing runs any more is then tried again.
+const SLOW_KEPT_MS: u64 = 5_000;
+
 impl GraphState {
     /// Registers a worker, or a new agent of a known one. Each registration gets a higher fencing
     /// token than all before it, and takes back a suspicion.
@@ -84,6 +89,27 @@
         Ok(GraphEffect::Done)
     }
 
+    pub(crate) fn worker_speed_seen(
+        &mut self,
+        worker: WorkerKey,
+        is_slow: bool,
+        progress: &[(RunKey, u8)],
+    ) -> GraphOutcome {
+        ensure!(self.workers.contains_key(&worker), UnknownWorkerSnafu { worker });
+        if is_slow {
+            let slow = SlowWorker { seen_ms: self.clock_ms, progress: progress.to_vec() };
+            self.slow_workers.insert(worker, slow);
+        } else {
+            self.slow_workers.remove(&worker);
+        }
+        Ok(GraphEffect::Done)
+    }
+
+    /// Whether a worker ran slowly of late.
+    pub fn is_slow(&self, worker: WorkerKey, now_ms: u64) -> bool {
+        self.slow_workers.get(&worker).is_some_and(|slow| now_ms < slow.seen_ms + SLOW_KEPT_MS)
+    }
+
     /// Takes a worker away; its runs are gone with it and their tasks wait anew.
     fn remove_worker(&mut self, worker: WorkerKey) {
         let Some(state) = self.workers.get(&worker) else { return };
@@ -93,5 +119,6 @@
             self.run_ended(worker, &end);
         }
         self.workers.remove(&worker);
+        self.slow_workers.remove(&worker);
     }
 }
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -15,6 +15,7 @@
 use snafu::ensure;
 
 use crate::job_id::JobId;
+use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
 use crate::record::GraphRecord;
@@ -60,6 +61,9 @@
 /// room that is wanted back within the time of a task is no room for it.
 const RECLAIM_KEPT_MS: u64 = 10_000;
 
+/// Runs after which the mean of a queue tells what its tasks take.
+const KNOWN_RUNS: u32 = 3;
+
 /// How long runs of a queue's tasks take.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunDuration {
@@ -82,6 +86,15 @@
     }
 }
 
+/// A worker that runs everything slowly.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowWorker {
+    /// When that was told last, in ms since the Unix epoch.
+    pub seen_ms: u64,
+    /// Its runs then, with how far they had come in percent.
+    pub progress: Vec<(RunKey, u8)>,
+}
+
 /// What a record did.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GraphEffect {
@@ -144,6 +157,8 @@
     pub(crate) writers: BTreeMap<u64, WriterMark>,
     /// Which workers may run steps of advised queues.
     pub(crate) advice: BTreeMap<StepKey, StepAdvice>,
+    /// Workers that ran slowly when their agents looked last.
+    pub(crate) slow_workers: BTreeMap<WorkerKey, SlowWorker>,
 }
 
 impl GraphState {
@@ -268,6 +283,9 @@
                 self.check_epoch(*epoch)?;
                 self.step_advised(*step, asked, tickets, *until_ms)
             }
+            GraphRecord::WorkerSpeedSeen { worker, is_slow, progress } => {
+                self.worker_speed_seen(*worker, *is_slow, progress)
+            }
             GraphRecord::PlannerRenewed { epoch } => {
                 self.check_epoch(*epoch).map(|()| GraphEffect::Done)
             }
@@ -325,6 +343,13 @@
         reclaims.filter(|(at_ms, _)| *at_ms >= kept_from_ms).map(|(_, count)| count).sum()
     }
 
+    /// What a task of a job's step usually takes, in ms: the mean of its queue once that is known.
+    pub fn usual_ms(&self, job: &JobState, spec: &StepSpec) -> u64 {
+        let known = self.durations.get(&job.terms.queue);
+        let known = known.filter(|known| known.count >= KNOWN_RUNS);
+        u64::from(known.map_or(spec.estimate_ms, |known| known.mean_ms))
+    }
+
     /// Worker on which a run holds room.
     pub fn worker_of(&self, run: RunKey) -> Option<WorkerKey> {
         let step = run.task.step;
--- a/crates/taskgraph/src/job_terms.rs
+++ b/crates/taskgraph/src/job_terms.rs
@@ -4,6 +4,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+/// Priority from which on work leaves room for what is more urgent.
+pub const BACKGROUND_PRIORITY: u8 = 2;
+
 /// Terms of a queue, as of the acceptance of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod room;
 pub mod room_map;
 pub mod run_table;
+pub mod slow_moves;
+pub mod speed_watch;
 pub mod step_advice;
 pub mod step_queue;
 pub mod task_key;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -13,15 +13,18 @@
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_state::TaskState;
+use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::reclaim::Reach;
 use crate::reclaim::VictimTable;
 use crate::reclaim::plan_reclaim;
 use crate::record::GraphRecord;
 use crate::record::TaskPlacement;
+use crate::room::Room;
 use crate::room_map::AdviceView;
 use crate::room_map::RoomMap;
 use crate::room_map::StepRequest;
 use crate::room_map::WorkerRoom;
+use crate::slow_moves::moves_off_slow;
 use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::covered_jobs;
@@ -42,8 +45,6 @@
 /// A job is pressed once less than this share of its objective is left, in percent.
 const PRESSED_PERCENT: u64 = 60;
 
-/// Priority from which on work leaves room for what is more urgent.
-const BACKGROUND_PRIORITY: u8 = 2;
 /// Share of a service's accelerators that is kept for urgent work at most, in percent. Work must not
 /// wait while less than half of a service is in use.
 const MAX_KEPT_PERCENT: u32 = 40;
@@ -92,6 +93,7 @@
     for waiting in waiting_steps(state, &covered, view.now_ms) {
         round.place(state, &waiting);
     }
+    round.leave_slow(state);
     round.plan
 }
 
@@ -129,6 +131,15 @@
         }
     }
 
+    /// Moves what ends sooner elsewhere off slow workers, to room that nothing waits for.
+    fn leave_slow(&mut self, state: &GraphState) {
+        let runs = moves_off_slow(state, &mut self.map, self.now_ms);
+        if !runs.is_empty() {
+            let cause = StopCause::Slow;
+            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
+        }
+    }
+
     fn place(&mut self, state: &GraphState, waiting: &WaitingStep<'_>) {
         let failed_on = self.failed_on(waiting);
         let request = StepRequest {
@@ -136,6 +147,7 @@
             spec: waiting.spec,
             terms: &waiting.job.terms,
             failed_on: &failed_on,
+            avoids_slow: false,
             advice: waiting
                 .job
                 .terms
@@ -150,6 +162,10 @@
             return;
         }
         let count = allowed;
+        if waiting.spec.gang && self.map.has_slow() && self.place_off_slow(waiting, &request, count)
+        {
+            return;
+        }
         let places = self.find_places(waiting, &request, count);
         let found: u32 = places.iter().map(|(_, count)| count).sum();
         let is_enough = if waiting.spec.gang { found == count } else { found > 0 };
@@ -178,6 +194,25 @@
         }
     }
 
+    /// Places a gang on workers that are not slow: its slowest member is the whole gang's pace. Where
+    /// it may stop others, it gets such room rather than free room on a slow worker. Tells whether
+    /// there is nothing else to do for it in this round.
+    fn place_off_slow(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        request: &StepRequest<'_>,
+        count: u32,
+    ) -> bool {
+        let request = StepRequest { avoids_slow: true, ..*request };
+        let places = self.find_places(waiting, &request, count);
+        if is_whole(&places, count) {
+            self.commit(waiting, &request, &places);
+            return true;
+        }
+        let limit = self.loss_limit(waiting, count);
+        limit.is_some_and(|limit| self.reclaim(waiting, &request, count, limit))
+    }
+
     /// Tasks of a step that may be placed without taking the room that urgent work took back of
     /// late and will want again. Placing there only to be stopped throws work away.
     fn allowed(&self, state: &GraphState, waiting: &WaitingStep<'_>, count: u32) -> u32 {
@@ -283,26 +318,27 @@
         racks.min_by_key(|(free, _)| *free).map(|(_, places)| places)
     }
 
-    /// Fills the workers that have the least room left.
+    /// Fills the workers that have the least room left, slow ones last.
     fn fill<F>(&self, request: &StepRequest<'_>, count: u32, is_wanted: F) -> Vec<(usize, u32)>
     where
         F: Fn(&WorkerRoom<'_>) -> bool,
     {
-        let mut fits: Vec<(u32, u32, usize, u32)> = self
+        let mut fits: Vec<(bool, u32, u32, usize, u32)> = self
             .map
             .rooms
             .iter()
             .enumerate()
             .filter(|(_, room)| is_wanted(room))
             .map(|(place, room)| {
-                (room.free.accelerators, room.free.cpu_millis, place, room.fit(request))
+                let Room { accelerators, cpu_millis, .. } = room.free;
+                (room.is_slow, accelerators, cpu_millis, place, room.fit(request))
             })
-            .filter(|(_, _, _, fit)| *fit > 0)
+            .filter(|(.., fit)| *fit > 0)
             .collect();
         fits.sort_unstable();
         let mut left = count;
         let mut places = Vec::new();
-        for (_, _, place, fit) in fits {
+        for (.., place, fit) in fits {
             let taken = fit.min(left);
             if taken > 0 {
                 places.push((place, taken));
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -235,4 +235,13 @@
         /// When the tickets run out, in ms since the Unix epoch.
         until_ms: u64,
     },
+    /// An agent sees its worker run everything slowly, or as usual again.
+    WorkerSpeedSeen {
+        /// The worker.
+        worker: WorkerKey,
+        /// Whether it is slow.
+        is_slow: bool,
+        /// Its runs, with how far they have come in percent.
+        progress: Vec<(RunKey, u8)>,
+    },
 }
--- a/crates/taskgraph/src/room_map.rs
+++ b/crates/taskgraph/src/room_map.rs
@@ -31,6 +31,8 @@
     pub terms: &'a JobTerms,
     /// Workers on which it failed before.
     pub failed_on: &'a [WorkerKey],
+    /// Whether slow workers are left out.
+    pub avoids_slow: bool,
     /// Which workers may run it; nothing where all may.
     pub advice: Option<AdviceView<'a>>,
 }
@@ -70,6 +72,8 @@
     pub coming: Room,
     /// Whether it failed too much lately.
     pub is_quarantined: bool,
+    /// Whether it ran slowly of late.
+    pub is_slow: bool,
     /// Tasks that the round has placed here, by step.
     placed: Vec<(StepKey, u32)>,
 }
@@ -87,7 +91,8 @@
 
     /// How many of the step's tasks fit into `room` here.
     pub fn fit_into(&self, room: Room, request: &StepRequest<'_>) -> u32 {
-        if !self.is_fit(request) || request.failed_on.contains(&self.key) {
+        let is_shunned = request.avoids_slow && self.is_slow;
+        if is_shunned || !self.is_fit(request) || request.failed_on.contains(&self.key) {
             return 0;
         }
         let count = room.times(&request.spec.held_room());
@@ -126,6 +131,7 @@
             state.workers.iter().map(|(key, worker)| room_of(*key, worker)).collect();
         let mut budget = rooms.len() / QUARANTINE_SHARE;
         for room in &mut rooms {
+            room.is_slow = state.is_slow(room.key, now_ms);
             let is_bad = room.state.failures_in_row >= QUARANTINE_FAILURES
                 && now_ms < room.state.failed_ms + QUARANTINE_MS;
             if is_bad && budget > 0 {
@@ -149,6 +155,11 @@
         racks
     }
 
+    /// Whether any worker ran slowly of late.
+    pub fn has_slow(&self) -> bool {
+        self.rooms.iter().any(|room| room.is_slow)
+    }
+
     /// Gives room of a worker to tasks of a step.
     pub fn take(&mut self, place: usize, request: &StepRequest<'_>, count: u32) {
         let Some(room) = self.rooms.get_mut(place) else { return };
@@ -176,6 +187,7 @@
         free: worker.free(),
         coming,
         is_quarantined: false,
+        is_slow: false,
         placed: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/taskgraph/src/slow_moves.rs
@@ -0,0 +1,143 @@
+//! Which runs leave a worker that runs everything slowly.
+//!
+//! Pattern: a worker turns slow for some seconds, and urgent tasks on it take several times as long
+//! as elsewhere; a gang waits for its slowest member. A run is started anew on free room elsewhere if
+//! that ends it clearly sooner than waiting does.
+
+use std::collections::BTreeSet;
+
+use crate::graph_state::GraphState;
+use crate::job_spec::StepSpec;
+use crate::job_state::JobState;
+use crate::job_state::StepState;
+use crate::job_terms::BACKGROUND_PRIORITY;
+use crate::room_map::RoomMap;
+use crate::room_map::StepRequest;
+use crate::task_key::RunKey;
+use crate::task_key::StepKey;
+use crate::worker::WorkerKey;
+
+/// How much longer a slow worker takes at least.
+const SLOW_FACTOR: u64 = 4;
+/// Longest time for which a worker is expected to stay slow, in ms. Most do for 5 to 8 s, and it takes
+/// more than one to see it.
+const SLOW_FOR_MS: u64 = 5_000;
+/// Time to stop a run and to start it elsewhere, in ms: the grace of a stop is up to 0.9 s.
+const MOVE_MS: u64 = 900;
+/// A move has to be worth this share of the time that it takes, in percent: estimates are rough.
+const GAIN_PERCENT: u64 = 30;
+
+/// A run seen on a slow worker.
+#[derive(Clone, Copy, Debug)]
+struct SlowRun<'a> {
+    run: RunKey,
+    job: &'a JobState,
+    spec: &'a StepSpec,
+    state: &'a StepState,
+}
+
+/// Runs to stop, so that they begin anew on workers that are not slow. Takes the room for them from
+/// `map`; of a gang one member is named.
+pub fn moves_off_slow(state: &GraphState, map: &mut RoomMap<'_>, now_ms: u64) -> Vec<RunKey> {
+    let mut moves = Vec::new();
+    let mut gangs: BTreeSet<StepKey> = BTreeSet::new();
+    for (worker, slow) in &state.slow_workers {
+        if !state.is_slow(*worker, now_ms) {
+            continue;
+        }
+        for (run, percent) in &slow.progress {
+            let Some(slow_run) = slow_run(state, *worker, *run) else { continue };
+            let step = run.task.step;
+            let is_first = !slow_run.spec.gang || gangs.insert(step);
+            let usual_ms = state.usual_ms(slow_run.job, slow_run.spec);
+            if is_first && is_worth_moving(slow_run.spec, usual_ms, *percent) && take(map, slow_run)
+            {
+                moves.push(*run);
+            }
+        }
+    }
+    moves
+}
+
+/// The run, if it may be moved: it runs there, is not being stopped, and is not mere background
+/// work, which would take the room that urgent work wants next.
+fn slow_run(state: &GraphState, worker: WorkerKey, run: RunKey) -> Option<SlowRun<'_>> {
+    let held = state.workers.get(&worker)?.runs.get(&run)?;
+    let step = run.task.step;
+    let job = state.jobs.get(&step.job).filter(|job| job.is_active())?;
+    let spec = job.step_spec(step.step).filter(|spec| !spec.long_running && !spec.fills)?;
+    let is_movable =
+        held.stop.is_none() && !job.terms.is_advised && job.terms.priority < BACKGROUND_PRIORITY;
+    let state = job.steps.get(&(step.occurrence, step.step)).filter(|_| is_movable)?;
+    Some(SlowRun { run, job, spec, state })
+}
+
+/// Whether a run that has come so far ends clearly sooner elsewhere.
+fn is_worth_moving(spec: &StepSpec, usual_ms: u64, percent: u8) -> bool {
+    let left_ms = usual_ms * u64::from(100_u8.saturating_sub(percent)) / 100;
+    let stay_ms = (left_ms * SLOW_FACTOR).min(left_ms + SLOW_FOR_MS);
+    let again_ms = if spec.saves_progress { left_ms } else { usual_ms };
+    let move_ms = again_ms + MOVE_MS;
+    stay_ms * 100 > move_ms * (100 + GAIN_PERCENT)
+}
+
+/// Takes free room for the run, or for its whole gang, on workers that are not slow.
+fn take(map: &mut RoomMap<'_>, slow: SlowRun<'_>) -> bool {
+    let index = slow.run.task.index as usize;
+    let failed_on: Vec<WorkerKey> = if slow.spec.gang {
+        slow.state.tasks.iter().flat_map(|task| task.failed_on.iter().copied()).collect()
+    } else {
+        slow.state.tasks.get(index).map(|task| task.failed_on.clone()).unwrap_or_default()
+    };
+    let request = StepRequest {
+        step: slow.run.task.step,
+        spec: slow.spec,
+        terms: &slow.job.terms,
+        failed_on: &failed_on,
+        avoids_slow: true,
+        advice: None,
+    };
+    let count = if slow.spec.gang { slow.spec.count } else { 1 };
+    let Some(places) = places_for(map, &request, count) else { return false };
+    for (place, taken) in places {
+        map.take(place, &request, taken);
+    }
+    true
+}
+
+/// Free places for all of `count` tasks, on one rack for a step that wants one.
+fn places_for(
+    map: &RoomMap<'_>,
+    request: &StepRequest<'_>,
+    count: u32,
+) -> Option<Vec<(usize, u32)>> {
+    if let Some(rack) = &request.spec.near_rack {
+        return fill(map, request, count, Some(rack.as_str()));
+    }
+    if request.spec.same_rack && count > 1 {
+        let racks = map.racks();
+        return racks.into_iter().find_map(|rack| fill(map, request, count, Some(rack.as_str())));
+    }
+    fill(map, request, count, None)
+}
+
+fn fill(
+    map: &RoomMap<'_>,
+    request: &StepRequest<'_>,
+    count: u32,
+    rack: Option<&str>,
+) -> Option<Vec<(usize, u32)>> {
+    let mut left = count;
+    let mut places = Vec::new();
+    for (place, room) in map.rooms.iter().enumerate() {
+        if rack.is_some_and(|rack| room.state.spec.rack != rack) {
+            continue;
+        }
+        let taken = room.fit(request).min(left);
+        if taken > 0 {
+            places.push((place, taken));
+            left -= taken;
+        }
+    }
+    (left == 0).then_some(places)
+}
--- /dev/null
+++ b/crates/taskgraph/src/speed_watch.rs
@@ -0,0 +1,155 @@
+//! Finds workers that run everything at a fraction of the usual speed while they call themselves
+//! healthy.
+//!
+//! A run tells by its progress. Compared with its own earlier progress a change is certain. Compared
+//! with what tasks of its queue usually take it may also be a long task, and all tasks of a job may
+//! be long, so that takes runs of two jobs. A single run that goes on as usual clears the worker.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::job_id::JobId;
+use crate::run_table::WorkerRun;
+use crate::task_key::RunKey;
+
+/// Least time over which progress is measured, in ms. Workers are looked at about once a second.
+const WINDOW_MS: u64 = 800;
+/// Percent of a run expected within that time at least: percents are whole.
+const WINDOW_PERCENT: u64 = 8;
+/// A run this many times slower or faster than before has changed its speed, in tenths. Neighbours
+/// on the same worker do not change it that much.
+const CHANGE_TENTHS: u64 = 25;
+/// Speed below which a run is slow, in thousandths of the usual. Tasks of one queue take up to three
+/// times as long as usual.
+const SLOW_PERMILLE: u64 = 280;
+/// Speed from which on a run goes on as usual.
+const USUAL_PERMILLE: u64 = 500;
+/// Jobs whose runs must all be slow before a worker is: tasks of one job are alike, and may be long.
+const SLOW_JOBS: usize = 2;
+/// Time after which a worker that still is slow is told again, in ms.
+const RETELL_MS: u64 = 2_000;
+/// Progress of a run that waits for the other members of its gang.
+const DONE_PERCENT: u32 = 100;
+
+/// What a run may be expected to take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsualTime {
+    /// The shorter of what tasks of its queue take and of its own estimate, in ms.
+    pub shorter_ms: u64,
+    /// The longer of them, in ms.
+    pub longer_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunSpeed {
+    percent: u32,
+    since_ms: u64,
+    /// Percent gained a 1,000 s in the window before; nothing in the first.
+    rate: Option<u64>,
+    /// What that window told.
+    sign: Option<SpeedSign>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SpeedSign {
+    /// The run slowed down.
+    Slowed,
+    /// The run is slow, or long.
+    Slow,
+    /// The run goes on as usual.
+    Usual,
+}
+
+/// Speed of the runs of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct SpeedWatch {
+    runs: BTreeMap<RunKey, RunSpeed>,
+    /// When the worker was last told to be slow, while it is.
+    told_ms: Option<u64>,
+}
+
+impl SpeedWatch {
+    /// Takes what the worker lists at `now_ms`, and tells whether it is slow where that is news.
+    /// `usual` gives what a run usually takes, and nothing for one that has no end.
+    pub fn look<F>(&mut self, running: &[WorkerRun], now_ms: u64, usual: F) -> Option<bool>
+    where
+        F: Fn(RunKey) -> Option<UsualTime>,
+    {
+        self.runs.retain(|run, _| running.iter().any(|entry| entry.run == *run));
+        let mut is_usual = false;
+        let mut has_slowed = false;
+        for entry in running {
+            let Some(usual) = usual(entry.run) else { continue };
+            let sign = self.sign(entry, now_ms, usual);
+            is_usual |= sign == Some(SpeedSign::Usual);
+            has_slowed |= sign == Some(SpeedSign::Slowed);
+        }
+        if is_usual {
+            return self.told_ms.take().map(|_| false);
+        }
+        if has_slowed || self.has_slow_jobs() {
+            return self.news(now_ms);
+        }
+        None
+    }
+
+    /// Whether runs of several jobs were slow when they were measured last.
+    fn has_slow_jobs(&self) -> bool {
+        let slow = self.runs.iter().filter(|(_, speed)| speed.sign == Some(SpeedSign::Slow));
+        let jobs: BTreeSet<JobId> = slow.map(|(run, _)| run.task.step.job).collect();
+        jobs.len() >= SLOW_JOBS
+    }
+
+    fn news(&mut self, now_ms: u64) -> Option<bool> {
+        if self.told_ms.is_some_and(|told_ms| now_ms < told_ms + RETELL_MS) {
+            return None;
+        }
+        self.told_ms = Some(now_ms);
+        Some(true)
+    }
+
+    /// What a run tells once its window is over.
+    fn sign(&mut self, entry: &WorkerRun, now_ms: u64, usual: UsualTime) -> Option<SpeedSign> {
+        // Before its first percent a member waits for its gang, and after its last one too.
+        if entry.percent == 0 || entry.percent >= DONE_PERCENT {
+            self.runs.remove(&entry.run);
+            return None;
+        }
+        let fresh = RunSpeed { percent: entry.percent, since_ms: now_ms, rate: None, sign: None };
+        let known = self.runs.entry(entry.run).or_insert(fresh);
+        let took_ms = now_ms.saturating_sub(known.since_ms);
+        if took_ms < WINDOW_MS.max(usual.longer_ms * WINDOW_PERCENT / 100) {
+            return None;
+        }
+        let gained = u64::from(entry.percent.saturating_sub(known.percent));
+        let rate = gained * 1_000_000 / took_ms;
+        let before = known.rate.replace(rate);
+        (known.percent, known.since_ms) = (entry.percent, now_ms);
+        let sign = sign_of(rate, before, usual);
+        // A run that slowed down stays slow until it goes on as usual.
+        if known.sign != Some(SpeedSign::Slowed) || sign == Some(SpeedSign::Usual) {
+            known.sign = sign;
+        }
+        known.sign
+    }
+}
+
+fn sign_of(rate: u64, before: Option<u64>, usual: UsualTime) -> Option<SpeedSign> {
+    if let Some(before) = before {
+        if rate * CHANGE_TENTHS < before * 10 {
+            return Some(SpeedSign::Slowed);
+        }
+        if rate * 10 > before * CHANGE_TENTHS {
+            return Some(SpeedSign::Usual);
+        }
+    }
+    // At the usual speed a run gains 100 percent in its usual time.
+    let permille_of = |usual_ms: u64| rate * usual_ms / 100_000;
+    if permille_of(usual.shorter_ms) >= USUAL_PERMILLE {
+        Some(SpeedSign::Usual)
+    } else if permille_of(usual.longer_ms) < SLOW_PERMILLE {
+        Some(SpeedSign::Slow)
+    } else {
+        None
+    }
+}
--- a/crates/taskgraph/src/worker.rs
+++ b/crates/taskgraph/src/worker.rs
@@ -70,6 +70,8 @@
     Draining,
     /// It makes no progress.
     Stalled,
+    /// Its worker is slow, and it ends sooner elsewhere.
+    Slow,
 }
 
 /// A run that holds room on a worker.
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -11,3 +11,4 @@
 mod planning;
 mod random_histories;
 mod run_table;
+mod slow_workers;
