What the log takes is acted on while its readers hear nothing

The planner's own decisions of 7.26 s were applied at 8.92 s, by another planner: 1 s of silence, then 0.6 s in which a reader whose answer had been broken off waited for news at an entry that had none, though the log answered again after 6 ms.

Now a batch that this process appended is applied 60 ms after the log took it, if no read gives it; it confirms nothing. A read that fell back on an entry goes back to the log as soon as that answers.

Ruled out: orders without answers (repeated after 0.4 s), the planner's takeover (1.7 s, as stated).

--- a/crates/dispatch/src/confirmed_log.rs
+++ b/crates/dispatch/src/confirmed_log.rs
@@ -79,6 +79,8 @@
     recent: Mutex<RecentBatches>,
     paced: Mutex<Option<Instant>>,
     confirmed: watch::Sender<Option<ConfirmedRead>>,
+    /// Pages read, confirmed or not.
+    pages: watch::Sender<u64>,
 }
 
 impl ConfirmedLog {
@@ -90,6 +92,7 @@
             recent: Mutex::default(),
             paced: Mutex::new(None),
             confirmed: watch::Sender::new(None),
+            pages: watch::Sender::new(0),
         }
     }
 
@@ -103,6 +106,11 @@
         self.confirmed.subscribe()
     }
 
+    /// Tells of each page read, which may also be one that confirms nothing.
+    pub fn pages(&self) -> watch::Receiver<u64> {
+        self.pages.subscribe()
+    }
+
     /// Age of the latest confirmed read, in ms; nothing before the first.
     pub fn age_ms(&self) -> Option<u64> {
         self.latest().map(|read| self.clock.now_ms().saturating_sub(read.at_ms))
@@ -177,12 +185,12 @@
         let page = self.inner.read(stream, from, limit, wait_ms).await?;
         if stream == LogStream::Records {
             self.recent().push(&page);
-            let read_to = page.first + page.entries.len() as u64;
-            if read_to >= page.next {
+            if page.read_to() >= page.next {
                 let waited_ms = asked_ms.saturating_add(page.waited_ms);
                 let at_ms = waited_ms.saturating_sub(page.age_ms).min(self.clock.now_ms());
                 self.note(at_ms, page.next);
             }
+            self.pages.send_modify(|pages| *pages += 1);
         }
         Ok(page)
     }
--- a/crates/dispatch/src/direct_path.rs
+++ b/crates/dispatch/src/direct_path.rs
@@ -26,7 +26,7 @@
 pub struct DirectPath {
     pub(crate) log: Arc<dyn LogStore>,
     is_broken: watch::Sender<bool>,
-    /// Where the log ended when it was read last, which is where a probe reads.
+    /// How far the log was read last, which is where a probe reads.
     end: Arc<AtomicU64>,
 }
 
@@ -68,7 +68,7 @@
             Ok(_) = is_broken.wait_for(|is_broken| *is_broken) => Err(broken_path()),
         };
         match &result {
-            Ok(page) => self.end.store(page.next, Ordering::Relaxed),
+            Ok(page) => self.end.store(page.read_to(), Ordering::Relaxed),
             Err(LogError::Expired { .. }) => {}
             Err(error) => self.note_failure(error),
         }
--- a/crates/dispatch/src/kept_log.rs
+++ b/crates/dispatch/src/kept_log.rs
@@ -2,13 +2,17 @@
 //!
 //! The log may drop its history before anyone read the newest batches. Whoever appended them still
 //! has them, and gives them to its own replica and to others, so that no replica is left with a gap
-//! that no snapshot covers.
+//! that no snapshot covers. For the same reason a read need not wait for a log that takes records and
+//! tells its readers nothing.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -16,6 +20,7 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use tokio::sync::Notify;
 
 /// Batches kept. The target load is some 100 a second, and readers are a second or two behind at
 /// most.
@@ -23,6 +28,9 @@
 /// Bytes of them at most.
 const KEPT_BYTES: usize = 2 * 1024 * 1024;
 
+/// Time that a read has to give a batch which this process appended. Reads take some 4 ms.
+const OVERDUE: Duration = Duration::from_millis(60);
+
 #[derive(Default)]
 struct KeptBatches {
     bytes: usize,
@@ -51,12 +59,15 @@
 pub struct KeptLog {
     inner: Arc<dyn LogStore>,
     kept: Mutex<KeptBatches>,
+    /// Oldest offset that the log keeps, as last seen.
+    oldest: AtomicU64,
+    appended: Notify,
 }
 
 impl KeptLog {
     /// Keeps the appends to `inner`.
     pub fn new(inner: Arc<dyn LogStore>) -> Self {
-        Self { inner, kept: Mutex::default() }
+        Self { inner, kept: Mutex::default(), oldest: AtomicU64::new(0), appended: Notify::new() }
     }
 
     /// Batches from an offset on that this process appended; nothing where there are none.
@@ -68,6 +79,32 @@
     fn keep(&self, first: u64, bodies: Vec<Bytes>) {
         let mut kept = self.kept();
         (first..).zip(bodies).for_each(|(offset, body)| kept.push(offset, body));
+        drop(kept);
+        self.appended.notify_waiters();
+    }
+
+    /// Own batches from an offset on, once a read should have given them.
+    async fn overdue_page(&self, from: u64) -> LogPage {
+        loop {
+            let appended = self.appended.notified();
+            if self.kept().bodies.contains_key(&from) {
+                tokio::time::sleep(OVERDUE).await;
+                if let Some(page) = self.page_from(from, self.oldest.load(Ordering::Relaxed)) {
+                    return page;
+                }
+            }
+            appended.await;
+        }
+    }
+
+    /// Reads records; own batches are given where the log does not tell them in time.
+    async fn read_records(&self, from: u64, limit: u32, wait_ms: u32) -> Result<LogPage, LogError> {
+        let page = tokio::select! {
+            page = self.inner.read(LogStream::Records, from, limit, wait_ms) => page?,
+            page = self.overdue_page(from) => return Ok(page),
+        };
+        self.oldest.store(page.oldest, Ordering::Relaxed);
+        Ok(page)
     }
 
     fn kept(&self) -> MutexGuard<'_, KeptBatches> {
@@ -107,9 +144,11 @@
         limit: u32,
         wait_ms: u32,
     ) -> Result<LogPage, LogError> {
-        let result = self.inner.read(stream, from, limit, wait_ms).await;
-        match result {
-            Err(LogError::Expired { oldest }) if stream == LogStream::Records => {
+        if stream != LogStream::Records {
+            return self.inner.read(stream, from, limit, wait_ms).await;
+        }
+        match self.read_records(from, limit, wait_ms).await {
+            Err(LogError::Expired { oldest }) => {
                 let Some(page) = self.page_from(from, oldest) else {
                     return Err(LogError::Expired { oldest });
                 };
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -114,9 +114,9 @@
     async fn read(&self, from: u64, wait_ms: u32) -> RelayResponse {
         let began = Instant::now();
         let deadline = began + Duration::from_millis(u64::from(wait_ms.min(MAX_WAIT_MS)));
-        let mut confirmed = self.replica.log.confirmed();
+        let mut pages = self.replica.log.pages();
         loop {
-            confirmed.mark_unchanged();
+            pages.mark_unchanged();
             match self.replica.log.recent_page(from) {
                 // What is not kept here is in the snapshot that this entry gives.
                 None if self.replica.log.is_before_recent(from) => {
@@ -126,7 +126,7 @@
                 Some(page) if !page.entries.is_empty() => return records(page, Duration::ZERO),
                 _ => {}
             }
-            if tokio::time::timeout_at(deadline, confirmed.changed()).await.is_err() {
+            if tokio::time::timeout_at(deadline, pages.changed()).await.is_err() {
                 break;
             }
         }
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -200,16 +200,16 @@
                 result => return result,
             }
         }
-        if let Some(result) = self.read_through(&choice.fallbacks, from, wait_ms).await {
-            return result;
-        }
-        // Whoever reads is behind until the path works again, and callers wait for that.
-        if is_direct && self.direct.wait_working(WORKING_WAIT).await {
-            let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(0);
-            let page = self.read_direct(from, limit, 0).await?;
-            return Ok(LogPage { waited_ms, ..page });
+        // An entry may have no news either. Whoever reads is behind until the path works again, and
+        // callers wait for that.
+        tokio::select! {
+            Some(result) = self.read_through(&choice.fallbacks, from, wait_ms) => return result,
+            true = self.direct.wait_working(WORKING_WAIT), if is_direct => {}
+            else => return Err(error),
         }
-        Err(error)
+        let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(0);
+        let page = self.read_direct(from, limit, 0).await?;
+        Ok(LogPage { waited_ms, ..page })
     }
 
     async fn save_chunks(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -4,6 +4,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -111,3 +113,56 @@
 async fn an_append_that_is_passed_on_does_not_wait_for_a_snapshot() {
     assert_eq!(append_beside_snapshot(|peer| vec![peer]).await, 9);
 }
+
+/// A log that breaks off its first answer, as when a store drops its readers.
+#[derive(Default)]
+struct BreakingLog {
+    reads: AtomicU64,
+}
+
+#[async_trait]
+impl LogStore for BreakingLog {
+    async fn append(&self, _stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
+        Ok(7)
+    }
+
+    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
+        self.append(stream, bodies[0].clone()).await
+    }
+
+    async fn read(
+        &self,
+        _stream: LogStream,
+        from: u64,
+        _limit: u32,
+        _wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        if self.reads.fetch_add(1, Ordering::Relaxed) == 0 {
+            return Err(LogError::Uncertain { reason: "the answer broke off".to_owned() });
+        }
+        let entries = vec![b"batch".to_vec()];
+        Ok(LogPage { next: from + 1, first: from, entries, ..LogPage::default() })
+    }
+
+    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
+        Ok(())
+    }
+
+    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
+        Ok(Vec::new())
+    }
+}
+
+#[tokio::test]
+async fn a_read_goes_back_to_the_log_while_an_entry_has_no_news() {
+    let key = SharedKey::new("key");
+    let (peer, _requests) = start_peer(key.clone()).await;
+    let peers = Arc::new(PeerList::default());
+    peers.set(PeerChoice { fallbacks: vec![peer], ..PeerChoice::default() });
+    let direct = Arc::new(DirectPath::new(Arc::new(BreakingLog::default())));
+    let dialer = LinkDialer::new(key, Arc::default());
+    let log = RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry);
+    let read = log.read(LogStream::Records, 3, 10, 1_000);
+    let page = timeout(CALL_LIMIT, read).await.expect("the read waits for the entry").unwrap();
+    assert_eq!((page.first, page.entries.len()), (3, 1));
+}
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -44,6 +44,13 @@
     pub age_ms: u64,
 }
 
+impl LogPage {
+    /// Offset after the last entry.
+    pub fn read_to(&self) -> u64 {
+        self.first + self.entries.len() as u64
+    }
+}
+
 /// Why the log service did not answer as asked.
 #[derive(Clone, Debug, Snafu)]
 #[snafu(visibility(pub))]
