--- a/crates/taskgraph/tests/graph/load_patterns.rs
+++ b/crates/taskgraph/tests/graph/load_patterns.rs
@@ -26,6 +26,23 @@
     assert!(graph.runs_of(sweep).len() >= 16, "no more is stopped than the gang needs");
 }
 
+/// Work without checkpoints fills the fleet, and urgent gangs come beyond any guarantee some seconds
+/// later. Callers of urgent work wait for seconds; what is stopped has time to run again.
+#[test]
+fn urgent_gangs_do_not_wait_behind_work_that_began_lately() {
+    let mut graph = GraphBuilder::new(1, 2);
+    let sweep = graph.submit(1, 2, vec![tasks(16, 1)]);
+    graph.plan();
+    assert_eq!(graph.runs_of(sweep).len(), 16);
+    graph.now_ms += 5_000;
+    let urgent = graph.submit(2, 0, vec![gang(3, 4)]);
+    graph.plan();
+    graph.obey_stops();
+    graph.plan();
+    assert_eq!(graph.runs_of(urgent).len(), 3);
+    assert_eq!(graph.runs_of(sweep).len(), 4, "no more is stopped than the gang needs");
+}
+
 /// Urgent gangs that would cost others more than they bring wait for room.
 #[test]
 fn urgent_work_does_not_throw_away_more_than_it_brings() {
