--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -38,9 +38,9 @@
 /// takes three times as long, so a wait of up to twice the estimate pays.
 const RACK_WAIT_FACTOR: u64 = 2;
 
-/// Work of others that urgent work beyond its team's guarantee may cost, in percent of its own. A
-/// second of urgent work brings several times what others bring, and they have time to run again.
-const URGENT_LOSS_PERCENT: u64 = 250;
+/// Work of others that urgent work beyond its team's guarantee may cost, in percent of its own: no
+/// more is thrown away than is begun in time.
+const URGENT_LOSS_PERCENT: u64 = 100;
 /// Work of less urgent jobs that other work may cost once it is pressed, in percent of its own.
 const PRESSED_LOSS_PERCENT: u64 = 25;
 /// A job is pressed once less than this share of its objective is left, in percent.
