Room for a step is looked for in one place; slowness in the random histories

RoomMap fills workers and finds the tightest rack for the planner and for moves off slow workers; the news of a worker's speed has a type.

--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -8,7 +8,6 @@
 use cuminbarrow_taskgraph::record::GoneCause;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::run_table::PollNumber;
-use cuminbarrow_taskgraph::run_table::WorkerRun;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use tokio::time::Instant;
 
@@ -19,6 +18,7 @@
 use crate::worker_port::RenewalOrder;
 use crate::worker_port::Timed;
 use crate::worker_port::WorkerLists;
+use crate::worker_session::SpeedNews;
 use crate::worker_session::WorkerSession;
 use crate::worker_session::outlook_of;
 use crate::worker_session::pace_role_of;
@@ -162,10 +162,7 @@
             session.speed.look(&lists.running, now_ms, |run| usual_time_of(&state, run));
         drop(state);
         if let Some(is_slow) = speed_news {
-            let runs = lists.running.iter().filter(|_| is_slow);
-            let percent = |entry: &WorkerRun| u8::try_from(entry.percent).unwrap_or(u8::MAX);
-            let progress = runs.map(|entry| (entry.run, percent(entry))).collect();
-            session.speed_news = Some((is_slow, progress));
+            session.speed_news = Some(SpeedNews::new(is_slow, &lists.running));
             self.wake_reports.notify_one();
         }
         if !stalled.is_empty() {
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -12,6 +12,7 @@
 
 use crate::agent_core::AgentCore;
 use crate::replica::WRITE_RETRY;
+use crate::worker_session::SpeedNews;
 
 /// Time between checkpoints in the log. A worker's crash loses at most that much more work.
 const CHECKPOINT_EVERY: Duration = Duration::from_secs(2);
@@ -58,7 +59,8 @@
             let mut session = self.session();
             (session.worker, session.speed_news.take())
         };
-        let (Some(worker), Some((is_slow, progress))) = (worker, news) else { return };
+        let (Some(worker), Some(news)) = (worker, news) else { return };
+        let SpeedNews { is_slow, progress } = news;
         log::warn!(worker:% = worker, is_slow; "the worker's speed changed");
         let record = GraphRecord::WorkerSpeedSeen { worker, is_slow, progress };
         if let Err(error) = self.replica.write(record).await {
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -23,6 +23,23 @@
 
 use crate::worker_port::WorkerLists;
 
+/// What the log is told of the worker's speed.
+#[derive(Clone, Debug)]
+pub(crate) struct SpeedNews {
+    /// Whether the worker is slow.
+    pub(crate) is_slow: bool,
+    /// How far its runs have come in percent, while it is slow.
+    pub(crate) progress: Vec<(RunKey, u8)>,
+}
+
+impl SpeedNews {
+    pub(crate) fn new(is_slow: bool, running: &[WorkerRun]) -> Self {
+        let percent = |entry: &WorkerRun| u8::try_from(entry.percent).unwrap_or(u8::MAX);
+        let runs = running.iter().filter(|_| is_slow);
+        Self { is_slow, progress: runs.map(|entry| (entry.run, percent(entry))).collect() }
+    }
+}
+
 /// What belongs to one incarnation of the worker.
 #[derive(Default)]
 pub(crate) struct WorkerSession {
@@ -45,8 +62,8 @@
     pub(crate) saved: BTreeMap<RunKey, SmolStr>,
     pub(crate) progress: ProgressWatch,
     pub(crate) speed: SpeedWatch,
-    /// Whether the worker is slow and how far its runs have come, to be told to the log.
-    pub(crate) speed_news: Option<(bool, Vec<(RunKey, u8)>)>,
+    /// Whether the worker is slow, to be told to the log.
+    pub(crate) speed_news: Option<SpeedNews>,
     pub(crate) pace: PaceControl,
     /// Runs that stand still, to be told to the log.
     pub(crate) stalled: Vec<RunKey>,
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -19,11 +19,11 @@
 use crate::reclaim::plan_reclaim;
 use crate::record::GraphRecord;
 use crate::record::TaskPlacement;
-use crate::room::Room;
 use crate::room_map::AdviceView;
 use crate::room_map::RoomMap;
 use crate::room_map::StepRequest;
 use crate::room_map::WorkerRoom;
+use crate::room_map::is_whole;
 use crate::slow_moves::moves_off_slow;
 use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
@@ -277,20 +277,20 @@
         let spec = waiting.spec;
         if let Some(rack) = &spec.near_rack {
             let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
-            let places = self.fill(request, count, on_rack);
+            let places = self.map.fill(request, count, on_rack);
             let is_known = self.map.rooms.iter().any(on_rack);
             if !places.is_empty() || (is_known && self.waits_for_rack(waiting)) {
                 return if is_whole(&places, count) || !spec.gang { places } else { Vec::new() };
             }
         } else if spec.same_rack {
-            if let Some(places) = self.tightest_rack(request, count) {
+            if let Some(places) = self.map.tightest_rack(request, count) {
                 return places;
             }
             if self.waits_for_rack(waiting) && self.could_hold_on_rack(request, count) {
                 return Vec::new();
             }
         }
-        self.fill(request, count, |_| true)
+        self.map.fill(request, count, |_| true)
     }
 
     /// Whether some rack would hold all tasks if it were empty.
@@ -307,48 +307,6 @@
         self.now_ms < waiting.waiting_since_ms + RACK_WAIT_FACTOR * estimate_ms
     }
 
-    /// The rack that holds all tasks and is left with the least room.
-    fn tightest_rack(&self, request: &StepRequest<'_>, count: u32) -> Option<Vec<(usize, u32)>> {
-        let racks = self.map.racks().into_iter().filter_map(|rack| {
-            let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
-            let places = self.fill(request, count, on_rack);
-            let rooms = self.map.rooms.iter().filter(|room| on_rack(room));
-            let free: u32 = rooms.map(|room| room.free.accelerators).sum();
-            is_whole(&places, count).then_some((free, places))
-        });
-        racks.min_by_key(|(free, _)| *free).map(|(_, places)| places)
-    }
-
-    /// Fills the workers that have the least room left, slow ones last.
-    fn fill<F>(&self, request: &StepRequest<'_>, count: u32, is_wanted: F) -> Vec<(usize, u32)>
-    where
-        F: Fn(&WorkerRoom<'_>) -> bool,
-    {
-        let mut fits: Vec<(bool, u32, u32, usize, u32)> = self
-            .map
-            .rooms
-            .iter()
-            .enumerate()
-            .filter(|(_, room)| is_wanted(room))
-            .map(|(place, room)| {
-                let Room { accelerators, cpu_millis, .. } = room.free;
-                (room.is_slow, accelerators, cpu_millis, place, room.fit(request))
-            })
-            .filter(|(.., fit)| *fit > 0)
-            .collect();
-        fits.sort_unstable();
-        let mut left = count;
-        let mut places = Vec::new();
-        for (.., place, fit) in fits {
-            let taken = fit.min(left);
-            if taken > 0 {
-                places.push((place, taken));
-                left -= taken;
-            }
-        }
-        places
-    }
-
     /// Records the placement and takes its room.
     fn commit(
         &mut self,
@@ -408,7 +366,3 @@
         true
     }
 }
-
-fn is_whole(places: &[(usize, u32)], count: u32) -> bool {
-    places.iter().map(|(_, count)| count).sum::<u32>() == count
-}
--- a/crates/taskgraph/src/room_map.rs
+++ b/crates/taskgraph/src/room_map.rs
@@ -155,6 +155,52 @@
         racks
     }
 
+    /// Places for up to `count` tasks of a step on the workers that are wanted, with the tasks that
+    /// each takes. Fills the workers that have the least room left, slow ones last.
+    pub fn fill<F>(&self, request: &StepRequest<'_>, count: u32, is_wanted: F) -> Vec<(usize, u32)>
+    where
+        F: Fn(&WorkerRoom<'_>) -> bool,
+    {
+        let mut fits: Vec<(bool, u32, u32, usize, u32)> = self
+            .rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, room)| is_wanted(room))
+            .map(|(place, room)| {
+                let Room { accelerators, cpu_millis, .. } = room.free;
+                (room.is_slow, accelerators, cpu_millis, place, room.fit(request))
+            })
+            .filter(|(.., fit)| *fit > 0)
+            .collect();
+        fits.sort_unstable();
+        let mut left = count;
+        let mut places = Vec::new();
+        for (.., place, fit) in fits {
+            let taken = fit.min(left);
+            if taken > 0 {
+                places.push((place, taken));
+                left -= taken;
+            }
+        }
+        places
+    }
+
+    /// Places on the rack that holds all tasks and is left with the least room.
+    pub fn tightest_rack(
+        &self,
+        request: &StepRequest<'_>,
+        count: u32,
+    ) -> Option<Vec<(usize, u32)>> {
+        let racks = self.racks().into_iter().filter_map(|rack| {
+            let on_rack = |room: &WorkerRoom<'_>| room.state.spec.rack == *rack;
+            let places = self.fill(request, count, on_rack);
+            let rooms = self.rooms.iter().filter(|room| on_rack(room));
+            let free: u32 = rooms.map(|room| room.free.accelerators).sum();
+            is_whole(&places, count).then_some((free, places))
+        });
+        racks.min_by_key(|(free, _)| *free).map(|(_, places)| places)
+    }
+
     /// Whether any worker ran slowly of late.
     pub fn has_slow(&self) -> bool {
         self.rooms.iter().any(|room| room.is_slow)
@@ -191,3 +237,8 @@
         placed: Vec::new(),
     }
 }
+
+/// Whether places hold all of `count` tasks.
+pub(crate) fn is_whole(places: &[(usize, u32)], count: u32) -> bool {
+    places.iter().map(|(_, count)| count).sum::<u32>() == count
+}
--- a/crates/taskgraph/src/slow_moves.rs
+++ b/crates/taskgraph/src/slow_moves.rs
@@ -13,6 +13,8 @@
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::room_map::RoomMap;
 use crate::room_map::StepRequest;
+use crate::room_map::WorkerRoom;
+use crate::room_map::is_whole;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
@@ -111,33 +113,13 @@
     request: &StepRequest<'_>,
     count: u32,
 ) -> Option<Vec<(usize, u32)>> {
-    if let Some(rack) = &request.spec.near_rack {
-        return fill(map, request, count, Some(rack.as_str()));
+    let spec = request.spec;
+    if spec.same_rack && spec.near_rack.is_none() {
+        return map.tightest_rack(request, count);
     }
-    if request.spec.same_rack && count > 1 {
-        let racks = map.racks();
-        return racks.into_iter().find_map(|rack| fill(map, request, count, Some(rack.as_str())));
-    }
-    fill(map, request, count, None)
-}
-
-fn fill(
-    map: &RoomMap<'_>,
-    request: &StepRequest<'_>,
-    count: u32,
-    rack: Option<&str>,
-) -> Option<Vec<(usize, u32)>> {
-    let mut left = count;
-    let mut places = Vec::new();
-    for (place, room) in map.rooms.iter().enumerate() {
-        if rack.is_some_and(|rack| room.state.spec.rack != rack) {
-            continue;
-        }
-        let taken = room.fit(request).min(left);
-        if taken > 0 {
-            places.push((place, taken));
-            left -= taken;
-        }
-    }
-    (left == 0).then_some(places)
+    let is_wanted = |room: &WorkerRoom<'_>| {
+        spec.near_rack.as_ref().is_none_or(|rack| room.state.spec.rack == *rack)
+    };
+    let places = map.fill(request, count, is_wanted);
+    is_whole(&places, count).then_some(places)
 }
--- a/crates/taskgraph/tests/graph/random_histories.rs
+++ b/crates/taskgraph/tests/graph/random_histories.rs
@@ -26,6 +26,7 @@
     Lose(usize),
     Return(usize),
     Drain(usize),
+    Speed(usize, bool, u8),
     Wait(u64),
 }
 
@@ -51,6 +52,8 @@
         1 => any::<usize>().prop_map(Event::Lose),
         1 => any::<usize>().prop_map(Event::Return),
         1 => any::<usize>().prop_map(Event::Drain),
+        2 => (any::<usize>(), any::<bool>(), 0_u8..=100)
+            .prop_map(|(worker, is_slow, percent)| Event::Speed(worker, is_slow, percent)),
         2 => (0_u64..3_000).prop_map(Event::Wait),
     ]
 }
@@ -116,6 +119,14 @@
                     graph.apply(GraphRecord::WorkerDraining { worker, until_ms }).unwrap();
                 }
             }
+            Event::Speed(number, is_slow, percent) => {
+                if let Some(worker) = pick(workers, number) {
+                    let runs = graph.runs().into_iter().filter(|(_, on)| *on == worker);
+                    let progress = runs.map(|(run, _)| (run, percent)).collect();
+                    let told = GraphRecord::WorkerSpeedSeen { worker, is_slow, progress };
+                    graph.apply(told).unwrap();
+                }
+            }
             Event::Wait(ms) => graph.now_ms += ms,
         }
     }
