Processes of the integration tests get loopback numbers of their own

Cause: an address was found free and taken by the process later; between the two an outgoing connection may take its port, also below 32768 where the system gives these out. Each process now listens on a loopback number that nothing else uses, as the tests of the platform do. Ruled out: the code under test, which was not reached.

--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -1,17 +1,18 @@
 //! Starts a stand-in, entries and agents as processes, with fault proxies between them.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use cuminbarrow::api_client::ApiClient;
-use cuminbarrow::demo_cluster::free_address;
 use cuminbarrow_entry::api_types::JobView;
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::SheetBody;
@@ -42,7 +43,16 @@
 /// Gang lease in the tests, in ms.
 pub(crate) const LEASE_MS: u64 = 2_000;
 
+/// Port of every process; each has a loopback number of its own.
+const PORT: u16 = 7_100;
+/// Loopback numbers from this on; lower ones are left to tests of other packages.
+const FIRST_NUMBER: u32 = 0x7f80_0000;
+/// Loopback numbers of one run of the tests, and of all runs.
+const RUN_NUMBERS: u32 = 1 << 12;
+const NUMBERS: u32 = 1 << 22;
+
 static NEXT_CLUSTER: AtomicU64 = AtomicU64::new(0);
+static NEXT_NUMBER: AtomicU32 = AtomicU32::new(1);
 
 /// A process of the deployment, ended with it.
 pub(crate) struct Process {
@@ -158,7 +168,7 @@
             NEXT_CLUSTER.fetch_add(1, Ordering::Relaxed)
         ));
         std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
-        let platform = free_address().expect("loopback has ports");
+        let platform = own_address();
         let platform_process = Process::spawn(
             env!("CARGO_BIN_EXE_cuminbarrow-standin"),
             &["--listen", &platform.to_string()],
@@ -237,8 +247,8 @@
     }
 
     async fn add_entry(&mut self, region: &str, platform: SocketAddr) {
-        let listen = free_address().expect("loopback has ports");
-        let link = free_address().expect("loopback has ports");
+        let listen = own_address();
+        let link = own_address();
         let proxy = FaultProxy::start(link).await.expect("loopback has ports");
         let peers: Vec<String> =
             self.entry_proxies.iter().map(|proxy| proxy.address.to_string()).collect();
@@ -271,7 +281,7 @@
     }
 
     async fn start_agent(&mut self, index: usize) {
-        let listen = free_address().expect("loopback has ports");
+        let listen = own_address();
         let proxy = FaultProxy::start(listen).await.expect("loopback has ports");
         let mut entries: Vec<String> =
             self.entry_proxies.iter().map(|proxy| proxy.address.to_string()).collect();
@@ -415,6 +425,13 @@
     name.trim_start_matches('w').parse().expect("workers are named w0, w1, ...")
 }
 
+/// An address that nothing else uses, outgoing connections included: those take ports of 127.0.0.1.
+fn own_address() -> SocketAddr {
+    let run = std::process::id().wrapping_mul(RUN_NUMBERS);
+    let number = run.wrapping_add(NEXT_NUMBER.fetch_add(1, Ordering::Relaxed)) % NUMBERS;
+    SocketAddr::new(Ipv4Addr::from(FIRST_NUMBER + number).into(), PORT)
+}
+
 /// Waits for something that must come about.
 pub(crate) async fn eventually<T, F>(what: &str, mut look: F) -> T
 where
