Say once when a run has an end, when it is done, and how far a page goes

Read again as a whole; behaviour is as it was. DirectPath's field is named for what it holds since it no longer is the log's end. The comment on news of a worker's speed said more than holds: that a worker is no longer slow is told once, and slowness runs out by itself.

Tests: one fake log in place of two alike, the trait's own append_all and chunks where fakes wrote them again, and plan_past_stops for a sequence that stood six times. Their assertions are as before.

--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -53,7 +53,8 @@
         }
     }
 
-    /// Tells the log that the worker is slow, or no longer. News that does not get there comes again.
+    /// Tells the log that the worker is slow, or no longer. What does not get there mends itself: that
+    /// it is slow is told again, and runs out.
     pub(crate) async fn report_speed(&self) {
         let (worker, news) = {
             let mut session = self.session();
--- a/crates/dispatch/src/direct_path.rs
+++ b/crates/dispatch/src/direct_path.rs
@@ -27,13 +27,13 @@
     pub(crate) log: Arc<dyn LogStore>,
     is_broken: watch::Sender<bool>,
     /// How far the log was read last, which is where a probe reads.
-    end: Arc<AtomicU64>,
+    read_to: Arc<AtomicU64>,
 }
 
 impl DirectPath {
     /// The path to `log`, taken to work.
     pub fn new(log: Arc<dyn LogStore>) -> Self {
-        Self { log, is_broken: watch::Sender::new(false), end: Arc::default() }
+        Self { log, is_broken: watch::Sender::new(false), read_to: Arc::default() }
     }
 
     /// Appends to the records, unless the path is broken.
@@ -68,7 +68,7 @@
             Ok(_) = is_broken.wait_for(|is_broken| *is_broken) => Err(broken_path()),
         };
         match &result {
-            Ok(page) => self.end.store(page.read_to(), Ordering::Relaxed),
+            Ok(page) => self.read_to.store(page.read_to(), Ordering::Relaxed),
             Err(LogError::Expired { .. }) => {}
             Err(error) => self.note_failure(error),
         }
@@ -92,20 +92,20 @@
             return;
         }
         log::warn!("the log does not answer this process: {error}");
-        let (log, end) = (Arc::clone(&self.log), Arc::clone(&self.end));
+        let (log, read_to) = (Arc::clone(&self.log), Arc::clone(&self.read_to));
         let is_broken = self.is_broken.clone();
         tokio::spawn(async move {
-            probe_until_answered(&log, &end).await;
+            probe_until_answered(&log, &read_to).await;
             is_broken.send_replace(false);
             log::info!("the log answers this process again");
         });
     }
 }
 
-async fn probe_until_answered(log: &Arc<dyn LogStore>, end: &AtomicU64) {
+async fn probe_until_answered(log: &Arc<dyn LogStore>, read_to: &AtomicU64) {
     let mut probes = JoinSet::new();
     loop {
-        let (log, from) = (Arc::clone(log), end.load(Ordering::Relaxed));
+        let (log, from) = (Arc::clone(log), read_to.load(Ordering::Relaxed));
         probes.spawn(async move { is_answered(&*log, from).await });
         let next = tokio::time::sleep(PROBE_EVERY);
         tokio::select! {
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -133,7 +133,7 @@
 pub(crate) fn usual_time_of(state: &GraphState, run: RunKey) -> Option<UsualTime> {
     let job = state.jobs.get(&run.task.step.job)?;
     let spec = job.step_spec(run.task.step.step)?;
-    if spec.long_running || spec.fills {
+    if !spec.has_end() {
         return None;
     }
     let usual_ms = state.usual_ms(job, spec);
@@ -147,7 +147,6 @@
     Some(RunOutlook {
         estimate_ms: spec.estimate_ms,
         is_gang: spec.gang,
-        // A filling task may be slowed down to nothing.
-        is_lasting: spec.long_running || spec.fills,
+        is_lasting: !spec.has_end(),
     })
 }
--- a/crates/dispatch/tests/kept_log.rs
+++ b/crates/dispatch/tests/kept_log.rs
@@ -24,10 +24,6 @@
         Ok(u64::from(body[0]))
     }
 
-    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
-        self.append(stream, bodies[0].clone()).await
-    }
-
     async fn read(
         &self,
         _stream: LogStream,
@@ -40,14 +36,6 @@
         }
         Ok(LogPage { oldest: OLDEST, next: from, first: from, ..LogPage::default() })
     }
-
-    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
-        Ok(())
-    }
-
-    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
-        Ok(Vec::new())
-    }
 }
 
 async fn log_with(offsets: &[&[u8]]) -> KeptLog {
@@ -75,8 +63,7 @@
 async fn own_batches_confirm_nothing_about_the_end_of_the_log() {
     let log = log_with(&[&[39]]).await;
     let page = log.read(LogStream::Records, 39, 10, 0).await.unwrap();
-    let read_to = page.first + page.entries.len() as u64;
-    assert!(read_to < page.next, "records after {read_to} may exist");
+    assert!(page.read_to() < page.next, "records after {} may exist", page.read_to());
 }
 
 #[tokio::test]
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -32,19 +32,22 @@
 /// A call that meets no silent peer takes some ms.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 
-/// A log that takes records but no snapshots.
-struct RecordLog;
+/// A log that takes records but no snapshots, and breaks off its first answers to readers, as when
+/// a store drops them.
+#[derive(Default)]
+struct FakeLog {
+    broken_reads: AtomicU64,
+}
 
 #[async_trait]
-impl LogStore for RecordLog {
-    async fn append(&self, _stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
+impl LogStore for FakeLog {
+    async fn append(&self, stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
+        if stream == LogStream::Snapshots {
+            return Err(LogError::Unavailable { reason: "no snapshots are taken".to_owned() });
+        }
         Ok(7)
     }
 
-    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
-        self.append(stream, bodies[0].clone()).await
-    }
-
     async fn read(
         &self,
         _stream: LogStream,
@@ -52,15 +55,13 @@
         _limit: u32,
         _wait_ms: u32,
     ) -> Result<LogPage, LogError> {
-        Ok(LogPage { next: from, first: from, ..LogPage::default() })
-    }
-
-    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
-        Err(LogError::Unavailable { reason: "no snapshots are taken".to_owned() })
-    }
-
-    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
-        Err(LogError::Unavailable { reason: "no snapshots are given".to_owned() })
+        let broken = self.broken_reads.load(Ordering::Relaxed);
+        if broken > 0 {
+            self.broken_reads.store(broken - 1, Ordering::Relaxed);
+            return Err(LogError::Uncertain { reason: "the answer broke off".to_owned() });
+        }
+        let entries = vec![b"batch".to_vec()];
+        Ok(LogPage { next: from + 1, first: from, entries, ..LogPage::default() })
     }
 }
 
@@ -93,7 +94,7 @@
     let choice =
         PeerChoice { appenders: appenders(peer), fallbacks: vec![peer], ..PeerChoice::default() };
     peers.set(choice);
-    let direct = Arc::new(DirectPath::new(Arc::new(RecordLog)));
+    let direct = Arc::new(DirectPath::new(Arc::new(FakeLog::default())));
     let dialer = LinkDialer::new(key, Arc::default());
     let log = Arc::new(RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry));
     let saver = Arc::clone(&log);
@@ -114,52 +115,14 @@
     assert_eq!(append_beside_snapshot(|peer| vec![peer]).await, 9);
 }
 
-/// A log that breaks off its first answer, as when a store drops its readers.
-#[derive(Default)]
-struct BreakingLog {
-    reads: AtomicU64,
-}
-
-#[async_trait]
-impl LogStore for BreakingLog {
-    async fn append(&self, _stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
-        Ok(7)
-    }
-
-    async fn append_all(&self, stream: LogStream, bodies: Vec<Bytes>) -> Result<u64, LogError> {
-        self.append(stream, bodies[0].clone()).await
-    }
-
-    async fn read(
-        &self,
-        _stream: LogStream,
-        from: u64,
-        _limit: u32,
-        _wait_ms: u32,
-    ) -> Result<LogPage, LogError> {
-        if self.reads.fetch_add(1, Ordering::Relaxed) == 0 {
-            return Err(LogError::Uncertain { reason: "the answer broke off".to_owned() });
-        }
-        let entries = vec![b"batch".to_vec()];
-        Ok(LogPage { next: from + 1, first: from, entries, ..LogPage::default() })
-    }
-
-    async fn save_chunks(&self, _chunks: Vec<Bytes>) -> Result<(), LogError> {
-        Ok(())
-    }
-
-    async fn load_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
-        Ok(Vec::new())
-    }
-}
-
 #[tokio::test]
 async fn a_read_goes_back_to_the_log_while_an_entry_has_no_news() {
     let key = SharedKey::new("key");
     let (peer, _requests) = start_peer(key.clone()).await;
     let peers = Arc::new(PeerList::default());
     peers.set(PeerChoice { fallbacks: vec![peer], ..PeerChoice::default() });
-    let direct = Arc::new(DirectPath::new(Arc::new(BreakingLog::default())));
+    let log = FakeLog { broken_reads: AtomicU64::new(1) };
+    let direct = Arc::new(DirectPath::new(Arc::new(log)));
     let dialer = LinkDialer::new(key, Arc::default());
     let log = RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry);
     let read = log.read(LogStream::Records, 3, 10, 1_000);
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -152,7 +152,7 @@
             if page.entries.is_empty() {
                 return Ok(chunks);
             }
-            from = page.first + page.entries.len() as u64;
+            from = page.read_to();
             chunks.extend(page.entries);
         }
     }
--- a/crates/taskgraph/src/job_spec.rs
+++ b/crates/taskgraph/src/job_spec.rs
@@ -54,6 +54,12 @@
 }
 
 impl StepSpec {
+    /// Whether its tasks come to an end by themselves, at a pace of their own: lasting ones run until
+    /// the job is cancelled, and filling ones may be slowed down to nothing.
+    pub fn has_end(&self) -> bool {
+        !self.long_running && !self.fills
+    }
+
     /// What a task takes of a worker's room; filling tasks take no processor time of it.
     pub fn held_room(&self) -> Room {
         if self.fills { Room { cpu_millis: 0, ..self.room } } else { self.room }
--- a/crates/taskgraph/src/progress_watch.rs
+++ b/crates/taskgraph/src/progress_watch.rs
@@ -10,8 +10,6 @@
 const STALL_MS: u64 = 2_500;
 /// Part of a run's estimate for which it may show no progress: percents are whole.
 const ESTIMATE_PART: u64 = 4;
-/// Progress of a run that has nothing left to do.
-const DONE_PERCENT: u32 = 100;
 /// Added for a gang that has made none yet, in ms. Its members wait up to 4 s for each other.
 const GANG_START_MS: u64 = 4_000;
 
@@ -56,7 +54,7 @@
                 continue;
             };
             // A member that has done its part waits for the others of its gang.
-            if entry.percent >= DONE_PERCENT {
+            if entry.is_done() {
                 known.since_ms = now_ms;
                 continue;
             }
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -14,6 +14,9 @@
 use crate::task_key::RunKey;
 use crate::worker::HeldRun;
 
+/// Progress of a run that has nothing left to do.
+const DONE_PERCENT: u32 = 100;
+
 /// What a worker said of a run that ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerEnd {
@@ -36,6 +39,13 @@
     pub load: u32,
 }
 
+impl WorkerRun {
+    /// Whether it has nothing left to do; a member then waits for the others of its gang.
+    pub fn is_done(&self) -> bool {
+        self.percent >= DONE_PERCENT
+    }
+}
+
 /// An order to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Order {
--- a/crates/taskgraph/src/slow_moves.rs
+++ b/crates/taskgraph/src/slow_moves.rs
@@ -67,7 +67,7 @@
     let held = state.workers.get(&worker)?.runs.get(&run)?;
     let step = run.task.step;
     let job = state.jobs.get(&step.job).filter(|job| job.is_active())?;
-    let spec = job.step_spec(step.step).filter(|spec| !spec.long_running && !spec.fills)?;
+    let spec = job.step_spec(step.step).filter(|spec| spec.has_end())?;
     let is_movable =
         held.stop.is_none() && !job.terms.is_advised && job.terms.priority < BACKGROUND_PRIORITY;
     let state = job.steps.get(&(step.occurrence, step.step)).filter(|_| is_movable)?;
--- a/crates/taskgraph/src/speed_watch.rs
+++ b/crates/taskgraph/src/speed_watch.rs
@@ -28,8 +28,6 @@
 const SLOW_JOBS: usize = 2;
 /// Time after which a worker that still is slow is told again, in ms.
 const RETELL_MS: u64 = 2_000;
-/// Progress of a run that waits for the other members of its gang.
-const DONE_PERCENT: u32 = 100;
 
 /// What a run may be expected to take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,7 +109,7 @@
     /// What a run tells once its window is over.
     fn sign(&mut self, entry: &WorkerRun, now_ms: u64, usual: UsualTime) -> Option<SpeedSign> {
         // Before its first percent a member waits for its gang, and after its last one too.
-        if entry.percent == 0 || entry.percent >= DONE_PERCENT {
+        if entry.percent == 0 || entry.is_done() {
             self.runs.remove(&entry.run);
             return None;
         }
--- a/crates/taskgraph/tests/graph/advice.rs
+++ b/crates/taskgraph/tests/graph/advice.rs
@@ -116,9 +116,7 @@
     let plan = graph.plan();
     assert_eq!(plan.records, []);
     advise(&mut graph, &plan.advice[0], &[WorkerKey(1)]);
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(workers_of(&graph, urgent), [WorkerKey(1)]);
     assert_eq!(workers_of(&graph, sweep), [WorkerKey(0)]);
 }
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// Plans, and plans again once the workers have obeyed.
+    pub(crate) fn plan_past_stops(&mut self) {
+        self.plan();
+        self.obey_stops();
+        self.plan();
+    }
+
     pub(crate) fn rack_of(&self, worker: WorkerKey) -> SmolStr {
         self.state.workers[&worker].spec.rack.clone()
     }
--- a/crates/taskgraph/tests/graph/load_patterns.rs
+++ b/crates/taskgraph/tests/graph/load_patterns.rs
@@ -19,9 +19,7 @@
     assert_eq!(graph.runs_of(sweep).len(), 32);
     graph.now_ms += 3_000;
     let urgent = graph.submit(2, 0, vec![gang(3, 4)]);
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(graph.runs_of(urgent).len(), 3);
     assert!(graph.runs_of(sweep).len() >= 16, "no more is stopped than the gang needs");
 }
@@ -36,9 +34,7 @@
     assert_eq!(graph.runs_of(sweep).len(), 16);
     graph.now_ms += 3_000;
     let urgent = graph.submit(2, 0, vec![gang(3, 4)]);
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(graph.runs_of(urgent).len(), 3);
     assert_eq!(graph.runs_of(sweep).len(), 4, "no more is stopped than the gang needs");
 }
@@ -111,9 +107,7 @@
     let whole = graph.submit(2, 1, vec![whole_step]);
     assert_eq!(graph.plan().records, [], "it has time to wait");
     graph.now_ms += 9_000;
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(graph.runs_of(whole).len(), 1);
     assert_eq!(graph.runs_of(sweep).len(), 8, "one worker is enough");
 }
@@ -128,9 +122,7 @@
     graph.plan();
     graph.now_ms += 2_000;
     let first = graph.submit(2, 0, vec![gang(members, 4)]);
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(graph.runs_of(first).len(), members as usize);
     graph.now_ms += 2_500;
     graph.end_all(first, EndKind::Done);
--- a/crates/taskgraph/tests/graph/slow_workers.rs
+++ b/crates/taskgraph/tests/graph/slow_workers.rs
@@ -148,9 +148,7 @@
     graph.plan();
     assert_eq!(workers_of(&graph, sweep), [WorkerKey(1)]);
     let urgent = graph.submit(2, 0, vec![gang(2, 4)]);
-    graph.plan();
-    graph.obey_stops();
-    graph.plan();
+    graph.plan_past_stops();
     assert_eq!(workers_of(&graph, urgent), [WorkerKey(1)]);
 }
 
