Reproduce the incident: a fleet in virtual time, with an observer of what runs

Agents, planners and workers on one log in memory, with paths that refuse, lose or delay orders and workers that crash, leave and start again under their name. The observer knows what runs on every worker, and notes a second run of a task and a worker over its room.

--- /dev/null
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -0,0 +1,404 @@
+//! Entries that plan, and agents beside workers, on one log.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cuminbarrow_dispatch::agent_core::AgentCore;
+use cuminbarrow_dispatch::agent_core::WorkerReport;
+use cuminbarrow_dispatch::clock::BootClock;
+use cuminbarrow_dispatch::direct_path::DirectPath;
+use cuminbarrow_dispatch::peer_list::PeerList;
+use cuminbarrow_dispatch::peer_list::ProcessPlace;
+use cuminbarrow_dispatch::planner_task::PlannerTask;
+use cuminbarrow_dispatch::replica::Replica;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_spec::JobSpec;
+use cuminbarrow_taskgraph::job_spec::StepSpec;
+use cuminbarrow_taskgraph::job_terms::JobTerms;
+use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::record::ProcessRole;
+use cuminbarrow_taskgraph::room::Room;
+use cuminbarrow_taskgraph::worker::WorkerSpec;
+use cuminbarrow_telemetry::log_settings::LogSettings;
+use cuminbarrow_telemetry::log_setup;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::fake_log::DoorFault;
+use crate::fake_log::FakeLog;
+use crate::fake_log::LogDoor;
+use crate::fake_worker::MAX_LEASE_MS;
+use crate::fake_worker::PathFault;
+use crate::fake_worker::WorkerDoor;
+use crate::fake_worker::WorkerPlace;
+use crate::observer::KnownWork;
+use crate::observer::Observer;
+
+/// Time between a worker's reports of itself.
+const REPORT_EVERY: Duration = Duration::from_millis(1_500);
+/// Address of entries. Nobody reaches it, which shows at once and without real waiting.
+const NO_ADDRESS: &str = "127.255.255.255:9";
+/// Time for agents to look at their workers once.
+const SETTLE: Duration = Duration::from_secs(2);
+const LEASE: LeaseTerms = LeaseTerms { length_ms: MAX_LEASE_MS };
+
+/// Virtual time, as all processes see it.
+struct VirtualClock(Instant);
+
+impl BootClock for VirtualClock {
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.0.elapsed().as_millis()).unwrap()
+    }
+}
+
+/// An entry.
+pub(crate) struct FakeEntry {
+    pub(crate) replica: Arc<Replica>,
+    pub(crate) door: LogDoor,
+    tasks: Vec<AbortHandle>,
+    _shutdown: watch::Sender<bool>,
+}
+
+impl FakeEntry {
+    pub(crate) fn kill(&self) {
+        self.door.set_fault(DoorFault::Dead);
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// An agent process.
+struct FakeAgent {
+    core: Arc<AgentCore>,
+    door: LogDoor,
+    path: watch::Sender<PathFault>,
+    tasks: Vec<AbortHandle>,
+}
+
+/// An instance with a worker and its agent.
+pub(crate) struct FakeNode {
+    pub(crate) place: Arc<WorkerPlace>,
+    instance: SmolStr,
+    agent: Arc<Mutex<Option<FakeAgent>>>,
+    is_reporting: Arc<Mutex<bool>>,
+    leaves: Arc<Mutex<bool>>,
+    sequence: Arc<Mutex<u64>>,
+    births: Mutex<u64>,
+}
+
+/// Everything.
+pub(crate) struct FakeFleet {
+    pub(crate) entries: Vec<FakeEntry>,
+    pub(crate) nodes: Vec<FakeNode>,
+    log: Arc<FakeLog>,
+    clock: Arc<dyn BootClock>,
+    observer: Arc<Mutex<Observer>>,
+    places: Arc<Mutex<Vec<Arc<WorkerPlace>>>>,
+    jobs: u64,
+}
+
+impl FakeFleet {
+    /// A fleet whose workers are registered and ready.
+    pub(crate) async fn start(entries: usize, nodes: usize) -> Self {
+        if std::env::var_os("CUMINBARROW_TEST_LOG").is_some() {
+            // Another test of this process may have set it up before.
+            let _ = log_setup::set_up(LogSettings::default());
+        }
+        let mut fleet = Self {
+            entries: Vec::new(),
+            nodes: Vec::new(),
+            log: Arc::default(),
+            clock: Arc::new(VirtualClock(Instant::now())),
+            observer: Arc::default(),
+            places: Arc::default(),
+            jobs: 0,
+        };
+        (0..entries).for_each(|_| fleet.add_entry());
+        (0..nodes).for_each(|_| fleet.add_node());
+        fleet
+            .wait_for("workers that are ready", |fleet| {
+                let state = fleet.entries[0].replica.state();
+                state.workers.len() == nodes && state.planner.instance.is_some()
+            })
+            .await;
+        tokio::time::sleep(SETTLE).await;
+        fleet
+    }
+
+    fn replica(&self, role: ProcessRole, instance: &str) -> (Arc<Replica>, LogDoor) {
+        let door = LogDoor::new(Arc::clone(&self.log));
+        let place = ProcessPlace {
+            role,
+            instance: instance.into(),
+            region: "region".into(),
+            data_centre: "dc".into(),
+        };
+        let dialer = LinkDialer::new(SharedKey::new("key"), Arc::default());
+        let direct = Arc::new(DirectPath::new(Arc::new(door.clone())));
+        let clock = Arc::clone(&self.clock);
+        let peers = Arc::new(PeerList::default());
+        (Replica::new(direct, clock, place, peers, &dialer), door)
+    }
+
+    /// Adds an entry that plans when it may.
+    pub(crate) fn add_entry(&mut self) {
+        let instance = SmolStr::from(format!("entry-{}", self.entries.len()));
+        let (replica, door) = self.replica(ProcessRole::Entry, &instance);
+        let planner = PlannerTask {
+            replica: Arc::clone(&replica),
+            configuration: watch::Sender::new(None).subscribe(),
+            membership: Arc::new(door.clone()),
+            lease: LEASE,
+            advice: None,
+        };
+        let (shutdown, receiver) = watch::channel(false);
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&replica).run()).abort_handle(),
+            tokio::spawn(planner.run(receiver)).abort_handle(),
+            tokio::spawn(announce(Arc::clone(&replica), door.clone(), instance)).abort_handle(),
+        ];
+        self.entries.push(FakeEntry { replica, door, tasks, _shutdown: shutdown });
+    }
+
+    fn add_node(&mut self) {
+        let index = self.nodes.len();
+        let room = Room { cpu_millis: 8_000, memory_mb: 8_000, accelerators: 8 };
+        let observer = Arc::clone(&self.observer);
+        let place = WorkerPlace::new(index, room, observer, Arc::clone(&self.places));
+        self.places.lock().unwrap().push(Arc::clone(&place));
+        let node = FakeNode {
+            place,
+            instance: format!("side-{index}").into(),
+            agent: Arc::default(),
+            is_reporting: Arc::new(Mutex::new(true)),
+            leaves: Arc::default(),
+            sequence: Arc::default(),
+            births: Mutex::new(0),
+        };
+        node.boot();
+        tokio::spawn(node.reports());
+        self.nodes.push(node);
+        self.start_agent(index);
+    }
+
+    /// Starts the agent of a node anew; the one before is dead.
+    pub(crate) fn start_agent(&self, index: usize) {
+        let node = &self.nodes[index];
+        node.kill_agent();
+        let (replica, door) = self.replica(ProcessRole::Agent, &node.instance);
+        let path = watch::Sender::new(PathFault::None);
+        let port = WorkerDoor::new(Arc::clone(&node.place), path.clone());
+        let membership = Arc::new(door.clone());
+        let core = AgentCore::new(Arc::clone(&replica), Arc::new(port), membership, LEASE);
+        let tasks = vec![
+            tokio::spawn(replica.run()).abort_handle(),
+            tokio::spawn(Arc::clone(&core).run()).abort_handle(),
+        ];
+        *node.agent.lock().unwrap() = Some(FakeAgent { core, door, path, tasks });
+    }
+
+    /// Submits a job of one step, and gives its number.
+    pub(crate) async fn submit(&mut self, step: StepSpec, lasts: Duration) -> u64 {
+        self.submit_ending(step, lasts, EndKind::Done).await
+    }
+
+    /// Such a job whose tasks end in some way.
+    pub(crate) async fn submit_ending(
+        &mut self,
+        step: StepSpec,
+        lasts: Duration,
+        ends_as: EndKind,
+    ) -> u64 {
+        self.jobs += 1;
+        let job = self.jobs;
+        let known = KnownWork { is_gang: step.gang, room: step.room };
+        self.observer.lock().unwrap().work.insert(job, known);
+        self.nodes.iter().for_each(|node| node.place.know_job(job, lasts, ends_as));
+        let terms = JobTerms {
+            queue: "queue".into(),
+            service: "service".into(),
+            team: "team".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch_permille: 3_000,
+            target_latency_ms: 1_000,
+            is_advised: false,
+        };
+        let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+        let record = GraphRecord::JobAccepted { job: JobId(job), spec, terms };
+        let living = self.entries.iter().find(|entry| !entry.is_dead());
+        let _ = living.unwrap().replica.write(record).await;
+        job
+    }
+
+    /// Waits until a state comes about.
+    pub(crate) async fn wait_for<F>(&self, what: &str, mut is_so: F)
+    where
+        F: FnMut(&Self) -> bool,
+    {
+        let until = Instant::now() + Duration::from_secs(60);
+        while !is_so(self) {
+            assert!(Instant::now() < until, "waited in vain for {what}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Place at which a job runs.
+    pub(crate) fn place_of(&self, job: u64) -> Option<usize> {
+        self.nodes
+            .iter()
+            .position(|node| node.place.running().iter().any(|run| run.task.step.job == JobId(job)))
+    }
+
+    /// Starts of a job's tasks that were carried out.
+    pub(crate) fn runs_begun(&self, job: u64) -> usize {
+        self.observer.lock().unwrap().starts_of(job)
+    }
+
+    /// Promises that were broken so far.
+    pub(crate) fn faults(&self) -> Vec<String> {
+        self.observer.lock().unwrap().faults.clone()
+    }
+}
+
+impl FakeEntry {
+    pub(crate) fn is_dead(&self) -> bool {
+        self.tasks.iter().all(AbortHandle::is_finished)
+    }
+}
+
+impl Drop for FakeFleet {
+    fn drop(&mut self) {
+        self.entries.iter().for_each(FakeEntry::kill);
+        self.nodes.iter().for_each(FakeNode::kill_agent);
+    }
+}
+
+impl FakeNode {
+    /// Begins a life of the worker under its usual name.
+    pub(crate) fn boot(&self) {
+        let mut births = self.births.lock().unwrap();
+        *births += 1;
+        *self.leaves.lock().unwrap() = false;
+        *self.sequence.lock().unwrap() = 0;
+        self.place.boot(&format!("i-{}", self.instance), 1_000 * *births);
+    }
+
+    /// Sets whether the worker's reports reach the agent.
+    pub(crate) fn set_reporting(&self, is_reporting: bool) {
+        *self.is_reporting.lock().unwrap() = is_reporting;
+    }
+
+    /// Lets the worker report that it leaves.
+    pub(crate) fn drain(&self) {
+        *self.leaves.lock().unwrap() = true;
+    }
+
+    /// The worker tells its agent that it ends now; gives when the agent has answered.
+    pub(crate) async fn say_left(&self) {
+        let core = self.agent.lock().unwrap().as_ref().map(|agent| Arc::clone(&agent.core));
+        if let (Some(core), Some((name, _))) = (core, self.place.identity()) {
+            core.note_left(&name).await;
+        }
+    }
+
+    pub(crate) fn set_path(&self, fault: PathFault) {
+        if let Some(agent) = &*self.agent.lock().unwrap() {
+            agent.path.send_replace(fault);
+        }
+    }
+
+    pub(crate) fn set_log(&self, fault: DoorFault) {
+        if let Some(agent) = &*self.agent.lock().unwrap() {
+            agent.door.set_fault(fault);
+        }
+    }
+
+    pub(crate) fn kill_agent(&self) {
+        if let Some(agent) = self.agent.lock().unwrap().take() {
+            agent.door.set_fault(DoorFault::Dead);
+            agent.path.send_replace(PathFault::Dead);
+            agent.tasks.iter().for_each(AbortHandle::abort);
+        }
+    }
+
+    /// The worker's reports of itself.
+    fn reports(&self) -> impl Future<Output = ()> + Send + use<> {
+        let agent = Arc::clone(&self.agent);
+        let place = Arc::clone(&self.place);
+        let instance = self.instance.clone();
+        let is_reporting = Arc::clone(&self.is_reporting);
+        let leaves = Arc::clone(&self.leaves);
+        let sequence = Arc::clone(&self.sequence);
+        async move {
+            loop {
+                let core = agent.lock().unwrap().as_ref().map(|agent| Arc::clone(&agent.core));
+                if let (Some(core), Some((name, born_ms)), true) =
+                    (core, place.identity(), *is_reporting.lock().unwrap())
+                {
+                    let sequence = {
+                        let mut sequence = sequence.lock().unwrap();
+                        *sequence += 1;
+                        *sequence
+                    };
+                    let spec = WorkerSpec {
+                        name,
+                        born_ms,
+                        instance: instance.clone(),
+                        service: "service".into(),
+                        data_centre: "dc".into(),
+                        rack: "rack".into(),
+                        labels: vec!["kind".into(), "rack".into()],
+                        room: place.room(),
+                    };
+                    let leaves_in_ms = leaves.lock().unwrap().then_some(5_500);
+                    core.note_report(WorkerReport { spec, leaves_in_ms, sequence });
+                }
+                tokio::time::sleep(REPORT_EVERY).await;
+            }
+        }
+    }
+}
+
+/// Announces an entry and keeps it among the members.
+async fn announce(replica: Arc<Replica>, door: LogDoor, instance: SmolStr) {
+    use cuminbarrow_dispatch::membership::Membership;
+    let incarnation = replica.incarnation;
+    loop {
+        let is_known = replica.state().processes.contains_key(&incarnation);
+        if !is_known && replica.is_fresh() {
+            let record = GraphRecord::ProcessUp {
+                incarnation,
+                role: ProcessRole::Entry,
+                instance: instance.clone(),
+                region: "region".into(),
+                data_centre: "dc".into(),
+                address: NO_ADDRESS.parse().unwrap(),
+            };
+            let _ = replica.write(record).await;
+        }
+        let _ = door.join(incarnation).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+    }
+}
+
+/// Tasks that take a whole number of accelerators each.
+pub(crate) fn tasks(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        count,
+        room: Room { cpu_millis: 1_000, memory_mb: 500, accelerators },
+        estimate_ms: 4_000,
+        ..StepSpec::default()
+    }
+}
+
+/// A gang of such tasks.
+pub(crate) fn gang(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec { gang: true, ..tasks(count, accelerators) }
+}
--- /dev/null
+++ b/crates/dispatch/tests/fleet/fake_log.rs
@@ -0,0 +1,172 @@
+//! A log and a list of members in memory, each process with a door of its own that can be shut.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::future::pending;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_dispatch::membership::Membership;
+use cuminbarrow_dispatch::membership::MembershipError;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Time of one call to the log.
+const CALL: Duration = Duration::from_millis(4);
+/// Time after which a call that gets no answer is given up.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a member stays without joining again.
+const MEMBER_TTL: Duration = Duration::from_secs(3);
+
+/// What becomes of the calls of one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum DoorFault {
+    /// They are answered.
+    #[default]
+    None,
+    /// They are not answered and have no effect.
+    Silent,
+    /// They are refused.
+    Refused,
+    /// Appends take effect and are not answered.
+    AnswersLost,
+    /// Appends take effect this much later, and are not answered.
+    AppendsLate(Duration),
+    /// The process is gone: its calls never come back.
+    Dead,
+}
+
+/// The log.
+#[derive(Default)]
+pub(crate) struct FakeLog {
+    records: Mutex<Vec<Vec<u8>>>,
+    snapshots: Mutex<Vec<Vec<u8>>>,
+    end: watch::Sender<u64>,
+    members: Mutex<BTreeMap<u64, Instant>>,
+}
+
+impl FakeLog {
+    fn append(&self, stream: LogStream, body: &Bytes) -> u64 {
+        if stream == LogStream::Snapshots {
+            let mut snapshots = self.snapshots.lock().unwrap();
+            snapshots.push(body.to_vec());
+            return snapshots.len() as u64 - 1;
+        }
+        let mut records = self.records.lock().unwrap();
+        records.push(body.to_vec());
+        let end = records.len() as u64;
+        self.end.send_replace(end);
+        end - 1
+    }
+}
+
+/// The way of one process to the log.
+#[derive(Clone)]
+pub(crate) struct LogDoor {
+    log: Arc<FakeLog>,
+    fault: watch::Sender<DoorFault>,
+}
+
+impl LogDoor {
+    pub(crate) fn new(log: Arc<FakeLog>) -> Self {
+        Self { log, fault: watch::Sender::new(DoorFault::None) }
+    }
+
+    /// Sets what becomes of calls; a dead process stays dead.
+    pub(crate) fn set_fault(&self, fault: DoorFault) {
+        self.fault.send_modify(|known| {
+            if *known != DoorFault::Dead {
+                *known = fault;
+            }
+        });
+    }
+
+    fn fault(&self) -> DoorFault {
+        *self.fault.borrow()
+    }
+
+    async fn pass(&self) -> Result<(), LogError> {
+        tokio::time::sleep(CALL).await;
+        match self.fault() {
+            DoorFault::Dead => pending().await,
+            DoorFault::Refused => {
+                Err(LogError::Unavailable { reason: "the log turns callers away".to_owned() })
+            }
+            DoorFault::Silent => {
+                tokio::time::sleep(TIMEOUT).await;
+                Err(LogError::Uncertain { reason: "no answer in time".to_owned() })
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl LogStore for LogDoor {
+    async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        self.pass().await?;
+        match self.fault() {
+            DoorFault::AnswersLost => {
+                self.log.append(stream, &body);
+            }
+            DoorFault::AppendsLate(delay) => {
+                let log = Arc::clone(&self.log);
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    log.append(stream, &body);
+                });
+            }
+            _ => return Ok(self.log.append(stream, &body)),
+        }
+        tokio::time::sleep(TIMEOUT).await;
+        Err(LogError::Uncertain { reason: "the answer was lost".to_owned() })
+    }
+
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        self.pass().await?;
+        let wait = Duration::from_millis(u64::from(wait_ms));
+        if stream == LogStream::Records {
+            let mut end = self.log.end.subscribe();
+            let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
+        }
+        // A cut that began meanwhile holds the answer up.
+        self.pass().await?;
+        let kept = match stream {
+            LogStream::Records => &self.log.records,
+            LogStream::Snapshots => &self.log.snapshots,
+        };
+        let kept = kept.lock().unwrap();
+        let entries = kept.iter().skip(from as usize).take(limit as usize).cloned().collect();
+        let next = kept.len() as u64;
+        Ok(LogPage { oldest: 0, next, first: from, entries, waited_ms: 0, age_ms: 0 })
+    }
+}
+
+#[async_trait]
+impl Membership for LogDoor {
+    async fn join(&self, incarnation: u64) -> Result<(), MembershipError> {
+        self.pass().await.map_err(|error| MembershipError { reason: error.to_string() })?;
+        self.log.members.lock().unwrap().insert(incarnation, Instant::now());
+        Ok(())
+    }
+
+    async fn members(&self) -> Result<BTreeSet<u64>, MembershipError> {
+        self.pass().await.map_err(|error| MembershipError { reason: error.to_string() })?;
+        let members = self.log.members.lock().unwrap();
+        let live = members.iter().filter(|(_, joined)| joined.elapsed() < MEMBER_TTL);
+        Ok(live.map(|(incarnation, _)| *incarnation).collect())
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/fleet/observer.rs
@@ -0,0 +1,117 @@
+//! Knows what really runs on every worker, and notes each promise that is broken.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cuminbarrow_taskgraph::room::Room;
+use cuminbarrow_taskgraph::task_key::RunKey;
+use cuminbarrow_taskgraph::task_key::TaskKey;
+use tokio::time::Instant;
+
+/// What has to be unique: a task, or a gang as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WorkUnit(TaskKey);
+
+/// Work that the observer was told of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownWork {
+    pub(crate) is_gang: bool,
+    pub(crate) room: Room,
+}
+
+#[derive(Debug)]
+struct DoneMark {
+    at: Instant,
+    is_acknowledged: bool,
+}
+
+/// Place of a worker in the fleet.
+pub(crate) type PlaceIndex = usize;
+
+/// The observer.
+#[derive(Debug, Default)]
+pub(crate) struct Observer {
+    pub(crate) work: BTreeMap<u64, KnownWork>,
+    running: BTreeMap<PlaceIndex, BTreeSet<RunKey>>,
+    done: BTreeMap<WorkUnit, Vec<DoneMark>>,
+    starts: BTreeMap<WorkUnit, Vec<(Instant, RunKey)>>,
+    pub(crate) faults: Vec<String>,
+}
+
+impl Observer {
+    fn known(&self, run: RunKey) -> KnownWork {
+        self.work[&run.task.step.job.0]
+    }
+
+    fn unit_of(&self, run: RunKey) -> WorkUnit {
+        let is_gang = self.known(run).is_gang;
+        WorkUnit(if is_gang { run.task.step.task(0) } else { run.task })
+    }
+
+    pub(crate) fn began(&mut self, place: PlaceIndex, run: RunKey, room: Room) {
+        let unit = self.unit_of(run);
+        let is_gang = self.known(run).is_gang;
+        let elsewhere = self.running.iter();
+        let beside = elsewhere.flat_map(|(other, runs)| runs.iter().map(move |run| (*other, *run)));
+        let doubles = beside
+            .filter(|(_, beside)| self.unit_of(*beside) == unit)
+            .filter(|(_, beside)| !is_gang || beside.run != run.run || beside.task == run.task);
+        let faults: Vec<String> = doubles
+            .map(|(other, beside)| {
+                format!("TWICE: {run} began at {place} beside {beside} at {other}")
+            })
+            .collect();
+        self.faults.extend(faults);
+        let is_gang_mate = |begun: &RunKey| is_gang && begun.run == run.run;
+        let done = self.done.entry(unit).or_default();
+        if done.iter().any(|mark| mark.is_acknowledged) {
+            self.faults.push(format!("TWICE: {run} began at {place} after it was done"));
+        }
+        let starts = self.starts.entry(unit).or_default();
+        if !starts.iter().any(|(_, begun)| is_gang_mate(begun)) {
+            starts.push((Instant::now(), run));
+        }
+        let runs = self.running.entry(place).or_default();
+        runs.insert(run);
+        let held = runs.iter().map(|run| self.work[&run.task.step.job.0].room);
+        let held = held.fold(Room::default(), |sum, one| sum.plus(&one));
+        if !room.covers(&held) {
+            self.faults.push(format!("LIMIT: {run} began at {place} without room"));
+        }
+    }
+
+    pub(crate) fn ended(&mut self, place: PlaceIndex, run: RunKey) {
+        self.running.entry(place).or_default().remove(&run);
+    }
+
+    pub(crate) fn done(&mut self, run: RunKey) -> Instant {
+        let at = Instant::now();
+        let unit = self.unit_of(run);
+        self.done.entry(unit).or_default().push(DoneMark { at, is_acknowledged: false });
+        at
+    }
+
+    /// An end was acknowledged to the worker, whose lease did not lapse in between.
+    pub(crate) fn acknowledged(&mut self, run: RunKey, at: Instant) {
+        let unit = self.unit_of(run);
+        for mark in self.done.entry(unit).or_default().iter_mut().filter(|mark| mark.at == at) {
+            mark.is_acknowledged = true;
+        }
+        let starts = self.starts.entry(unit).or_default();
+        for (_, later) in starts.iter().filter(|(begun, later)| *begun > at && *later != run) {
+            let fault = format!("TWICE: {later} began after {run} was done, acknowledged later");
+            self.faults.push(fault);
+        }
+    }
+
+    /// Starts of a job's tasks; those of a gang's members in one run count once.
+    pub(crate) fn starts_of(&self, job: u64) -> usize {
+        let of_job = |unit: &&WorkUnit| unit.0.step.job.0 == job;
+        self.starts.keys().filter(of_job).map(|unit| self.starts[unit].len()).sum()
+    }
+
+    /// Runs at a place, as they really are.
+    pub(crate) fn running_at(&self, place: PlaceIndex) -> Vec<RunKey> {
+        self.running.get(&place).into_iter().flatten().copied().collect()
+    }
+}
