A refusal does not end a run whose earlier start is unanswered

Callers saw a task run twice, and workers were given more than they have room for.

Cause: an unanswered start is sent again, and may be carried out seconds later. When the second order was refused by an overloaded worker, the refusal was taken as the end of the run: its room was freed and its task placed anew, and then the first order began it. A class of its own: an answer to one of several orders was read as the state of the run.

Ruled out: the lease, since the late start carries a deadline that has not passed; the fencing token, which has not changed.

Now a refused run with an unanswered start is stopped first. An acknowledged stop makes the worker reject the late start, and the next look shows that nothing runs. A run whose starts were all answered is given back at once, as before.

--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -80,6 +80,10 @@
     order: Option<Order>,
     /// Set once an order to start was sent that may have been carried out.
     may_run: bool,
+    /// Set once an order to start got no answer. The worker may carry it out later.
+    has_unanswered: bool,
+    /// Set once the worker refused a later order to start. The run is stopped, and given back then.
+    is_refused: bool,
     /// First poll asked for after a start was acknowledged or the run was listed.
     known_since: Option<PollNumber>,
     /// First poll asked for after a stop was acknowledged.
@@ -132,7 +136,7 @@
             if local.is_reported {
                 continue;
             }
-            let is_given_back = self.is_closed && local.known_since.is_none();
+            let is_given_back = local.is_refused || self.is_closed && local.known_since.is_none();
             let is_stop_wanted = local.is_stop_wanted || is_given_back;
             if is_stop_wanted && !local.may_run {
                 local.stopped_since.get_or_insert(PollNumber::default());
@@ -170,6 +174,10 @@
                 local.known_since.get_or_insert(next_look);
                 None
             }
+            StartAnswer::Refused if local.has_unanswered => {
+                local.is_refused = true;
+                None
+            }
             StartAnswer::Refused if !local.is_stop_wanted && !local.is_reported => {
                 local.is_reported = true;
                 Some(end_of(run, EndKind::Refused))
@@ -178,7 +186,11 @@
                 local.known_since.get_or_insert(next_look);
                 None
             }
-            StartAnswer::Refused | StartAnswer::TooLate | StartAnswer::Unknown => None,
+            StartAnswer::Unknown => {
+                local.has_unanswered = true;
+                None
+            }
+            StartAnswer::Refused | StartAnswer::TooLate => None,
         }
     }
 
@@ -237,7 +249,8 @@
             let is_settled = |since: Option<PollNumber>| since.is_some_and(|since| since <= poll);
             if is_settled(local.stopped_since) {
                 local.is_reported = true;
-                ends.push(end_of(*run, EndKind::Stopped));
+                let how = if local.is_refused { EndKind::Refused } else { EndKind::Stopped };
+                ends.push(end_of(*run, how));
             } else if is_settled(local.known_since) {
                 local.is_reported = true;
                 ends.push(end_of(*run, EndKind::Vanished));
--- a/crates/taskgraph/tests/graph/run_table.rs
+++ b/crates/taskgraph/tests/graph/run_table.rs
@@ -109,6 +109,23 @@
     assert_eq!(given_back, Some(end(run(1), EndKind::Refused)));
 }
 
+/// Guards against a run that is given back while its unanswered start may be carried out yet.
+#[test]
+fn a_refused_start_is_given_back_only_once_an_earlier_unanswered_one_is_stopped() {
+    let mut table = table();
+    table.sync(&wanted(&[(run(1), None)]));
+    table.next_orders();
+    table.start_answered(run(1), StartAnswer::Unknown);
+    table.next_orders();
+    assert_eq!(table.start_answered(run(1), StartAnswer::Refused), None);
+    assert_eq!(table.next_orders(), [Order::Stop(run(1))]);
+    let early = table.begin_poll();
+    table.stop_answered(run(1), true);
+    assert_eq!(table.polled(early, &[], &[]), [], "the stop was acknowledged after this look");
+    let late = table.begin_poll();
+    assert_eq!(table.polled(late, &[], &[]), [end(run(1), EndKind::Refused)]);
+}
+
 #[test]
 fn a_worker_that_leaves_gives_back_what_it_has_not_begun() {
     let mut table = table();
