Give a worker up only when its last lease is over

Callers saw a task run twice at once, and workers over their room after such a worker came back.

Cause: an agent told the log that its worker was gone, which frees the room of all its runs, without proof that nothing ran there. After 3.5 s without a report, refused connections counted as a crash; but every failed connect is a refusal to the client, and a cut may refuse connections to a worker that works on under leases of 6 s and 10 s. A worker that said that it ends was given up 0.3 s later, before it had its answer, while it may go on for seconds. The same class: a worker that fell silent before it was registered. And a loss that waited for the log freed whatever ran by the time that the log had it.

Now the agent keeps a book of the leases that it granted, an order that was certainly not sent grants none, and a worker is given up once the last is over. A worker that ends gets no more leases and its runs are stopped, so that most are gone with proof before it has its answer. From the decision on, nothing is ordered there until the log has the loss.

Ruled out as proof: refused connections, the worker's last words, the age of its reports.

Before: `a_worker_that_refuses_connections_keeps_its_runs_until_their_lease_is_over` and `a_worker_that_leaves_keeps_its_runs_until_they_are_over` failed, each with "TWICE: 1.0.0.0#2 began at 1 beside 1.0.0.0#1 at 0". After: both pass.

Work of workers that crash is begun anew later: once its lease is over, at most 6 s, where it was 3.5 s.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -12,7 +12,6 @@
 
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
-use cuminbarrow_taskgraph::record::GoneCause;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use cuminbarrow_taskgraph::worker::WorkerSpec;
@@ -22,6 +21,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::membership::JOIN_EVERY;
 use crate::membership::Membership;
@@ -30,8 +30,11 @@
 use crate::worker_port::WorkerPort;
 use crate::worker_session::WorkerSession;
 
-/// Time between the last words of a worker that leaves and its end.
-const LEAVE_WAIT: Duration = Duration::from_millis(300);
+/// Longest time for which a worker that ends waits for its answer, while its runs are stopped. A stop
+/// takes up to 900 ms.
+const LEAVE_WAIT: Duration = Duration::from_millis(1_000);
+/// Time between looks at whether they are.
+const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
 /// What the worker says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +64,8 @@
     pub(crate) session: Mutex<WorkerSession>,
     /// Name and start of the last incarnation that said that it ends.
     pub(crate) left_worker: Mutex<Option<(SmolStr, u64)>>,
+    /// The worker that the log is told to be gone. Until it is, nothing of it is used.
+    pub(crate) given_up: Mutex<Option<WorkerKey>>,
     pub(crate) wake_orders: Notify,
     pub(crate) wake_polls: Notify,
     pub(crate) wake_reports: Notify,
@@ -91,6 +96,7 @@
             heard: watch::Sender::new(None),
             session: Mutex::default(),
             left_worker: Mutex::default(),
+            given_up: Mutex::default(),
             wake_orders: Notify::new(),
             wake_polls: Notify::new(),
             wake_reports: Notify::new(),
@@ -135,7 +141,8 @@
         });
     }
 
-    /// The worker of this name says that it ends now. What it ran is given up shortly after.
+    /// The worker of this name says that it ends now. What it runs is stopped; what can't be stopped
+    /// any more is given up when its lease is over.
     pub async fn note_left(&self, name: &str) {
         let own = self.own_worker().filter(|own| own.name == name);
         let born_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.report.spec.born_ms);
@@ -146,10 +153,14 @@
             self.heard.send_replace(None);
             return;
         };
-        self.poll_once(&own, 0).await;
-        tokio::time::sleep(LEAVE_WAIT).await;
-        log::info!(worker:% = own.key; "the worker left");
-        self.give_up(own.key, GoneCause::Left).await;
+        self.session_of(own.key).note_left();
+        log::info!(worker:% = own.key; "the worker leaves");
+        self.wake_orders.notify_one();
+        self.wake_polls.notify_one();
+        let until = Instant::now() + LEAVE_WAIT;
+        while !self.session_of(own.key).table.is_idle() && Instant::now() < until {
+            tokio::time::sleep(LEAVE_LOOK).await;
+        }
     }
 
     /// Extends the lease as far as it may, before this process ends.
@@ -163,17 +174,32 @@
         self.left_worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn given_up(&self) -> MutexGuard<'_, Option<WorkerKey>> {
+        self.given_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn session(&self) -> MutexGuard<'_, WorkerSession> {
         self.session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is known of this worker, begun anew where it was another.
+    pub(crate) fn session_of(&self, worker: WorkerKey) -> MutexGuard<'_, WorkerSession> {
+        let mut session = self.session();
+        if session.worker != Some(worker) {
+            // An agent before this one may have granted a lease until now.
+            let now_ms = self.replica.clock.now_ms();
+            *session = WorkerSession::new(worker, now_ms.saturating_add(self.lease.length_ms));
+        }
+        session
+    }
+
     /// The worker, while this agent may act on it.
     pub(crate) fn own_worker(&self) -> Option<OwnWorker> {
         let heard = self.heard.borrow();
         let heard = heard.as_ref()?;
         let state = self.replica.state();
         let (key, worker) = own_in(&state, &heard.report.spec, self.replica.incarnation)?;
-        if worker.is_suspected() {
+        if worker.is_suspected() || *self.given_up() == Some(key) {
             return None;
         }
         let WorkerSpec { name, born_ms, .. } = &worker.spec;
@@ -226,6 +252,9 @@
         let own = own_in(&state, &heard.report.spec, self.replica.incarnation);
         let spec = heard.report.spec.clone();
         let up = GraphRecord::WorkerUp { agent: self.replica.incarnation, spec };
+        if own.is_some_and(|(worker, _)| *self.given_up() == Some(worker)) {
+            return None;
+        }
         let Some((worker, known)) = own.filter(|(_, known)| !known.is_suspected()) else {
             return Some(up);
         };
@@ -257,16 +286,7 @@
             let state = self.replica.state();
             state.workers.get(&own.key).map(|worker| worker.runs.clone()).unwrap_or_default()
         };
-        let mut session = self.session();
-        if session.worker != Some(own.key) {
-            // An agent before this one may have granted a lease until now.
-            let leased_until_ms = self.replica.clock.now_ms().saturating_add(self.lease.length_ms);
-            *session = WorkerSession {
-                worker: Some(own.key),
-                leased_until_ms,
-                ..WorkerSession::default()
-            };
-        }
+        let mut session = self.session_of(own.key);
         session.table.sync(&wanted);
         session.table.set_closed(self.is_leaving());
         session.saved.retain(|run, _| wanted.contains_key(run));
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -9,6 +9,7 @@
 
 use crate::agent_core::AgentCore;
 use crate::agent_core::OwnWorker;
+use crate::lease_book::GrantNumber;
 use crate::worker_port::PaceOrder;
 use crate::worker_port::StartOrder;
 
@@ -49,16 +50,20 @@
     pub(crate) async fn start(&self, own: &OwnWorker, run: RunKey) {
         let answer = match self.start_order(own, run) {
             None => StartAnswer::Unknown,
-            Some(order) => match self.port.start(order).await {
-                Ok(timed) => {
-                    self.take_clock(own, timed.clock_ms);
-                    timed.answer
-                }
-                Err(error) => {
-                    self.note_port_error(&error, "start");
-                    StartAnswer::Unknown
+            Some((grant, order)) => {
+                let result = self.port.start(order).await;
+                self.settle_grant(own, grant, &result);
+                match result {
+                    Ok(timed) => {
+                        self.take_clock(own, timed.clock_ms);
+                        timed.answer
+                    }
+                    Err(error) => {
+                        self.note_port_error(&error, "start");
+                        StartAnswer::Unknown
+                    }
                 }
-            },
+            }
         };
         log::info!(run:% = run, worker:% = own.key, answer:? = answer; "start");
         self.take_start_answer(own, run, answer);
@@ -81,12 +86,11 @@
     }
 
     /// The order, unless the lease could not be extended now or the run is not wanted any more.
-    pub(crate) fn start_order(&self, own: &OwnWorker, run: RunKey) -> Option<StartOrder> {
-        let mut session = self.session();
-        let (deadline_ms, until_ms) = self.lease_end(&session);
-        let deadline_ms = deadline_ms?;
-        session.leased_until_ms = session.leased_until_ms.max(until_ms);
-        drop(session);
+    pub(crate) fn start_order(
+        &self,
+        own: &OwnWorker,
+        run: RunKey,
+    ) -> Option<(GrantNumber, StartOrder)> {
         let state = self.replica.state();
         let step = run.task.step;
         let job = state.jobs.get(&step.job).filter(|job| job.is_active())?;
@@ -95,15 +99,30 @@
         let checkpoint = steps.keeper(spec, run.task.index)?.checkpoint.clone();
         let advice = state.advice_for(step);
         let ticket = advice.map(|advice| advice.ticket(own.key)).unwrap_or_default();
-        Some(StartOrder {
+        let payload = job.spec.payload.clone();
+        drop(state);
+        let (grant, deadline_ms) = self.grant_lease(own)?;
+        let order = StartOrder {
             worker: own.name.clone(),
             run,
-            payload: job.spec.payload.clone(),
+            payload,
             deadline_ms,
             fence: own.fence,
             checkpoint,
             ticket,
-        })
+        };
+        Some((grant, order))
+    }
+
+    /// A lease for an order that is about to be sent.
+    fn grant_lease(&self, own: &OwnWorker) -> Option<(GrantNumber, u64)> {
+        let mut session = self.session();
+        if session.worker != Some(own.key) {
+            return None;
+        }
+        let (deadline_ms, until_ms) = self.lease_end(&session);
+        let deadline_ms = deadline_ms?;
+        Some((session.leases.grant(until_ms), deadline_ms))
     }
 
     /// Sends a pace; one without an answer is sent again after the next poll.
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -13,6 +13,7 @@
 
 use crate::agent_core::AgentCore;
 use crate::agent_core::OwnWorker;
+use crate::lease_book::GrantNumber;
 use crate::replica::WRITE_RETRY;
 use crate::worker_port::PortError;
 use crate::worker_port::RenewalOrder;
@@ -36,9 +37,9 @@
 const BACKLOG_PACE: Duration = Duration::from_millis(20);
 /// Time between polls while nothing runs.
 const IDLE_POLL: Duration = Duration::from_secs(10);
-/// Time without a word from a worker that refuses connections after which it is gone, in ms. A
-/// worker reports itself about every 1.5 s.
-const CRASHED_MS: u64 = 3_500;
+/// Time without a word from a worker whose lease is over after which it is gone, in ms. A worker
+/// reports itself about every 1.5 s.
+const SILENT_MS: u64 = 3_500;
 /// Time without an answer after which a worker's lease is extended no more, in ms: a poll and a
 /// second try.
 const QUIET_MS: u64 = 2_000;
@@ -52,12 +53,16 @@
                     () = self.wake_polls.notified() => {}
                     () = tokio::time::sleep(POLL_RETRY) => {}
                 }
-                if let Some(orphan) = self.orphan() {
+                if let Some(orphan) = self.orphan().filter(|orphan| self.has_lapsed(*orphan)) {
                     log::warn!(worker:% = orphan; "the log still has a worker that is gone");
                     self.give_up(orphan, GoneCause::Lapsed).await;
                 }
                 continue;
             };
+            if self.session_of(own.key).is_left_empty() {
+                self.give_up(own.key, GoneCause::Left).await;
+                continue;
+            }
             let is_idle = self.session().table.is_idle();
             if is_idle && polled.elapsed() < IDLE_POLL {
                 let until = polled + IDLE_POLL;
@@ -72,7 +77,7 @@
             let wait_ms = self.poll_wait_ms(polled);
             polled = Instant::now();
             if !self.poll_once(&own, wait_ms).await {
-                self.check_crashed(&own).await;
+                self.check_gone(&own).await;
                 tokio::time::sleep(POLL_RETRY).await;
             }
         }
@@ -97,8 +102,10 @@
         if self.session().worker != Some(own.key) {
             self.sync_table();
         }
-        let (poll, order) = self.renewal_order(own, wait_ms);
-        match self.port.renew(order).await {
+        let (poll, grant, order) = self.renewal_order(own, wait_ms);
+        let result = self.port.renew(order).await;
+        self.settle_grant(own, grant, &result);
+        match result {
             Err(error) => {
                 self.note_port_error(&error, "renew");
                 false
@@ -120,12 +127,11 @@
         &self,
         own: &OwnWorker,
         wait_ms: u64,
-    ) -> (PollNumber, RenewalOrder) {
+    ) -> (PollNumber, GrantNumber, RenewalOrder) {
         let mut session = self.session();
         let (deadline_ms, until_ms) = self.lease_end(&session);
         session.unanswered_since_ms.get_or_insert(self.replica.clock.now_ms());
-        // The lease counts as granted before it is asked for.
-        session.leased_until_ms = session.leased_until_ms.max(until_ms);
+        let grant = session.leases.grant(until_ms);
         let order = RenewalOrder {
             worker: own.name.clone(),
             deadline_ms,
@@ -133,7 +139,20 @@
             acked_through: session.acked_through(),
             wait_ms,
         };
-        (session.table.begin_poll(), order)
+        (session.table.begin_poll(), grant, order)
+    }
+
+    /// Notes whether an order that carried a lease was sent.
+    pub(crate) fn settle_grant<T>(
+        &self,
+        own: &OwnWorker,
+        grant: GrantNumber,
+        result: &Result<T, PortError>,
+    ) {
+        let mut session = self.session();
+        if session.worker == Some(own.key) {
+            session.leases.settle(grant, !matches!(result, Err(PortError::Refused)));
+        }
     }
 
     /// Takes the worker's lists. Tells whether ends wait to be written.
@@ -148,7 +167,6 @@
         if session.worker != Some(own.key) {
             return false;
         }
-        session.refused_since_ms = None;
         session.unanswered_since_ms = None;
         self.note_clock(&mut session, clock_ms);
         session.take_lists(poll, lists);
@@ -180,6 +198,9 @@
     /// worker that does not answer gets none: an order without an answer may have been carried out,
     /// and the lease that it carried would have to be waited for.
     pub(crate) fn lease_end(&self, session: &WorkerSession) -> (Option<u64>, u64) {
+        if session.has_left || session.is_given_up {
+            return (None, 0);
+        }
         let Some(confirmed_ms) = self.replica.confirmed_ms() else { return (None, 0) };
         let now_ms = self.replica.clock.now_ms();
         if session.unanswered_since_ms.is_some_and(|since_ms| now_ms > since_ms + QUIET_MS) {
@@ -205,18 +226,9 @@
     }
 
     pub(crate) fn note_port_error(&self, error: &PortError, call: &str) {
-        let mut session = self.session();
-        match error {
-            PortError::Refused => {
-                let now_ms = self.replica.clock.now_ms();
-                session.refused_since_ms.get_or_insert(now_ms);
-            }
-            PortError::Fenced => {
-                session.refused_since_ms = None;
-                session.is_fenced = true;
-                self.heard.send_modify(|_| {});
-            }
-            _ => session.refused_since_ms = None,
+        if *error == PortError::Fenced {
+            self.session().is_fenced = true;
+            self.heard.send_modify(|_| {});
         }
         log::warn!(call; "{error}");
     }
@@ -231,28 +243,33 @@
         (worker.agent == self.replica.incarnation).then_some(key)
     }
 
-    /// Gives up a worker that crashed, or whose lease has run out without an answer.
-    pub(crate) async fn check_crashed(&self, own: &OwnWorker) {
+    /// Whether every lease that the worker may have been granted is over.
+    fn has_lapsed(&self, worker: WorkerKey) -> bool {
+        let lapses_ms = self.session_of(worker).leases.until_ms().saturating_add(LAPSE_SLACK_MS);
+        self.replica.clock.now_ms() >= lapses_ms
+    }
+
+    /// Gives up a worker that is not heard from, or said that it ends, once its lease has run out. Only
+    /// that proves that nothing runs there: a worker behind a cut works on, also where connections
+    /// to it are refused.
+    pub(crate) async fn check_gone(&self, own: &OwnWorker) {
         let now_ms = self.replica.clock.now_ms();
         let heard_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.at_ms);
-        let is_silent = now_ms >= heard_ms + CRASHED_MS;
-        let (is_refused, has_lapsed) = {
-            let session = self.session();
-            let is_refused = session
-                .refused_since_ms
-                .is_some_and(|since_ms| now_ms >= since_ms + CRASHED_MS / 2);
-            let lapses_ms = session.leased_until_ms + LAPSE_SLACK_MS;
-            (is_refused, now_ms >= lapses_ms)
-        };
-        if is_silent && (is_refused || has_lapsed) {
-            log::warn!(worker:% = own.key, silent_ms = now_ms - heard_ms; "the worker is gone");
-            self.give_up(own.key, GoneCause::Lapsed).await;
+        let silent_ms = now_ms.saturating_sub(heard_ms);
+        let has_left = self.session_of(own.key).has_left;
+        if (has_left || silent_ms >= SILENT_MS) && self.has_lapsed(own.key) {
+            log::warn!(worker:% = own.key, silent_ms, has_left; "the worker is gone");
+            let cause = if has_left { GoneCause::Left } else { GoneCause::Lapsed };
+            self.give_up(own.key, cause).await;
         }
     }
 
     /// Tells the log that the worker is gone. What it said of itself is forgotten first, or it
-    /// would be registered again as soon as the log has it.
+    /// would be registered again as soon as the log has it. Until the log has it, nothing is ordered
+    /// there: the record frees the room of whatever runs by then.
     pub(crate) async fn give_up(&self, worker: WorkerKey, cause: GoneCause) {
+        self.session_of(worker).is_given_up = true;
+        *self.given_up() = Some(worker);
         self.heard.send_replace(None);
         let record = GraphRecord::WorkerGone { worker, cause, suspicion: 0 };
         loop {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry_directory;
 pub mod job_service;
 pub mod kept_log;
+mod lease_book;
 pub mod membership;
 pub mod peer_list;
 pub mod planner_task;
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -21,6 +21,7 @@
 use cuminbarrow_taskgraph::worker::WorkerKey;
 use smol_str::SmolStr;
 
+use crate::lease_book::LeaseBook;
 use crate::worker_port::WorkerLists;
 
 /// What the log is told of the worker's speed.
@@ -48,8 +49,11 @@
     pub(crate) sample: Option<ClockSample>,
     /// When the first question was asked that is not answered, on the boot-time clock in ms.
     pub(crate) unanswered_since_ms: Option<u64>,
-    /// When the last lease granted ends at the latest, on the boot-time clock in ms.
-    pub(crate) leased_until_ms: u64,
+    pub(crate) leases: LeaseBook,
+    /// Set once the worker said that it ends. It gets no more leases.
+    pub(crate) has_left: bool,
+    /// Set once the log is told that the worker is gone. Nothing is ordered from then on.
+    pub(crate) is_given_up: bool,
     /// Highest end that the worker listed.
     pub(crate) listed_through: u64,
     /// Ends listed that are not in the log yet, or must not be acknowledged.
@@ -67,16 +71,32 @@
     pub(crate) pace: PaceControl,
     /// Runs that stand still, to be told to the log.
     pub(crate) stalled: Vec<RunKey>,
-    pub(crate) refused_since_ms: Option<u64>,
     pub(crate) is_fenced: bool,
 }
 
 impl WorkerSession {
+    /// What an agent knows of `worker` that may hold a lease until `leased_until_ms`.
+    pub(crate) fn new(worker: WorkerKey, leased_until_ms: u64) -> Self {
+        let leases = LeaseBook::new(leased_until_ms);
+        Self { worker: Some(worker), leases, ..Self::default() }
+    }
+
     /// Highest number up to which every end is in the log.
     pub(crate) fn acked_through(&self) -> u64 {
         self.unrecorded.first().map_or(self.listed_through, |first| first - 1)
     }
 
+    /// The worker said that it ends.
+    pub(crate) fn note_left(&mut self) {
+        self.has_left = true;
+        self.table.stop_all();
+    }
+
+    /// Whether the worker said that it ends, and nothing runs there any more.
+    pub(crate) fn is_left_empty(&self) -> bool {
+        self.has_left && self.table.is_idle()
+    }
+
     /// Takes what the worker lists. Ends that the log has to get are put out.
     pub(crate) fn take_lists(&mut self, poll: PollNumber, lists: &WorkerLists) {
         let mut ends = self.table.polled(poll, &lists.running, &lists.ended);
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -100,6 +100,7 @@
     polls: u64,
     has_polled: bool,
     is_closed: bool,
+    is_ending: bool,
 }
 
 impl RunTable {
@@ -121,6 +122,11 @@
         self.is_closed = is_closed;
     }
 
+    /// Stops all runs, since the worker ends.
+    pub fn stop_all(&mut self) {
+        self.is_ending = true;
+    }
+
     /// Whether there is anything to watch.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.strays.is_empty() && self.has_polled
@@ -137,7 +143,7 @@
                 continue;
             }
             let is_given_back = local.is_refused || self.is_closed && local.known_since.is_none();
-            let is_stop_wanted = local.is_stop_wanted || is_given_back;
+            let is_stop_wanted = local.is_stop_wanted || is_given_back || self.is_ending;
             if is_stop_wanted && !local.may_run {
                 local.stopped_since.get_or_insert(PollNumber::default());
             }
