Let an empty answer of the store confirm no more than when it was asked for

Seen: a lease could be held for up to 0.7 s after its worker was given up, so that a run could start elsewhere while the first went on.

Cause: a read that came back without records counted as proof that the log had none when its wait was over. The store's answers are linearizable, which fixes their place somewhere between request and answer, and the place may be the request: a reader that hears nothing for a second while records are appended gets an empty page with the end of a second ago. A suspicion appended in that second was taken as not in the log, and leases were extended from the end of the wait. The planner's wait allows 300 ms beyond the lease, for rounding.

Class of fault: absence of news taken as news of absence.

Ruled out: reads that return records, which were always dated to their request; waits of entries that relay, since an entry dates its answer by its own confirmed read and not by its wait.

A confirmed read is then up to two waits old instead of one; the wait becomes 550 ms instead of 1 s, so that its age stays where it was (1.1 s for the process that reads the log itself, 0.6 s more for each relay) and the limits of freshness hold. A log that takes records within that time is read as often as before, an idle one without a planner about twice as often by the one reader of a region.

--- a/crates/dispatch/src/confirmed_log.rs
+++ b/crates/dispatch/src/confirmed_log.rs
@@ -23,9 +23,10 @@
 
 use crate::clock::BootClock;
 
-/// Longest wait for a record in one read, in ms. Leases rest on reads, and a connection that went
-/// silent shows only when a read is overdue.
-const MAX_READ_WAIT_MS: u32 = 1_000;
+/// Longest wait for a record in one read, in ms. Leases rest on reads, an answer without records may
+/// confirm no more than when it was asked for, and a connection that went silent shows only when a
+/// read is overdue. An idle planner renews its role in less.
+const MAX_READ_WAIT_MS: u32 = 550;
 /// Least time between reads. Records that come close together are read at once.
 const READ_PACE: Duration = Duration::from_millis(25);
 /// Batches kept for those that read through this process.
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -29,8 +29,8 @@
 
 /// Longest wait of a read, in ms.
 const MAX_WAIT_MS: u32 = 2_000;
-/// Age of this entry's last confirmed read beyond which nobody should read through it, in ms: a
-/// read of a second, its answer, and the chain to the entry that reads the log itself.
+/// Age of this entry's last confirmed read beyond which nobody should read through it, in ms: two
+/// reads of the entry that reads the log itself, the wait of one relay, and their answers.
 const MAX_AGE_MS: u64 = 2_200;
 
 /// Passes calls on.
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -31,8 +31,8 @@
 /// Wait before the log is tried again when no snapshot covers the records that expired. A living
 /// replica writes a snapshot soon after it sees records expire.
 const GAP_WAIT: Duration = Duration::from_millis(500);
-/// Age of the last confirmed read beyond which a replica is not fresh, in ms: two reads of a
-/// second each, and their answers.
+/// Age of the last confirmed read beyond which a replica is not fresh, in ms: two reads of the entry
+/// that reads the log itself, the waits of two relays, and their answers.
 const FRESH_MS: u64 = 2_500;
 
 /// Longest time for a record to be applied. Callers wait 3 s for their answer.
