Take an entry's wait before the age of its read

Seen: nothing in operation. By reading: who reads through an entry dates the answer to its request, plus the entry's wait, less the age of the entry's own read. The entry took the age first and the wait after it. An entry that stood still between the two told a wait that the age left out, and leases were extended from a moment after the entry's own read, by as long as it stood still.

Class of fault: two times of one moment, read one after the other in the order that errs to the unsafe side.

Ruled out: the reader's side (the request's time is taken before it is sent), answers matched to another request (a link is dropped unless its exchange was completed), and the unit of the wait, which stops while an instance is suspended and so only makes the moment older.

Evidence: the new test serves a reader from an entry whose process stands still for 300 ms after it looked at its clock.

With the wait taken first, whatever passes until the age is taken makes the moment older.

--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -130,8 +130,10 @@
                 break;
             }
         }
+        // Before the age is taken: it does not tell of a wait after it.
+        let waited = began.elapsed();
         match self.replica.log.recent_page(from) {
-            Some(page) if page.age_ms <= MAX_AGE_MS => records(page, began.elapsed()),
+            Some(page) if page.age_ms <= MAX_AGE_MS => records(page, waited),
             _ => behind(),
         }
     }
--- /dev/null
+++ b/crates/dispatch/tests/relay_age.rs
@@ -0,0 +1,156 @@
+//! An entry never tells those that read through it of a newer read than its own.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cuminbarrow_dispatch::clock::BootClock;
+use cuminbarrow_dispatch::clock::SystemClock;
+use cuminbarrow_dispatch::direct_path::DirectPath;
+use cuminbarrow_dispatch::kept_log::KeptLog;
+use cuminbarrow_dispatch::membership::Membership;
+use cuminbarrow_dispatch::membership::MembershipError;
+use cuminbarrow_dispatch::peer_list::PeerList;
+use cuminbarrow_dispatch::peer_list::ProcessPlace;
+use cuminbarrow_dispatch::relay_server::RelayServer;
+use cuminbarrow_dispatch::replica::Replica;
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::relay_message::RelayRequest;
+use cuminbarrow_protocol::relay_message::RelayResponse;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
+use cuminbarrow_resources::log_store::LogStore;
+use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_taskgraph::record::ProcessRole;
+use tokio::net::TcpListener;
+
+/// Time for which the entry stands still, in ms.
+const STILL_MS: u64 = 300;
+/// Wait that the reader asks for, in ms.
+const WAIT_MS: u32 = 100;
+
+/// An empty log that answers one read, and is silent from then on.
+#[derive(Default)]
+struct FallingSilent {
+    reads: AtomicU64,
+}
+
+#[async_trait]
+impl LogStore for FallingSilent {
+    async fn append(&self, _stream: LogStream, _body: Bytes) -> Result<u64, LogError> {
+        std::future::pending().await
+    }
+
+    async fn read(
+        &self,
+        _stream: LogStream,
+        from: u64,
+        _limit: u32,
+        _wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        if self.reads.fetch_add(1, Ordering::Relaxed) > 0 {
+            std::future::pending().await
+        }
+        Ok(LogPage { next: from, first: from, ..LogPage::default() })
+    }
+}
+
+struct NoMembers;
+
+#[async_trait]
+impl Membership for NoMembers {
+    async fn join(&self, _incarnation: u64) -> Result<(), MembershipError> {
+        Ok(())
+    }
+
+    async fn members(&self) -> Result<BTreeSet<u64>, MembershipError> {
+        Ok(BTreeSet::new())
+    }
+}
+
+/// The clock of a process that stands still for some ms after each look at it.
+#[derive(Default)]
+struct StallingClock {
+    still_ms: AtomicU64,
+}
+
+impl BootClock for StallingClock {
+    fn now_ms(&self) -> u64 {
+        let now_ms = SystemClock.now_ms();
+        std::thread::sleep(Duration::from_millis(self.still_ms.load(Ordering::Relaxed)));
+        now_ms
+    }
+}
+
+struct RelayingEntry {
+    address: SocketAddr,
+    replica: Arc<Replica>,
+    clock: Arc<StallingClock>,
+    dialer: LinkDialer,
+}
+
+/// An entry that has read the log once.
+async fn start_entry() -> RelayingEntry {
+    let key = SharedKey::new("key");
+    let dialer = LinkDialer::new(key.clone(), Arc::default());
+    let kept = Arc::new(KeptLog::new(Arc::new(FallingSilent::default())));
+    let direct = Arc::new(DirectPath::new(Arc::clone(&kept) as Arc<dyn LogStore>));
+    let peers = Arc::new(PeerList::default());
+    let clock = Arc::new(StallingClock::default());
+    let place = ProcessPlace {
+        role: ProcessRole::Entry,
+        instance: "entry".into(),
+        region: "region".into(),
+        data_centre: "dc".into(),
+    };
+    let replica = Replica::new(
+        Arc::clone(&direct),
+        Arc::clone(&clock) as Arc<dyn BootClock>,
+        place,
+        Arc::clone(&peers),
+        &dialer,
+    );
+    let mut confirmed = replica.log.confirmed();
+    tokio::spawn(Arc::clone(&replica).run());
+    confirmed.wait_for(Option::is_some).await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let membership = Arc::new(NoMembers);
+    let server = RelayServer { replica: Arc::clone(&replica), peers, direct, kept, membership };
+    tokio::spawn(server.run(listener, key, Arc::default()));
+    RelayingEntry { address, replica, clock, dialer }
+}
+
+/// Guards against a lease that rests on a moment after the entry's own read: an entry that stood
+/// still between the age of its read and the length of its wait told a wait that the age left out.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stands_still_before_its_answer_confirms_nothing_newer() {
+    let entry = start_entry().await;
+    let read_ms = entry.replica.log.latest().unwrap().at_ms;
+    let mut link: Link<RelayRequest, RelayResponse> =
+        entry.dialer.open(entry.address, LinkKind::Relay).await.unwrap();
+    entry.clock.still_ms.store(STILL_MS, Ordering::Relaxed);
+    let asked_ms = SystemClock.now_ms();
+    let request = RelayRequest::Read { from: 0, wait_ms: WAIT_MS, is_entry: false };
+    link.sender.send(&request).await.unwrap();
+    let response = link.receiver.receive().await.unwrap();
+    let RelayResponse::Records { next: 0, waited_ms, age_ms, .. } = response else {
+        panic!("{response:?}");
+    };
+    let confirmed_ms = asked_ms + waited_ms - age_ms;
+    assert!(
+        confirmed_ms <= read_ms,
+        "the answer confirms {} ms after the entry's own read",
+        confirmed_ms - read_ms
+    );
+}
