--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -10,5 +10,6 @@
 mod pacing;
 mod planning;
 mod random_histories;
+mod restored_states;
 mod run_table;
 mod slow_workers;
--- /dev/null
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -0,0 +1,118 @@
+//! A state restored from a snapshot is the one that the log made, and late copies of batches change
+//! neither.
+
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::codec;
+use cuminbarrow_taskgraph::graph_state::GraphState;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::record::ProcessRole;
+use cuminbarrow_taskgraph::record::WorkerTicket;
+use cuminbarrow_taskgraph::refusal::GraphRefusal;
+use cuminbarrow_taskgraph::task_key::StepKey;
+use cuminbarrow_taskgraph::worker::StopCause;
+use cuminbarrow_taskgraph::worker::WorkerKey;
+use cuminbarrow_taskgraph::worker::WorkerStatus;
+
+use crate::graph_builder::GraphBuilder;
+use crate::graph_builder::gang;
+use crate::graph_builder::tasks;
+use crate::graph_builder::worker_spec;
+
+fn restored(state: &GraphState) -> GraphState {
+    codec::decode(&codec::encode(state).unwrap()).unwrap()
+}
+
+/// A history that leaves something in each part of the state.
+fn rich_history() -> GraphBuilder {
+    let mut graph = GraphBuilder::new(2, 3);
+    graph.guarantees.insert("team".into(), 16);
+    let announced = GraphRecord::ProcessUp {
+        incarnation: 1,
+        role: ProcessRole::Entry,
+        instance: "entry".into(),
+        region: "region".into(),
+        data_centre: "dc".into(),
+        address: ([127, 0, 0, 1], 7_000).into(),
+    };
+    graph.apply(announced).unwrap();
+    let ended = graph.submit(1, 1, vec![tasks(4, 1)]);
+    let running = graph.submit(2, 1, vec![gang(3, 4), tasks(2, 1)]);
+    let advised = graph.submit_advised(3, 1, vec![tasks(2, 1)]);
+    graph.plan();
+    graph.end_all(ended, EndKind::Done);
+    let step = StepKey { job: advised, occurrence: 0, step: 0 };
+    let worker = WorkerKey(0);
+    let tickets = vec![WorkerTicket { worker, text: "ticket".into() }];
+    let until_ms = graph.now_ms + 5_000;
+    let advice =
+        GraphRecord::StepAdvised { epoch: 1, step, asked: vec![worker], tickets, until_ms };
+    graph.apply(advice).unwrap();
+    graph.plan();
+    let runs = graph.runs_of(running);
+    let (run, held_by) = runs[0];
+    let saved = vec![(run, "checkpoint".into())];
+    graph.apply(GraphRecord::CheckpointsSaved { worker: held_by, saved }).unwrap();
+    let slow =
+        GraphRecord::WorkerSpeedSeen { worker: held_by, is_slow: true, progress: vec![(run, 3)] };
+    graph.apply(slow).unwrap();
+    let runs = vec![run];
+    graph.apply(GraphRecord::RunsStopped { epoch: 1, cause: StopCause::Slow, runs }).unwrap();
+    let until_ms = graph.now_ms + 9_000;
+    let drained = WorkerKey(4);
+    graph.apply(GraphRecord::WorkerDraining { worker: drained, until_ms }).unwrap();
+    graph.apply(GraphRecord::WorkerSuspected { epoch: 1, worker: held_by, agent: 7 }).unwrap();
+    graph.apply(GraphRecord::SnapshotTaken { offset: 3 }).unwrap();
+    graph
+}
+
+/// Guards against a snapshot without a run, its room, its worker, its stop or a suspicion.
+#[test]
+fn a_restored_state_is_the_one_that_the_log_made() {
+    let graph = rich_history();
+    let state = &graph.state;
+    let held: Vec<_> = state.workers.values().flat_map(|worker| worker.runs.values()).collect();
+    assert!(held.iter().any(|run| run.stop.is_some()) && held.iter().any(|run| run.stop.is_none()));
+    let is_suspected =
+        |status: &WorkerStatus| matches!(status, WorkerStatus::Suspected { since } if *since > 0);
+    assert!(state.workers.values().any(|worker| is_suspected(&worker.status)));
+    assert_eq!(&restored(state), state);
+}
+
+/// Guards against a restored replica that decides differently from one that read everything.
+#[test]
+fn a_restored_state_goes_on_as_the_one_that_the_log_made() {
+    let mut whole = rich_history();
+    let mut began = rich_history();
+    began.state = restored(&began.state);
+    for graph in [&mut whole, &mut began] {
+        graph.obey_stops();
+        graph.now_ms += 700;
+        let spec = worker_spec("r0w0", "r0");
+        graph.apply(GraphRecord::WorkerUp { agent: 9, spec }).unwrap();
+        graph.submit(4, 0, vec![gang(2, 8)]);
+        graph.plan_past_stops();
+    }
+    assert_eq!(began.state, whole.state);
+    assert_eq!(began.runs(), whole.runs());
+}
+
+/// Guards against a copy that comes after newer batches and takes back what they decided.
+#[test]
+fn a_late_copy_changes_nothing_in_a_state_that_was_restored_or_not() {
+    let mut graph = rich_history();
+    let worker = WorkerKey(0);
+    let spec = graph.state.workers[&worker].spec.clone();
+    let records = vec![GraphRecord::WorkerUp { agent: 7, spec }];
+    let early = Batch { writer: 2, sequence: 1, at_ms: graph.now_ms, records };
+    assert!(graph.state.apply(graph.state.offset, &early).remove(0).is_ok());
+    graph.apply(GraphRecord::WorkerSuspected { epoch: 1, worker, agent: 7 }).unwrap();
+    let newer = Batch { writer: 2, sequence: 2, at_ms: graph.now_ms, records: Vec::new() };
+    graph.state.apply(graph.state.offset, &newer);
+    for mut state in [graph.state.clone(), restored(&graph.state)] {
+        let report = state.apply(state.offset, &early);
+        assert_eq!(report, [Err(GraphRefusal::Duplicate)]);
+        state.offset -= 1;
+        assert_eq!(state, graph.state, "a copy changed the state");
+    }
+}
