Keep a writer's newest settled batch when an earlier one comes again

Seen: nothing in operation. A process whose last append got no answer learns by its own replica that the log has it, and goes on with the next. When a late copy of an earlier batch stood right behind the last one in a page, the earlier number hid the later before the writer looked; what waited was held up until the answer was overdue, 1.2 s and more, ends of runs and suspicions among it.

Cause: the number of the last settled batch was replaced by each batch of this writer that was applied, also by copies that the fold drops.

Class of fault: a mark of progress that can go back.

Ruled out: a second effect (the fold drops the copy by the writer's mark) and callers told wrongly (the answers of the earlier batch were given at its first copy).

--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -202,7 +202,8 @@
         if batch.writer != self.incarnation {
             return;
         }
-        self.settled.send_replace(batch.sequence);
+        // A late copy of an earlier batch may come after a later one.
+        self.settled.send_modify(|sequence| *sequence = batch.sequence.max(*sequence));
         let mut answers = lock(&self.answers);
         for (index, result) in F::outcomes(report).iter().enumerate() {
             let id = RecordId { writer: batch.writer, sequence: batch.sequence, index };
