--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -129,3 +129,48 @@
     let page = timeout(CALL_LIMIT, read).await.expect("the read waits for the entry").unwrap();
     assert_eq!((page.first, page.entries.len()), (3, 1));
 }
+
+/// Time after which the entry below answers, and after which its first caller has given up.
+const LATE_ANSWER: Duration = Duration::from_millis(200);
+const GIVEN_UP: Duration = Duration::from_millis(50);
+
+/// An entry that answers each read late, with an end that tells which one it was.
+async fn start_late_peer(key: SharedKey) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
+        tokio::spawn(async move {
+            let mut link: Link<RelayResponse, RelayRequest> = incoming.typed();
+            while let Ok(RelayRequest::Read { from, .. }) = link.receiver.receive().await {
+                tokio::time::sleep(LATE_ANSWER).await;
+                let next = from + 100;
+                let (oldest, entries) = (0, Vec::new());
+                let records =
+                    RelayResponse::Records { oldest, next, entries, waited_ms: 0, age_ms: 0 };
+                // Who gave up has closed the link.
+                if link.sender.send(&records).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }));
+    address
+}
+
+/// Guards against an answer that is taken for that of a later request: it would confirm the later
+/// request's time.
+#[tokio::test]
+async fn an_answer_to_a_read_that_was_given_up_is_not_taken_for_that_of_the_next() {
+    let key = SharedKey::new("key");
+    let peer = start_late_peer(key.clone()).await;
+    let peers = Arc::new(PeerList::default());
+    peers.set(PeerChoice { readers: vec![peer], ..PeerChoice::default() });
+    let direct = Arc::new(DirectPath::new(Arc::new(FakeLog::default())));
+    let dialer = LinkDialer::new(key, Arc::default());
+    let log = RelayedLog::new(direct, peers, &dialer, ProcessRole::Agent);
+    // The link is open by then, and the second read is on its way when its caller gives up.
+    assert_eq!(log.read(LogStream::Records, 1, 10, 0).await.unwrap().next, 101);
+    timeout(GIVEN_UP, log.read(LogStream::Records, 2, 10, 0)).await.unwrap_err();
+    let page = log.read(LogStream::Records, 3, 10, 0).await.unwrap();
+    assert_eq!((page.first, page.next), (3, 103));
+}
