Runs pass to the next incarnation of their worker until they are stopped there

Callers saw a task run twice, and workers over their room, when a worker crashed and started again under its name.

Cause: registering the next incarnation ended all runs of the earlier one at once. But a start order names the worker, not the incarnation: one that is sent before the next incarnation reported itself, or carried out late, begins its run there. The log had freed the room and placed the task anew by then. The class: what proves that an incarnation is gone does not prove that its orders are.

Ruled out: the check of the incarnation in the worker's lists, which works, but an answer to a start does not tell the incarnation; the fencing token, since a new incarnation has seen none; the start's deadline, which is on the clock of the earlier one.

Now the next incarnation takes the runs over, with a stop wanted. They hold their room until its agent has had the stop acknowledged, which makes the worker reject the late start, and has seen that nothing of them runs. A gang is stopped whole.

`a_new_incarnation_of_a_worker_takes_its_runs_away` stated the fault; its successor is stricter and states when the run may be placed anew.

--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -13,6 +13,7 @@
 use crate::refusal::SupersededSnafu;
 use crate::refusal::UnknownWorkerSnafu;
 use crate::task_key::RunKey;
+use crate::worker::StopCause;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerSpec;
 use crate::worker::WorkerState;
@@ -27,13 +28,14 @@
     /// token than all before it, and takes back a suspicion.
     pub(crate) fn worker_up(&mut self, offset: u64, agent: u64, spec: &WorkerSpec) -> GraphOutcome {
         let fence = offset + 1;
-        if let Some((key, known)) = self.worker_on(&spec.instance) {
-            if known.spec.is_same_incarnation(spec) {
-                self.take_over(key, agent, fence, spec);
-                return Ok(GraphEffect::Worker { worker: key });
-            }
-            ensure!(known.spec.born_ms <= spec.born_ms, SupersededSnafu { worker: key });
-            self.remove_worker(key);
+        let known = self.worker_on(&spec.instance);
+        if let Some((key, _)) = known.filter(|(_, known)| known.spec.is_same_incarnation(spec)) {
+            self.take_over(key, agent, fence, spec);
+            return Ok(GraphEffect::Worker { worker: key });
+        }
+        let earlier = known.map(|(key, known)| (key, known.spec.born_ms));
+        if let Some((worker, born_ms)) = earlier {
+            ensure!(born_ms <= spec.born_ms, SupersededSnafu { worker });
         }
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
@@ -48,9 +50,42 @@
             failed_ms: 0,
         };
         self.workers.insert(key, worker);
+        if let Some((earlier, _)) = earlier {
+            self.pass_runs_on(earlier, key);
+        }
         Ok(GraphEffect::Worker { worker: key })
     }
 
+    /// Passes the runs of a worker on to its next incarnation. An order for the earlier one may have
+    /// been carried out by the next, or may be yet, so the runs hold their room until the agent has
+    /// stopped them there and seen that they are gone.
+    fn pass_runs_on(&mut self, earlier: WorkerKey, next: WorkerKey) {
+        let Some(gone) = self.workers.remove(&earlier) else { return };
+        self.slow_workers.remove(&earlier);
+        let runs: Vec<RunKey> = gone.runs.keys().copied().collect();
+        if let Some(worker) = self.workers.get_mut(&next) {
+            worker.inherit(gone);
+        }
+        for run in runs {
+            self.move_run(run, next);
+            let step = run.task.step;
+            let spec = self.jobs.get(&step.job).and_then(|job| job.step_spec(step.step));
+            if spec.is_some_and(|spec| spec.gang) {
+                self.stop_step(step, StopCause::GangBroken);
+            }
+        }
+    }
+
+    fn move_run(&mut self, run: RunKey, worker: WorkerKey) {
+        let step = run.task.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(state) = job.steps.get_mut(&(step.occurrence, step.step)) else { return };
+        let Some(task) = state.tasks.get_mut(run.task.index as usize) else { return };
+        for place in task.current.iter_mut().filter(|place| place.run == run.run) {
+            place.worker = worker;
+        }
+    }
+
     fn take_over(&mut self, key: WorkerKey, agent: u64, fence: u64, spec: &WorkerSpec) {
         let Some(worker) = self.workers.get_mut(&key) else { return };
         worker.agent = agent;
--- a/crates/taskgraph/src/worker.rs
+++ b/crates/taskgraph/src/worker.rs
@@ -72,6 +72,8 @@
     Stalled,
     /// Its worker is slow, and it ends sooner elsewhere.
     Slow,
+    /// Its worker began anew.
+    WorkerReplaced,
 }
 
 /// A run that holds room on a worker.
@@ -157,6 +159,15 @@
         Some(held)
     }
 
+    /// Takes over the runs of the incarnation before this one, all of which are to stop.
+    pub(crate) fn inherit(&mut self, earlier: Self) {
+        self.used = self.used.plus(&earlier.used);
+        for (run, held) in earlier.runs {
+            let stop = held.stop.or(Some(StopCause::WorkerReplaced));
+            self.runs.insert(run, HeldRun { stop, ..held });
+        }
+    }
+
     /// Asks a run to stop; the first cause stands.
     pub(crate) fn ask_stop(&mut self, run: RunKey, cause: StopCause) {
         if let Some(held) = self.runs.get_mut(&run) {
--- a/crates/taskgraph/tests/graph/fold.rs
+++ b/crates/taskgraph/tests/graph/fold.rs
@@ -199,22 +199,48 @@
     assert_eq!(refusal, GraphRefusal::NoRoom { worker, step });
 }
 
+/// Guards against a task that is placed anew while an order to the earlier incarnation of its worker
+/// may be carried out by the next.
 #[test]
-fn a_new_incarnation_of_a_worker_takes_its_runs_away() {
+fn a_new_incarnation_of_a_worker_holds_the_runs_of_the_earlier_one_until_they_are_stopped() {
     let mut graph = GraphBuilder::new(1, 1);
     let job = graph.submit(1, 1, vec![tasks(1, 1)]);
     graph.plan();
+    let first = graph.runs_of(job)[0].0;
     let mut spec = worker_spec("r0w0", "r0");
     spec.born_ms = 2;
     let effect = graph.apply(GraphRecord::WorkerUp { agent: 8, spec }).unwrap();
     assert_eq!(effect, GraphEffect::Worker { worker: WorkerKey(1) });
-    assert_eq!(graph.runs(), []);
+    assert_eq!(graph.runs(), [(first, WorkerKey(1))]);
+    assert_eq!(graph.state.worker_of(first), Some(WorkerKey(1)));
+    let worker = &graph.state.workers[&WorkerKey(1)];
+    assert_eq!(worker.runs[&first].stop, Some(StopCause::WorkerReplaced));
+    assert_eq!(worker.used, worker.runs[&first].room);
+    graph.plan();
+    assert_eq!(graph.runs(), [(first, WorkerKey(1))], "it is not placed anew yet");
+    graph.obey_stops();
     graph.plan();
     assert_eq!(graph.runs_of(job)[0].0.run, 2);
     let old = worker_spec("r0w0", "r0");
     assert!(graph.apply(GraphRecord::WorkerUp { agent: 7, spec: old }).is_err());
 }
 
+/// Guards against a gang whose other members go on after the worker of one began anew.
+#[test]
+fn a_gang_is_stopped_when_the_worker_of_a_member_began_anew() {
+    let mut graph = GraphBuilder::new(1, 2);
+    let job = graph.submit(1, 1, vec![gang(2, 8)]);
+    graph.plan();
+    let mut spec = worker_spec("r0w0", "r0");
+    spec.born_ms = 2;
+    graph.apply(GraphRecord::WorkerUp { agent: 8, spec }).unwrap();
+    let runs = graph.runs_of(job);
+    assert_eq!(runs.len(), 2);
+    assert!(runs.iter().all(|(run, on)| graph.state.workers[on].runs[run].stop.is_some()));
+    graph.plan();
+    assert_eq!(graph.runs_of(job), runs, "it is placed anew only once all of it has ended");
+}
+
 #[test]
 fn an_agent_that_comes_back_keeps_the_runs_and_gets_a_higher_token() {
     let mut graph = GraphBuilder::new(1, 1);
