Decide on a lease and on the read that it rests on in one look

An order was decided on one look at the state, and its lease rested on whatever read was confirmed when it was made up. Between the two the log may have told of a suspicion, or that the run was given up; the lease then outlives the planner's wait for it. The planner, too, read its clock before it looked at the state, so that a suspicion could count as seen before it was.

Not reproduced: the two looks follow each other at once on a runtime of one thread. The state and the moment that confirms it now come from one call, and the order is checked against that state.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -80,6 +80,14 @@
     pub(crate) fence: u64,
 }
 
+impl OwnWorker {
+    /// Whether the log still has it so, and it may be given orders.
+    pub(crate) fn is_current(&self, state: &GraphState) -> bool {
+        let known = state.workers.get(&self.key);
+        known.is_some_and(|known| known.fence == self.fence && !known.is_suspected())
+    }
+}
+
 impl AgentCore {
     /// An agent of the worker behind `port`.
     pub fn new(
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::run_table::Order;
 use cuminbarrow_taskgraph::run_table::StartAnswer;
 use cuminbarrow_taskgraph::task_key::RunKey;
@@ -101,7 +102,7 @@
         let ticket = advice.map(|advice| advice.ticket(own.key)).unwrap_or_default();
         let payload = job.spec.payload.clone();
         drop(state);
-        let (grant, deadline_ms) = self.grant_lease(own)?;
+        let (grant, deadline_ms) = self.grant_lease(own, run)?;
         let order = StartOrder {
             worker: own.name.clone(),
             run,
@@ -114,13 +115,17 @@
         Some((grant, order))
     }
 
-    /// A lease for an order that is about to be sent.
-    fn grant_lease(&self, own: &OwnWorker) -> Option<(GrantNumber, u64)> {
+    /// A lease for an order to start a run, while the log wants it there.
+    fn grant_lease(&self, own: &OwnWorker, run: RunKey) -> Option<(GrantNumber, u64)> {
+        let is_wanted = |state: &GraphState| {
+            let held = state.workers.get(&own.key).and_then(|worker| worker.runs.get(&run));
+            own.is_current(state) && held.is_some_and(|held| held.stop.is_none())
+        };
         let mut session = self.session();
         if session.worker != Some(own.key) {
             return None;
         }
-        let (deadline_ms, until_ms) = self.lease_end(&session);
+        let (deadline_ms, until_ms) = self.lease_end(&session, is_wanted);
         let deadline_ms = deadline_ms?;
         Some((session.leases.grant(until_ms), deadline_ms))
     }
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
 use cuminbarrow_taskgraph::lease_terms::LAPSE_SLACK_MS;
 use cuminbarrow_taskgraph::record::GoneCause;
@@ -129,7 +130,7 @@
         wait_ms: u64,
     ) -> (PollNumber, GrantNumber, RenewalOrder) {
         let mut session = self.session();
-        let (deadline_ms, until_ms) = self.lease_end(&session);
+        let (deadline_ms, until_ms) = self.lease_end(&session, |state| own.is_current(state));
         session.unanswered_since_ms.get_or_insert(self.replica.clock.now_ms());
         let grant = session.leases.grant(until_ms);
         let order = RenewalOrder {
@@ -194,14 +195,22 @@
         !session.unrecorded.is_empty()
     }
 
-    /// End of a lease that may be granted now, on the worker's clock, and on the boot-time clock. A
-    /// worker that does not answer gets none: an order without an answer may have been carried out,
+    /// End of a lease that may be granted now, on the worker's clock, and on the boot-time clock. The
+    /// confirmed read that it rests on may have told more than was known when the order was decided on,
+    /// so whether the order `is_due` is asked of the state that the read confirmed. A worker that does not answer gets none: an order without an answer may have been carried out,
     /// and the lease that it carried would have to be waited for.
-    pub(crate) fn lease_end(&self, session: &WorkerSession) -> (Option<u64>, u64) {
+    pub(crate) fn lease_end<D>(&self, session: &WorkerSession, is_due: D) -> (Option<u64>, u64)
+    where
+        D: FnOnce(&GraphState) -> bool,
+    {
         if session.has_left || session.is_given_up {
             return (None, 0);
         }
-        let Some(confirmed_ms) = self.replica.confirmed_ms() else { return (None, 0) };
+        let Some((confirmed_ms, state)) = self.replica.confirmed_state() else { return (None, 0) };
+        if !is_due(&state) {
+            return (None, 0);
+        }
+        drop(state);
         let now_ms = self.replica.clock.now_ms();
         if session.unanswered_since_ms.is_some_and(|since_ms| now_ms > since_ms + QUIET_MS) {
             return (None, 0);
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -209,8 +209,9 @@
     }
 
     fn missing(&mut self, members: &BTreeSet<u64>) -> Vec<GraphRecord> {
-        let now_ms = self.task.replica.clock.now_ms();
+        // The state first: a suspicion counts as seen from when it was looked at, or later.
         let state = self.task.replica.state();
+        let now_ms = self.task.replica.clock.now_ms();
         self.watch.look(&state, members, self.task.lease, now_ms)
     }
 
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -119,8 +119,15 @@
 
     /// When the newest read was confirmed that is applied, on the boot-time clock in ms.
     pub fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_state().map(|(confirmed_ms, _)| confirmed_ms)
+    }
+
+    /// The state, with a moment on the boot-time clock in ms at which the log held nothing beyond it.
+    /// What is decided on the state may rest on that moment; a state looked at before may not.
+    pub fn confirmed_state(&self) -> Option<(u64, RwLockReadGuard<'_, GraphState>)> {
         let read = self.log.latest()?;
-        (self.state().offset >= read.end).then_some(read.at_ms)
+        let state = self.state();
+        (state.offset >= read.end).then_some((read.at_ms, state))
     }
 
     /// Writes a record and waits for a while until it is applied here.
