Log what tells the causes of a second run apart

The lines of an agent told neither that a run went on that the log had given up, nor which incarnation answered, nor how long a lease had been over when its worker was given up.

--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -112,6 +112,8 @@
                 false
             }
             Ok(Timed { answer, .. }) if answer.born_ms.is_some_and(|at| at != own.born_ms) => {
+                let answered_ms = answer.born_ms;
+                log::warn!(worker:% = own.key, born_ms = own.born_ms, answered_ms; "not the worker meant");
                 self.note_port_error(&PortError::OtherIncarnation, "renew");
                 false
             }
@@ -171,6 +173,9 @@
         session.unanswered_since_ms = None;
         self.note_clock(&mut session, clock_ms);
         session.take_lists(poll, lists);
+        for run in session.table.strays() {
+            log::warn!(run:% = run, worker:% = own.key; "a run goes on that is not wanted here");
+        }
         let state = self.replica.state();
         let now_ms = self.replica.clock.now_ms();
         let stalled = session.progress.look(&lists.running, now_ms, |run| outlook_of(&state, run));
@@ -267,7 +272,9 @@
         let silent_ms = now_ms.saturating_sub(heard_ms);
         let has_left = self.session_of(own.key).has_left;
         if (has_left || silent_ms >= SILENT_MS) && self.has_lapsed(own.key) {
-            log::warn!(worker:% = own.key, silent_ms, has_left; "the worker is gone");
+            let lease_ended_ms = self.session_of(own.key).leases.until_ms();
+            let lapsed_ms = now_ms.saturating_sub(lease_ended_ms);
+            log::warn!(worker:% = own.key, silent_ms, lapsed_ms, has_left; "the worker is gone");
             let cause = if has_left { GoneCause::Left } else { GoneCause::Lapsed };
             self.give_up(own.key, cause).await;
         }
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -265,6 +265,11 @@
         ends
     }
 
+    /// Runs listed last that the log does not want on the worker, until they are ordered to stop.
+    pub fn strays(&self) -> impl Iterator<Item = RunKey> {
+        self.strays.iter().copied()
+    }
+
     /// Hands out an end again, since the log did not take it.
     pub fn unreport(&mut self, run: RunKey) {
         if let Some(local) = self.runs.get_mut(&run) {
