An agent's session begins with the runs that the log has on the worker

Since sessions are also begun by what asks for a lease's end, one could begin without the runs that the worker holds in the log. A first look then made those that came after it count as never ordered, and a run that is to stop would be given back without a stop. Found by reading; a session is now begun in one place, with its runs, and never for a worker that has a successor. A poll no longer goes on with what it knew before it idled.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -161,12 +161,15 @@
             self.heard.send_replace(None);
             return;
         };
-        self.session_of(own.key).note_left();
+        if let Some(mut session) = self.session_of(own.key) {
+            session.note_left();
+        }
         log::info!(worker:% = own.key; "the worker leaves");
         self.wake_orders.notify_one();
         self.wake_polls.notify_one();
         let until = Instant::now() + LEAVE_WAIT;
-        while !self.session_of(own.key).table.is_idle() && Instant::now() < until {
+        let is_busy = || self.session_of(own.key).is_some_and(|session| !session.table.is_idle());
+        while is_busy() && Instant::now() < until {
             tokio::time::sleep(LEAVE_LOOK).await;
         }
     }
@@ -190,15 +193,23 @@
         self.session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What is known of this worker, begun anew where it was another.
-    pub(crate) fn session_of(&self, worker: WorkerKey) -> MutexGuard<'_, WorkerSession> {
+    /// What is known of this worker, begun anew where it was another: with the runs that the log has
+    /// there, any of which an earlier agent or incarnation may have been ordered to start. Nothing for
+    /// a worker that has a successor.
+    pub(crate) fn session_of(&self, worker: WorkerKey) -> Option<MutexGuard<'_, WorkerSession>> {
         let mut session = self.session();
+        if session.worker > Some(worker) {
+            return None;
+        }
         if session.worker != Some(worker) {
             // An agent before this one may have granted a lease until now.
             let now_ms = self.replica.clock.now_ms();
             *session = WorkerSession::new(worker, now_ms.saturating_add(self.lease.length_ms));
+            if let Some(known) = self.replica.state().workers.get(&worker) {
+                session.table.sync(&known.runs);
+            }
         }
-        session
+        Some(session)
     }
 
     /// The worker, while this agent may act on it.
@@ -294,7 +305,7 @@
             let state = self.replica.state();
             state.workers.get(&own.key).map(|worker| worker.runs.clone()).unwrap_or_default()
         };
-        let mut session = self.session_of(own.key);
+        let Some(mut session) = self.session_of(own.key) else { return };
         session.table.sync(&wanted);
         session.table.set_closed(self.is_leaving());
         session.saved.retain(|run, _| wanted.contains_key(run));
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -60,7 +60,7 @@
                 }
                 continue;
             };
-            if self.session_of(own.key).is_left_empty() {
+            if self.session_of(own.key).is_some_and(|session| session.is_left_empty()) {
                 self.give_up(own.key, GoneCause::Left).await;
                 continue;
             }
@@ -71,9 +71,7 @@
                     () = self.wake_polls.notified() => {}
                     () = tokio::time::sleep_until(until) => {}
                 }
-                if self.session().table.is_idle() && Instant::now() < until {
-                    continue;
-                }
+                continue;
             }
             let wait_ms = self.poll_wait_ms(polled);
             polled = Instant::now();
@@ -100,10 +98,7 @@
 
     /// Asks for the worker's lists and extends its lease. Tells whether the worker answered.
     pub(crate) async fn poll_once(&self, own: &OwnWorker, wait_ms: u64) -> bool {
-        if self.session().worker != Some(own.key) {
-            self.sync_table();
-        }
-        let (poll, grant, order) = self.renewal_order(own, wait_ms);
+        let Some((poll, grant, order)) = self.renewal_order(own, wait_ms) else { return false };
         let result = self.port.renew(order).await;
         self.settle_grant(own, grant, &result);
         match result {
@@ -130,8 +125,8 @@
         &self,
         own: &OwnWorker,
         wait_ms: u64,
-    ) -> (PollNumber, GrantNumber, RenewalOrder) {
-        let mut session = self.session();
+    ) -> Option<(PollNumber, GrantNumber, RenewalOrder)> {
+        let mut session = self.session_of(own.key)?;
         let (deadline_ms, until_ms) = self.lease_end(&session, |state| own.is_current(state));
         session.unanswered_since_ms.get_or_insert(self.replica.clock.now_ms());
         let grant = session.leases.grant(until_ms);
@@ -142,7 +137,7 @@
             acked_through: session.acked_through(),
             wait_ms,
         };
-        (session.table.begin_poll(), grant, order)
+        Some((session.table.begin_poll(), grant, order))
     }
 
     /// Notes whether an order that carried a lease was sent.
@@ -259,8 +254,9 @@
 
     /// Whether every lease that the worker may have been granted is over.
     fn has_lapsed(&self, worker: WorkerKey) -> bool {
-        let lapses_ms = self.session_of(worker).leases.until_ms().saturating_add(LAPSE_SLACK_MS);
-        self.replica.clock.now_ms() >= lapses_ms
+        let until_ms = self.session_of(worker).map(|session| session.leases.until_ms());
+        let now_ms = self.replica.clock.now_ms();
+        until_ms.is_some_and(|until_ms| now_ms >= until_ms.saturating_add(LAPSE_SLACK_MS))
     }
 
     /// Gives up a worker that is not heard from, or said that it ends, once its lease has run out. Only
@@ -270,9 +266,10 @@
         let now_ms = self.replica.clock.now_ms();
         let heard_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.at_ms);
         let silent_ms = now_ms.saturating_sub(heard_ms);
-        let has_left = self.session_of(own.key).has_left;
+        let known = self.session_of(own.key);
+        let known = known.map(|session| (session.has_left, session.leases.until_ms()));
+        let Some((has_left, lease_ended_ms)) = known else { return };
         if (has_left || silent_ms >= SILENT_MS) && self.has_lapsed(own.key) {
-            let lease_ended_ms = self.session_of(own.key).leases.until_ms();
             let lapsed_ms = now_ms.saturating_sub(lease_ended_ms);
             log::warn!(worker:% = own.key, silent_ms, lapsed_ms, has_left; "the worker is gone");
             let cause = if has_left { GoneCause::Left } else { GoneCause::Lapsed };
@@ -284,7 +281,9 @@
     /// would be registered again as soon as the log has it. Until the log has it, nothing is ordered
     /// there: the record frees the room of whatever runs by then.
     pub(crate) async fn give_up(&self, worker: WorkerKey, cause: GoneCause) {
-        self.session_of(worker).is_given_up = true;
+        if let Some(mut session) = self.session_of(worker) {
+            session.is_given_up = true;
+        }
         *self.given_up() = Some(worker);
         self.heard.send_replace(None);
         let record = GraphRecord::WorkerGone { worker, cause, suspicion: 0 };
