The end of another worker gives up none

A worker lost all that it ran when the last words of the worker before it at the address came late: the agent forgot what the living worker had said of itself, extended its leases no more and gave it up.

Before: `the_end_of_another_worker_leaves_the_one_here_at_work` failed, 2 runs in place of 1. Now such words are logged and change nothing. A late word of an earlier incarnation under the same name can't be told from one of the incarnation that is here.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -152,10 +152,15 @@
     /// The worker of this name says that it ends now. What it runs is stopped; what can't be stopped
     /// any more is given up when its lease is over.
     pub async fn note_left(&self, name: &str) {
-        let own = self.own_worker().filter(|own| own.name == name);
-        let born_ms = self.heard.borrow().as_ref().map_or(0, |heard| heard.report.spec.born_ms);
+        let heard = self.heard.borrow().as_ref().map(|heard| heard.report.spec.clone());
+        if heard.as_ref().is_some_and(|heard| heard.name != name) {
+            // The worker before the one that is here, told late.
+            log::warn!(worker = name; "another worker than the one here says that it ends");
+            return;
+        }
+        let born_ms = heard.map_or(0, |heard| heard.born_ms);
         *self.left_worker() = Some((SmolStr::new(name), born_ms));
-        let Some(own) = own else {
+        let Some(own) = self.own_worker() else {
             // It may be on its way into the log.
             log::info!(worker = name; "a worker left before it was registered");
             self.heard.send_replace(None);
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -302,9 +302,16 @@
 
     /// The worker tells its agent that it ends now; gives when the agent has answered.
     pub(crate) async fn say_left(&self) {
+        if let Some((name, _)) = self.place.identity() {
+            self.say_left_as(&name).await;
+        }
+    }
+
+    /// A worker of some name tells the agent that it ends.
+    pub(crate) async fn say_left_as(&self, name: &str) {
         let core = self.agent.lock().unwrap().as_ref().map(|agent| Arc::clone(&agent.core));
-        if let (Some(core), Some((name, _))) = (core, self.place.identity()) {
-            core.note_left(&name).await;
+        if let Some(core) = core {
+            core.note_left(name).await;
         }
     }
 
--- a/crates/dispatch/tests/fleet/proof_of_end.rs
+++ b/crates/dispatch/tests/fleet/proof_of_end.rs
@@ -160,3 +160,20 @@
     assert_eq!(fleet.runs_begun(job), 1);
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Guards against a worker that is given up for the last words of the one before it, told late.
+#[tokio::test(start_paused = true)]
+async fn the_end_of_another_worker_leaves_the_one_here_at_work() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    let job = fleet.submit(tasks(1, 8), Duration::from_secs(10)).await;
+    fleet.wait_for("a run", |fleet| fleet.place_of(job).is_some()).await;
+    let first = fleet.place_of(job).unwrap();
+    // Its own reports are late too.
+    fleet.nodes[first].set_reporting(false);
+    fleet.nodes[first].say_left_as("i-earlier").await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    fleet.nodes[first].set_reporting(true);
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    assert_eq!(fleet.runs_begun(job), 1);
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
