Read the rows of a worker's lists one by one

What callers saw: one row of a worker's `running` or `ended` that could not be read kept its agent from all of them. Nothing was started there, no end reached the log, no lease was extended, so that work which went on was killed when its lease ran out.

Cause: `read_lists` decoded both lists as one, and gave nothing for a single row of another type, with a number out of range, too deeply nested, or with bytes that are no text. The agent took each poll for one without an answer.

Class of fault: one unreadable part taken for the whole being unreadable.

Now each row is read by itself. What that may and may not prove:

- A running row whose task or run can't be read is some run that goes on.
Ignored, it would let the run be taken for gone, and be placed a second time beside itself.
So the lists say that they are not whole, and no run counts as gone because such an answer, or one to a poll asked before it, does not list it.
Listed runs and ends still count, and leases are extended.
- A field that does not name the run (checkpoint, percent, load) does without its value.
- An ended row that can't be read tells of no run how it ended.
It is acknowledged by its number: the worker lists ends 500 at a time until they are acknowledged, so a few odd ones left there would hide those after them.
The run itself is then missing from both lists, and is noted as vanished by the rule for that, once the list of what runs is whole.

Ruled out: to acknowledge nothing past an odd end (the worker's 500 fill up), and to read such an end as failed (it may have been a name that is no run's).

--- a/crates/dispatch/src/worker_port.rs
+++ b/crates/dispatch/src/worker_port.rs
@@ -98,8 +98,13 @@
     pub born_ms: Option<u64>,
     /// Runs that go on.
     pub running: Vec<WorkerRun>,
+    /// Whether further runs go on whose names can't be read. No run then counts as gone because it is
+    /// not listed.
+    pub has_unread_runs: bool,
     /// Ends that were not acknowledged.
     pub ended: Vec<WorkerEnd>,
+    /// Further ends, which tell of no run how it ended: their numbers, where these can be read.
+    pub unread_ends: Vec<Option<u64>>,
 }
 
 /// Orders to the worker.
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -69,6 +69,9 @@
     pub(crate) stalled: Vec<RunKey>,
     pub(crate) refused_since_ms: Option<u64>,
     pub(crate) is_fenced: bool,
+    /// The latest poll that was answered with a list which is not whole. No run counts as gone by the
+    /// answer to it, or to one before it.
+    pub(crate) unread_through: PollNumber,
 }
 
 impl WorkerSession {
@@ -79,9 +82,19 @@
 
     /// Takes what the worker lists. Ends that the log has to get are put out.
     pub(crate) fn take_lists(&mut self, poll: PollNumber, lists: &WorkerLists) {
+        if lists.has_unread_runs {
+            self.unread_through = self.unread_through.max(poll);
+        }
+        // A run that is not listed may be the one that can't be read. As an answer to a poll before
+        // all others, the list proves of no run that was ever ordered here that it is gone.
+        let poll = if poll <= self.unread_through { PollNumber::default() } else { poll };
         let mut ends = self.table.polled(poll, &lists.running, &lists.ended);
         ends.extend(self.stray_ends(&lists.ended, &ends));
         self.note_ends(&lists.ended, ends);
+        // Such an end would be listed again for good, and in time hide those after it.
+        for number in lists.unread_ends.iter().flatten() {
+            self.listed_through = self.listed_through.max(*number);
+        }
         for entry in lists.running.iter().filter(|entry| !entry.checkpoint.is_empty()) {
             self.checkpoints.insert(entry.run, entry.checkpoint.clone());
         }
