--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -77,7 +77,7 @@
 impl WorkerSession {
     /// Highest number up to which every end is in the log.
     pub(crate) fn acked_through(&self) -> u64 {
-        self.unrecorded.first().map_or(self.listed_through, |first| first - 1)
+        self.unrecorded.first().map_or(self.listed_through, |first| first.saturating_sub(1))
     }
 
     /// Takes what the worker lists. Ends that the log has to get are put out.
