Bound what a decoded record or message may take

What callers saw: nothing yet.

Cause: the decoder makes room for a text of the length given before it looks at what is there, and no limit was set. Room that can't be had ends the process.

Class of fault: memory taken on the word of another writer.

Both decoders have a limit now, well above what the longest body can hold, since a number takes up to 8 times as much decoded as encoded. Lists of numbers and bytes were not at risk: room for them grows with what is read.

--- /dev/null
+++ b/crates/dispatch/tests/odd_messages.rs
@@ -0,0 +1,64 @@
+//! Messages of another process that are none: the link fails, and nothing else.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail where it stands")]
+
+use std::time::Duration;
+
+use cuminbarrow_protocol::link::Link;
+use cuminbarrow_protocol::link::LinkDialer;
+use cuminbarrow_protocol::link::LinkError;
+use cuminbarrow_protocol::link::LinkKind;
+use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::relay_message::RelayRequest;
+use cuminbarrow_protocol::relay_message::RelayResponse;
+use cuminbarrow_protocol::shared_key::SharedKey;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// Longest message below, in bytes.
+const LENGTH: usize = 10;
+/// Marks a length of 8 bytes in the encoding.
+const LONG_LENGTH: u8 = 253;
+/// Number of the answer that holds a reason.
+const REFUSED: u8 = 5;
+
+/// What a process makes of an answer of these bytes.
+async fn received(body: [u8; LENGTH]) -> Result<RelayResponse, LinkError> {
+    let key = SharedKey::new("key");
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(accept_links(listener, key.clone(), Default::default(), move |incoming| {
+        tokio::spawn(async move {
+            let mut link: Link<[u8; LENGTH], RelayRequest> = incoming.typed();
+            while link.receiver.receive().await.is_ok() {
+                link.sender.send(&body).await.unwrap();
+            }
+        });
+    }));
+    let dialer = LinkDialer::new(key, Default::default());
+    let link = dialer.open(address, LinkKind::Relay).await;
+    let mut link: Link<RelayRequest, RelayResponse> = link.unwrap();
+    link.sender.send(&RelayRequest::LoadChunks).await.unwrap();
+    timeout(Duration::from_secs(3), link.receiver.receive()).await.expect("no end of a wait")
+}
+
+/// A reason that said to be longer than the memory ended the process that received it.
+#[tokio::test]
+async fn an_answer_longer_than_it_is_breaks_its_link_only() {
+    for length in [1_u64 << 32, 1 << 40, 1 << 62, u64::MAX] {
+        let mut body = [0; LENGTH];
+        body[0] = REFUSED;
+        body[1] = LONG_LENGTH;
+        body[2..].copy_from_slice(&length.to_le_bytes());
+        let result = received(body).await;
+        assert!(matches!(result, Err(LinkError::Decode { .. })), "{length}: {result:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_of_no_known_kind_breaks_its_link_only() {
+    for kind in [7, 100, 251, 253, 255] {
+        let result = received([kind; LENGTH]).await;
+        assert!(matches!(result, Err(LinkError::Decode { .. })), "{kind}: {result:?}");
+    }
+}
--- a/crates/ledger/src/codec.rs
+++ b/crates/ledger/src/codec.rs
@@ -9,6 +9,11 @@
 /// Version of the format that this program writes and the newest it reads.
 pub const FORMAT_VERSION: u8 = 1;
 
+/// Most that one record or snapshot takes when decoded, in bytes: the longest answer of the log service
+/// is 64 MiB, and a number takes up to 8 times as much as in its encoding. A text that says to be
+/// longer is not read; its length alone would take that much memory.
+const MAX_DECODED_BYTES: usize = 8 * 64 * 1024 * 1024;
+
 /// Why bytes could not be read.
 #[derive(Debug, Snafu)]
 pub enum CodecError {
@@ -67,8 +72,8 @@
 {
     let (&version, body) = bytes.split_first().ok_or(CodecError::Empty)?;
     ensure!((1..=FORMAT_VERSION).contains(&version), UnknownVersionSnafu { version });
-    let (value, used) = bincode::serde::decode_from_slice(body, bincode::config::standard())
-        .context(DecodeSnafu)?;
+    let format = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (value, used) = bincode::serde::decode_from_slice(body, format).context(DecodeSnafu)?;
     ensure!(used == body.len(), TrailingBytesSnafu { excess: body.len() - used });
     Ok(value)
 }
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -30,6 +30,9 @@
 
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+/// Most that one message takes when decoded, in bytes: a number takes up to 8 times as much as in its
+/// encoding. A text that says to be longer is not read.
+const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES;
 /// Timeout of the handshake of a link.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// A peer that takes nothing for this long is cut off.
@@ -184,7 +187,8 @@
     pub async fn receive(&mut self) -> Result<T, LinkError> {
         loop {
             if let Some(body) = self.next_frame()? {
-                let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
+                let format = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+                let decoded = bincode::serde::decode_from_slice(&body, format);
                 return decoded.map(|(message, _)| message).context(DecodeSnafu);
             }
             let data = self.stream.data().await.context(ClosedSnafu)?.context(Http2Snafu)?;
