Pass over records that no program of this system wrote

What callers saw: nothing yet. One record of another writer in the log's topic stopped every entry and every agent for good, each with one line that it can't go on; a restart did not help, since the next process met the same record.

Cause: a record that can't be decoded was taken for one of a later program, which must never be passed over, and the process then waited for ever.

Class of fault: a safe stop without a way back, set off by anyone who can write to the topic. The store lets anyone write to any topic but two.

Bytes that no program of this system wrote are now a batch that does nothing. All replicas judge by the bytes alone, and so alike: what begins with a version that a later format may have (up to 15), or with the head of a batch of this format written between 2020 and 2100, is of a later program and is not passed over.

Ruled out: passing over all that can't be decoded (during an update replicas of two versions would differ), and a checksum or mark in each record (older processes could not read it).

--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -31,6 +31,8 @@
 /// Wait before the log is tried again when no snapshot covers the records that expired. A living
 /// replica writes a snapshot soon after it sees records expire.
 const GAP_WAIT: Duration = Duration::from_millis(500);
+/// Wait before a record of a later program is tried again. The log keeps records for 20 s.
+const UNREADABLE_WAIT: Duration = Duration::from_secs(5);
 /// Age of the last confirmed read beyond which a replica is not fresh, in ms: two reads of a
 /// second each, and their answers.
 const FRESH_MS: u64 = 2_500;
@@ -85,9 +87,10 @@
                     log::warn!("waiting for a snapshot: {error}");
                     tokio::time::sleep(GAP_WAIT).await;
                 }
+                // Once the record has expired, a snapshot by a process that could read it covers it.
                 error @ TailError::Unreadable { .. } => {
-                    log::error!("this process can't go on: {error}");
-                    std::future::pending::<()>().await;
+                    log::error!("this process is too old to go on: {error}");
+                    tokio::time::sleep(UNREADABLE_WAIT).await;
                 }
             }
         }
--- a/crates/ledger/src/codec.rs
+++ b/crates/ledger/src/codec.rs
@@ -9,6 +9,8 @@
 /// Version of the format that this program writes and the newest it reads.
 pub const FORMAT_VERSION: u8 = 1;
 
+/// Highest version that this format will ever have. Other writers' bytes mostly begin with a higher one.
+const LAST_VERSION: u8 = 15;
 /// Most that one record or snapshot takes when decoded, in bytes: the longest answer of the log service
 /// is 64 MiB, and a number takes up to 8 times as much as in its encoding. A text that says to be
 /// longer is not read; its length alone would take that much memory.
@@ -77,3 +79,23 @@
     ensure!(used == body.len(), TrailingBytesSnafu { excess: body.len() - used });
     Ok(value)
 }
+
+/// Decodes the beginning of what [`encode`] wrote, whatever follows.
+///
+/// # Errors
+/// [`CodecError`], as [`decode`].
+pub fn decode_head<T>(bytes: &[u8]) -> Result<T, CodecError>
+where
+    T: DeserializeOwned,
+{
+    let (&version, body) = bytes.split_first().ok_or(CodecError::Empty)?;
+    ensure!((1..=FORMAT_VERSION).contains(&version), UnknownVersionSnafu { version });
+    let format = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (head, _) = bincode::serde::decode_from_slice(body, format).context(DecodeSnafu)?;
+    Ok(head)
+}
+
+/// Whether bytes begin with a version that a later program may write.
+pub fn is_later_version(bytes: &[u8]) -> bool {
+    bytes.first().is_some_and(|version| (FORMAT_VERSION + 1..=LAST_VERSION).contains(version))
+}
--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -13,10 +13,12 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use tokio::sync::watch;
 
 use crate::batch::Batch;
+use crate::batch::is_of_later_program;
 use crate::codec;
 use crate::codec::CodecError;
 use crate::fold::Fold;
@@ -28,6 +30,8 @@
 const READ_LIMIT: u32 = 256;
 /// Wait for the next batch at the log service, in ms.
 const READ_WAIT_MS: u32 = 10_000;
+/// Bytes of a foreign record that are shown.
+const SHOWN_BYTES: usize = 32;
 /// Wait after a failed read.
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
@@ -45,7 +49,7 @@
         /// Oldest offset kept.
         oldest: u64,
     },
-    /// A record can't be read; it is never passed over.
+    /// A record of a later program can't be read; it is never passed over.
     #[snafu(display("the record at offset {offset} can't be read: {source}"))]
     Unreadable {
         /// Its offset.
@@ -161,9 +165,7 @@
     fn apply_page(&self, page: &LogPage, observer: &dyn BatchObserver<F>) -> Result<(), TailError> {
         self.oldest.store(page.oldest, Ordering::Relaxed);
         for (offset, body) in (page.first..).zip(&page.entries) {
-            let batch: Batch<F::Record> =
-                codec::decode(body).map_err(|source| TailError::Unreadable { offset, source })?;
-            self.apply_batch(offset, &batch, observer);
+            self.apply_batch(offset, &read_batch(offset, body)?, observer);
         }
         let is_current = self.state().offset() >= page.next;
         self.is_current.store(is_current, Ordering::Release);
@@ -212,3 +214,20 @@
         }
     }
 }
+
+/// The batch at an offset. Bytes that no program of this system wrote are a batch that does nothing,
+/// for every replica alike.
+fn read_batch<R>(offset: u64, body: &[u8]) -> Result<Batch<R>, TailError>
+where
+    R: DeserializeOwned,
+{
+    match codec::decode(body) {
+        Ok(batch) => Ok(batch),
+        Err(source) if is_of_later_program(body) => Err(TailError::Unreadable { offset, source }),
+        Err(error) => {
+            let begins = body[..body.len().min(SHOWN_BYTES)].escape_ascii().to_string();
+            log::error!(offset, bytes = body.len(), begins; "a foreign record is passed over: {error}");
+            Ok(Batch::empty())
+        }
+    }
+}
--- a/crates/ledger/tests/odd_bytes.rs
+++ b/crates/ledger/tests/odd_bytes.rs
@@ -1,5 +1,7 @@
 //! Bytes of another writer among the records: decoding them fails, and nothing else.
 
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::batch::is_of_later_program;
 use cuminbarrow_ledger::codec;
 use cuminbarrow_ledger::codec::FORMAT_VERSION;
 
@@ -30,3 +32,19 @@
     let bytes = codec::encode(&text).expect("a text can be encoded");
     assert_eq!(codec::decode::<String>(&bytes).expect("a long text is read"), text);
 }
+
+/// A batch that a later program wrote is not passed over, or replicas would differ.
+#[test]
+fn a_batch_of_a_later_program_is_told_from_foreign_bytes() {
+    let at_ms = 1_800_000_000_000_u64;
+    let unknown_kind = (7_u64, 1_u64, at_ms, vec![250_u32]);
+    let of_later = codec::encode(&unknown_kind).expect("a tuple can be encoded");
+    assert!(codec::decode::<Batch>(&of_later).is_err());
+    assert!(is_of_later_program(&of_later));
+    assert!(is_of_later_program(&[FORMAT_VERSION + 1, 0, 0]));
+    let nowhere = codec::encode(&(7_u64, 1_u64, 5_u64, vec![250_u32])).expect("so can this");
+    let foreign: [&[u8]; 6] = [b"", b"\0", b"{}", b"\x01", b"\x01 text", &nowhere];
+    for bytes in foreign {
+        assert!(!is_of_later_program(bytes), "{}", bytes.escape_ascii());
+    }
+}
