Bound the time for which tickets are relied upon

What callers saw: nothing yet. Tickets that were said to be good beyond all time ended the question of their step, which was never asked again: its tasks were not placed. In a release build, which does not check for overflow, the time would come out at random.

Cause: the time was multiplied and added to the time of day unchecked, in a task of its own whose end nobody sees.

Class of fault: arithmetic on a number that came over the wire unchecked.

The release build's behaviour is read, not run.

--- a/crates/dispatch/src/advice_desk.rs
+++ b/crates/dispatch/src/advice_desk.rs
@@ -23,6 +23,8 @@
 const MAX_ASKING: usize = 16;
 /// Wait after a question without an answer.
 const RETRY_WAIT: Duration = Duration::from_millis(300);
+/// Longest time for which tickets are relied upon, in ms: a day. It is added to the time of day.
+const MAX_VALID_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Part of a ticket's time that is not relied upon, in percent: clocks may differ by 2 %.
 const CLOCK_PERCENT: u64 = 2;
 
@@ -72,7 +74,7 @@
             }
             Ok(tickets) => tickets,
         };
-        let valid_ms = tickets.valid_ms * (100 - CLOCK_PERCENT) / 100;
+        let valid_ms = tickets.valid_ms.min(MAX_VALID_MS) * (100 - CLOCK_PERCENT) / 100;
         let took_ms = wall_ms().saturating_sub(sent_ms);
         let good = tickets.good.len();
         log::info!(step:% = step, workers = named.len(), good, valid_ms, took_ms; "advised");
