Plan a job that is due billions of times a part at a time

What callers saw: nothing yet. One job with `times` near the largest of 32 bits and no time between them ended each process that planned: every due occurrence was gathered first, and none of the processes that took the role over had the memory either. With a time between them, each look for the next due time went through all that were over.

Cause: occurrences were listed one by one up to the number that the caller chose.

Class of fault: work or memory in proportion to a number that came over the wire.

In one round, at most 10,000 steps of the due occurrences of one job are looked at, the first ones first; the next due time is computed. Nothing is refused that was accepted before.

--- a/crates/taskgraph/src/job_spec.rs
+++ b/crates/taskgraph/src/job_spec.rs
@@ -127,6 +127,17 @@
         (self.times > 0).then(|| self.start_at_ms.saturating_add(delay))
     }
 
+    /// When the first occurrence after `now_ms` is due, in ms since the Unix epoch.
+    pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
+        let passed_ms = now_ms.checked_sub(self.start_at_ms);
+        let next = match passed_ms {
+            None => 0,
+            Some(passed_ms) => passed_ms.checked_div(self.interval_ms)?.checked_add(1)?,
+        };
+        let next = u32::try_from(next).ok().filter(|next| *next < self.times)?;
+        self.due_ms(next).filter(|due_ms| *due_ms > now_ms)
+    }
+
     /// Checks what the types can't say.
     ///
     /// # Errors
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -21,6 +21,10 @@
 /// reach the worker; none may begin more than 250 ms early.
 const EARLY_MS: u64 = 0;
 
+/// Steps of one job that are looked at in one round, at most, in all its occurrences that are due. A
+/// caller may ask for billions; those after the first wait for them.
+const MAX_DUE_STEPS: usize = 10_000;
+
 /// How far a job is from being on time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timeliness {
@@ -118,23 +122,20 @@
     waiting
 }
 
-/// Occurrences that are due and not finished.
+/// Occurrences that are due and not finished, the first of them where there are many.
 fn due_occurrences(job: &JobState, now_ms: u64) -> impl Iterator<Item = u32> + '_ {
     let is_due = move |occurrence: &u32| {
         job.spec.due_ms(*occurrence).is_none_or(|due_ms| due_ms <= now_ms + EARLY_MS)
     };
     let occurrences = (0..job.spec.occurrences()).take_while(is_due);
-    occurrences.filter(|occurrence| !job.finished.contains(occurrence))
+    let unfinished = occurrences.filter(|occurrence| !job.finished.contains(occurrence));
+    unfinished.take((MAX_DUE_STEPS / job.spec.steps.len().max(1)).max(1))
 }
 
 /// When the next occurrence of any job is due after `now_ms`, in ms since the Unix epoch.
 pub fn next_due_ms(state: &GraphState, now_ms: u64) -> Option<u64> {
     let jobs = state.active.iter().filter_map(|id| state.jobs.get(id));
-    jobs.filter_map(|job| {
-        let mut due = (0..job.spec.occurrences()).filter_map(|number| job.spec.due_ms(number));
-        due.find(|due_ms| *due_ms > now_ms)
-    })
-    .min()
+    jobs.filter_map(|job| job.spec.next_due_ms(now_ms)).min()
 }
 
 fn waiting_step<'a>(
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -7,6 +7,7 @@
 mod graph_builder;
 mod leases;
 mod load_patterns;
+mod many_occurrences;
 mod pacing;
 mod planning;
 mod random_histories;
--- /dev/null
+++ b/crates/taskgraph/tests/graph/many_occurrences.rs
@@ -0,0 +1,51 @@
+//! Jobs that ask to run more often than can be planned at once.
+
+use cuminbarrow_taskgraph::job_spec::JobSpec;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::step_queue::next_due_ms;
+
+use crate::graph_builder::GraphBuilder;
+use crate::graph_builder::START_MS;
+use crate::graph_builder::tasks;
+
+fn spec(times: u32, start_at_ms: u64, interval_ms: u64) -> JobSpec {
+    JobSpec { steps: vec![tasks(1, 1)], times, start_at_ms, interval_ms, ..JobSpec::default() }
+}
+
+/// A job due billions of times at once ended each process that planned, one after the other.
+#[test]
+fn a_job_due_billions_of_times_is_planned_a_part_at_a_time() {
+    let mut builder = GraphBuilder::new(1, 2);
+    let job = builder.submit_spec(1, 1, spec(u32::MAX, 0, 0));
+    let other = builder.submit(2, 0, vec![tasks(1, 1)]);
+    builder.plan();
+    assert_eq!(builder.runs_of(job).len(), 15);
+    assert_eq!(builder.runs_of(other).len(), 1);
+    builder.end_all(job, EndKind::Done);
+    builder.plan();
+    assert_eq!(builder.runs_of(job).len(), 15);
+    let occurrences = builder.runs_of(job).into_iter().map(|(run, _)| run.task.step.occurrence);
+    assert_eq!(occurrences.collect::<Vec<u32>>(), (15..30).collect::<Vec<u32>>());
+}
+
+#[test]
+fn the_next_due_time_is_the_first_after_now() {
+    let next = |times, start_ms, interval_ms, now_ms| {
+        let mut builder = GraphBuilder::new(1, 1);
+        builder.submit_spec(1, 1, spec(times, start_ms, interval_ms));
+        next_due_ms(&builder.state, now_ms)
+    };
+    let at = START_MS;
+    assert_eq!(next(0, at, 10, at - 1), None, "a job without times is due at once");
+    assert_eq!(next(3, at, 10, at - 1), Some(at));
+    assert_eq!(next(3, at, 10, at), Some(at + 10));
+    assert_eq!(next(3, at, 10, at + 9), Some(at + 10));
+    assert_eq!(next(3, at, 10, at + 10), Some(at + 20));
+    assert_eq!(next(3, at, 10, at + 20), None);
+    assert_eq!(next(u32::MAX, at, 0, at - 1), Some(at));
+    assert_eq!(next(u32::MAX, at, 0, at), None);
+    assert_eq!(next(u32::MAX, 0, 1, at), Some(at + 1));
+    assert_eq!(next(u32::MAX, u64::MAX, u64::MAX, at), Some(u64::MAX));
+    assert_eq!(next(u32::MAX, 0, u64::MAX, at), Some(u64::MAX));
+    assert_eq!(next(u32::MAX, 0, u64::MAX, u64::MAX), None);
+}
