--- a/crates/dispatch/tests/fleet/fake_worker.rs
+++ b/crates/dispatch/tests/fleet/fake_worker.rs
@@ -305,6 +305,7 @@
             born_ms: Some(life.born_ms),
             running: running.collect(),
             ended: ended.collect(),
+            ..WorkerLists::default()
         };
         Ok(Timed { clock_ms: Some(life.clock_ms()), answer })
     }
