Play random histories on the fleet in virtual time

Histories of jobs and of faults that overlap are drawn from a seed: paths between agents and workers, reports, logs, suspended and restarted agents, workers that crash, drain and come back, entries. The observer judges each, and in the end every job has to be over.

The fakes become stricter. Runs of a gang work once all members are there and end together, `broken` or `alone`. A stop names one run, and another run of the same task goes on beside it. Workers' clocks run up to 2 % slow. Renewals may be carried out late too. A read is answered with what the log held when it was made, however late the answer comes. Workers may guard their room.

What is drawn and when it is played depends on the seed alone. Which of two tasks goes first does not: `select!` and the incarnations of processes draw from the system, so times of later events differ by some 25 ms, and a seed may break a promise in one run and keep it in the next.

--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
 use std::time::Duration;
 
 use cuminbarrow_dispatch::agent_core::AgentCore;
@@ -36,6 +37,7 @@
 use crate::fake_log::LogDoor;
 use crate::fake_worker::MAX_LEASE_MS;
 use crate::fake_worker::PathFault;
+use crate::fake_worker::TaskPlan;
 use crate::fake_worker::WorkerDoor;
 use crate::fake_worker::WorkerPlace;
 use crate::observer::KnownWork;
@@ -45,6 +47,10 @@
 const REPORT_EVERY: Duration = Duration::from_millis(1_500);
 /// Address of entries. Nobody reaches it, which shows at once and without real waiting.
 const NO_ADDRESS: &str = "127.255.255.255:9";
+/// Time between looks at what is over.
+const LOOK: Duration = Duration::from_millis(20);
+/// Tries to have a record written before its caller gives up.
+const SUBMIT_TRIES: usize = 12;
 /// Time for agents to look at their workers once.
 const SETTLE: Duration = Duration::from_secs(2);
 const LEASE: LeaseTerms = LeaseTerms { length_ms: MAX_LEASE_MS };
@@ -81,14 +87,27 @@
     tasks: Vec<AbortHandle>,
 }
 
+/// How far a worker is on its way out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LeaveStage {
+    #[default]
+    Stays,
+    Drains,
+    /// It said its last word and may go on for a while.
+    Left,
+}
+
 /// An instance with a worker and its agent.
 pub(crate) struct FakeNode {
     pub(crate) place: Arc<WorkerPlace>,
     instance: SmolStr,
     agent: Arc<Mutex<Option<FakeAgent>>>,
     is_reporting: Arc<Mutex<bool>>,
-    leaves: Arc<Mutex<bool>>,
+    leaves: Arc<Mutex<LeaveStage>>,
     sequence: Arc<Mutex<u64>>,
+    report_delay: Arc<Mutex<Duration>>,
+    path_fault: Mutex<PathFault>,
+    log_fault: Mutex<DoorFault>,
     births: Mutex<u64>,
 }
 
@@ -119,6 +138,7 @@
             places: Arc::default(),
             jobs: 0,
         };
+        tokio::spawn(watch_ends(Arc::downgrade(&fleet.places)));
         (0..entries).for_each(|_| fleet.add_entry());
         (0..nodes).for_each(|_| fleet.add_node());
         fleet
@@ -148,7 +168,18 @@
 
     /// Adds an entry that plans when it may.
     pub(crate) fn add_entry(&mut self) {
-        let instance = SmolStr::from(format!("entry-{}", self.entries.len()));
+        let entry = self.new_entry(self.entries.len());
+        self.entries.push(entry);
+    }
+
+    /// Kills an entry and starts the next one on its instance.
+    pub(crate) fn restart_entry(&mut self, index: usize) {
+        self.entries[index].kill();
+        self.entries[index] = self.new_entry(index);
+    }
+
+    fn new_entry(&self, index: usize) -> FakeEntry {
+        let instance = SmolStr::from(format!("entry-{index}"));
         let (replica, door) = self.replica(ProcessRole::Entry, &instance);
         let planner = PlannerTask {
             replica: Arc::clone(&replica),
@@ -163,7 +194,7 @@
             tokio::spawn(planner.run(receiver)).abort_handle(),
             tokio::spawn(announce(Arc::clone(&replica), door.clone(), instance)).abort_handle(),
         ];
-        self.entries.push(FakeEntry { replica, door, tasks, _shutdown: shutdown });
+        FakeEntry { replica, door, tasks, _shutdown: shutdown }
     }
 
     fn add_node(&mut self) {
@@ -179,6 +210,9 @@
             is_reporting: Arc::new(Mutex::new(true)),
             leaves: Arc::default(),
             sequence: Arc::default(),
+            report_delay: Arc::default(),
+            path_fault: Mutex::default(),
+            log_fault: Mutex::default(),
             births: Mutex::new(0),
         };
         node.boot();
@@ -192,8 +226,9 @@
         let node = &self.nodes[index];
         node.kill_agent();
         let (replica, door) = self.replica(ProcessRole::Agent, &node.instance);
-        let path = watch::Sender::new(PathFault::None);
-        let port = WorkerDoor::new(Arc::clone(&node.place), path.clone());
+        door.set_fault(*node.log_fault.lock().unwrap());
+        let path = watch::Sender::new(*node.path_fault.lock().unwrap());
+        let port = WorkerDoor::new(Arc::clone(&node.place), path.clone(), door.gate.clone());
         let membership = Arc::new(door.clone());
         let core = AgentCore::new(Arc::clone(&replica), Arc::new(port), membership, LEASE);
         let tasks = vec![
@@ -215,11 +250,39 @@
         lasts: Duration,
         ends_as: EndKind,
     ) -> u64 {
+        let (job, record) = self.new_job(step, lasts, ends_as);
+        let living = self.entries.iter().find(|entry| !entry.is_dead());
+        let _ = living.unwrap().replica.write(record).await;
+        job
+    }
+
+    /// Submits such a job, or cancels one, in the background: again until it is taken.
+    pub(crate) fn write_soon(&self, record: GraphRecord) {
+        let living = self.entries.iter().filter(|entry| !entry.is_dead());
+        let replicas: Vec<_> = living.map(|entry| Arc::clone(&entry.replica)).collect();
+        tokio::spawn(async move {
+            for replica in replicas.iter().cycle().take(SUBMIT_TRIES) {
+                if let Ok(_answer) = replica.write(record.clone()).await {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// A job of one step that all workers and the observer know of.
+    pub(crate) fn new_job(
+        &mut self,
+        step: StepSpec,
+        lasts: Duration,
+        ends_as: EndKind,
+    ) -> (u64, GraphRecord) {
         self.jobs += 1;
         let job = self.jobs;
         let known = KnownWork { is_gang: step.gang, room: step.room };
         self.observer.lock().unwrap().work.insert(job, known);
-        self.nodes.iter().for_each(|node| node.place.know_job(job, lasts, ends_as));
+        let members = if step.gang { step.count } else { 0 };
+        let plan = TaskPlan { lasts, ends_as, members };
+        self.nodes.iter().for_each(|node| node.place.know_job(job, plan));
         let terms = JobTerms {
             queue: "queue".into(),
             service: "service".into(),
@@ -231,10 +294,7 @@
             is_advised: false,
         };
         let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
-        let record = GraphRecord::JobAccepted { job: JobId(job), spec, terms };
-        let living = self.entries.iter().find(|entry| !entry.is_dead());
-        let _ = living.unwrap().replica.write(record).await;
-        job
+        (job, GraphRecord::JobAccepted { job: JobId(job), spec, terms })
     }
 
     /// Waits until a state comes about.
@@ -265,6 +325,19 @@
     pub(crate) fn faults(&self) -> Vec<String> {
         self.observer.lock().unwrap().faults.clone()
     }
+
+    /// What happened so far.
+    pub(crate) fn history(&self) -> Vec<String> {
+        self.observer.lock().unwrap().history.clone()
+    }
+
+    pub(crate) fn note(&self, what: &str) {
+        self.observer.lock().unwrap().note(what);
+    }
+
+    pub(crate) fn lapse_members(&self) {
+        self.log.lapse_members();
+    }
 }
 
 impl FakeEntry {
@@ -285,11 +358,39 @@
     pub(crate) fn boot(&self) {
         let mut births = self.births.lock().unwrap();
         *births += 1;
-        *self.leaves.lock().unwrap() = false;
+        *self.leaves.lock().unwrap() = LeaveStage::Stays;
         *self.sequence.lock().unwrap() = 0;
         self.place.boot(&format!("i-{}", self.instance), 1_000 * *births);
     }
 
+    /// Begins a life under another name.
+    pub(crate) fn boot_renamed(&self) {
+        let mut births = self.births.lock().unwrap();
+        *births += 1;
+        *self.leaves.lock().unwrap() = LeaveStage::Stays;
+        *self.sequence.lock().unwrap() = 0;
+        self.place.boot(&format!("i-{}-{births}", self.instance), 1_000 * *births);
+    }
+
+    /// Sets how long reports take to reach the agent.
+    pub(crate) fn delay_reports(&self, delay: Duration) {
+        *self.report_delay.lock().unwrap() = delay;
+    }
+
+    pub(crate) fn set_suspended(&self, is_suspended: bool) {
+        if let Some(agent) = &*self.agent.lock().unwrap() {
+            agent.door.gate.set_suspended(is_suspended);
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    pub(crate) fn has_agent(&self) -> bool {
+        self.agent.lock().unwrap().is_some()
+    }
+
     /// Sets whether the worker's reports reach the agent.
     pub(crate) fn set_reporting(&self, is_reporting: bool) {
         *self.is_reporting.lock().unwrap() = is_reporting;
@@ -297,24 +398,30 @@
 
     /// Lets the worker report that it leaves.
     pub(crate) fn drain(&self) {
-        *self.leaves.lock().unwrap() = true;
+        *self.leaves.lock().unwrap() = LeaveStage::Drains;
     }
 
     /// The worker tells its agent that it ends now; gives when the agent has answered.
-    pub(crate) async fn say_left(&self) {
+    pub(crate) fn say_left(&self) -> impl Future<Output = ()> + Send + use<> {
         let core = self.agent.lock().unwrap().as_ref().map(|agent| Arc::clone(&agent.core));
-        if let (Some(core), Some((name, _))) = (core, self.place.identity()) {
-            core.note_left(&name).await;
+        let identity = self.place.identity();
+        *self.leaves.lock().unwrap() = LeaveStage::Left;
+        async move {
+            if let (Some(core), Some((name, _))) = (core, identity) {
+                core.note_left(&name).await;
+            }
         }
     }
 
     pub(crate) fn set_path(&self, fault: PathFault) {
+        *self.path_fault.lock().unwrap() = fault;
         if let Some(agent) = &*self.agent.lock().unwrap() {
             agent.path.send_replace(fault);
         }
     }
 
     pub(crate) fn set_log(&self, fault: DoorFault) {
+        *self.log_fault.lock().unwrap() = fault;
         if let Some(agent) = &*self.agent.lock().unwrap() {
             agent.door.set_fault(fault);
         }
@@ -336,12 +443,12 @@
         let is_reporting = Arc::clone(&self.is_reporting);
         let leaves = Arc::clone(&self.leaves);
         let sequence = Arc::clone(&self.sequence);
+        let report_delay = Arc::clone(&self.report_delay);
         async move {
             loop {
-                let core = agent.lock().unwrap().as_ref().map(|agent| Arc::clone(&agent.core));
-                if let (Some(core), Some((name, born_ms)), true) =
-                    (core, place.identity(), *is_reporting.lock().unwrap())
-                {
+                let stage = *leaves.lock().unwrap();
+                let is_reporting = *is_reporting.lock().unwrap() && stage != LeaveStage::Left;
+                if let Some((name, born_ms)) = place.identity().filter(|_| is_reporting) {
                     let sequence = {
                         let mut sequence = sequence.lock().unwrap();
                         *sequence += 1;
@@ -357,8 +464,10 @@
                         labels: vec!["kind".into(), "rack".into()],
                         room: place.room(),
                     };
-                    let leaves_in_ms = leaves.lock().unwrap().then_some(5_500);
-                    core.note_report(WorkerReport { spec, leaves_in_ms, sequence });
+                    let leaves_in_ms = (stage == LeaveStage::Drains).then_some(5_500);
+                    let report = WorkerReport { spec, leaves_in_ms, sequence };
+                    let delay = *report_delay.lock().unwrap();
+                    tokio::spawn(bring(Arc::clone(&agent), report, delay));
                 }
                 tokio::time::sleep(REPORT_EVERY).await;
             }
@@ -366,6 +475,28 @@
     }
 }
 
+/// Brings a report to the agent that is there when it arrives.
+async fn bring(agent: Arc<Mutex<Option<FakeAgent>>>, report: WorkerReport, delay: Duration) {
+    tokio::time::sleep(delay).await;
+    if let Some(agent) = &*agent.lock().unwrap()
+        && !agent.door.gate.is_suspended()
+    {
+        agent.core.note_report(report);
+    }
+}
+
+/// Lets what is over end on time, also while nobody asks for it.
+async fn watch_ends(places: Weak<Mutex<Vec<Arc<WorkerPlace>>>>) {
+    while let Some(places) = places.upgrade() {
+        let first = places.lock().unwrap().first().cloned();
+        if let Some(place) = first {
+            place.advance();
+        }
+        drop(places);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Announces an entry and keeps it among the members.
 async fn announce(replica: Arc<Replica>, door: LogDoor, instance: SmolStr) {
     use cuminbarrow_dispatch::membership::Membership;
--- a/crates/dispatch/tests/fleet/fake_log.rs
+++ b/crates/dispatch/tests/fleet/fake_log.rs
@@ -43,6 +43,25 @@
     Dead,
 }
 
+/// Lets the calls of a process through unless it is suspended.
+#[derive(Clone, Default)]
+pub(crate) struct Gate(watch::Sender<bool>);
+
+impl Gate {
+    pub(crate) fn set_suspended(&self, is_suspended: bool) {
+        self.0.send_replace(is_suspended);
+    }
+
+    pub(crate) fn is_suspended(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits until the process is awake.
+    pub(crate) async fn pass(&self) {
+        let _ = self.0.subscribe().wait_for(|is_suspended| !is_suspended).await;
+    }
+}
+
 /// The log.
 #[derive(Default)]
 pub(crate) struct FakeLog {
@@ -53,6 +72,11 @@
 }
 
 impl FakeLog {
+    /// Forgets who is there; whoever lives comes back.
+    pub(crate) fn lapse_members(&self) {
+        self.members.lock().unwrap().clear();
+    }
+
     fn append(&self, stream: LogStream, body: &Bytes) -> u64 {
         if stream == LogStream::Snapshots {
             let mut snapshots = self.snapshots.lock().unwrap();
@@ -72,11 +96,12 @@
 pub(crate) struct LogDoor {
     log: Arc<FakeLog>,
     fault: watch::Sender<DoorFault>,
+    pub(crate) gate: Gate,
 }
 
 impl LogDoor {
     pub(crate) fn new(log: Arc<FakeLog>) -> Self {
-        Self { log, fault: watch::Sender::new(DoorFault::None) }
+        Self { log, fault: watch::Sender::new(DoorFault::None), gate: Gate::default() }
     }
 
     /// Sets what becomes of calls; a dead process stays dead.
@@ -93,7 +118,9 @@
     }
 
     async fn pass(&self) -> Result<(), LogError> {
+        self.gate.pass().await;
         tokio::time::sleep(CALL).await;
+        self.gate.pass().await;
         match self.fault() {
             DoorFault::Dead => pending().await,
             DoorFault::Refused => {
@@ -123,7 +150,11 @@
                     log.append(stream, &body);
                 });
             }
-            _ => return Ok(self.log.append(stream, &body)),
+            _ => {
+                let offset = self.log.append(stream, &body);
+                self.gate.pass().await;
+                return Ok(offset);
+            }
         }
         tokio::time::sleep(TIMEOUT).await;
         Err(LogError::Uncertain { reason: "the answer was lost".to_owned() })
@@ -142,16 +173,19 @@
             let mut end = self.log.end.subscribe();
             let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
         }
+        let page = {
+            let kept = match stream {
+                LogStream::Records => &self.log.records,
+                LogStream::Snapshots => &self.log.snapshots,
+            };
+            let kept = kept.lock().unwrap();
+            let entries = kept.iter().skip(from as usize).take(limit as usize).cloned().collect();
+            let next = kept.len() as u64;
+            LogPage { oldest: 0, next, first: from, entries, waited_ms: 0, age_ms: 0 }
+        };
         // A cut that began meanwhile holds the answer up.
         self.pass().await?;
-        let kept = match stream {
-            LogStream::Records => &self.log.records,
-            LogStream::Snapshots => &self.log.snapshots,
-        };
-        let kept = kept.lock().unwrap();
-        let entries = kept.iter().skip(from as usize).take(limit as usize).cloned().collect();
-        let next = kept.len() as u64;
-        Ok(LogPage { oldest: 0, next, first: from, entries, waited_ms: 0, age_ms: 0 })
+        Ok(page)
     }
 }
 
--- a/crates/dispatch/tests/fleet/fake_worker.rs
+++ b/crates/dispatch/tests/fleet/fake_worker.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -27,6 +30,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::fake_log::Gate;
 use crate::observer::Observer;
 use crate::observer::PlaceIndex;
 
@@ -38,6 +42,10 @@
 pub(crate) const STOP: Duration = Duration::from_millis(900);
 /// Longest lease, in ms.
 pub(crate) const MAX_LEASE_MS: u64 = 6_000;
+/// Time for which a member of a gang waits for the others.
+const GANG_WAIT: Duration = Duration::from_secs(5);
+/// Time after which the other members end once one has ended.
+const BREAK: Duration = Duration::from_millis(100);
 /// Time between looks at what ended, while a poll waits.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -55,19 +63,54 @@
     AnswersLost,
     /// Starts and stops are carried out this much later, and not answered; the others are answered.
     Late(Duration),
+    /// All is carried out this much later, and not answered.
+    AllLate(Duration),
+    /// All is carried out this much later, and answered after as long again.
+    Slow(Duration),
     /// The worker refuses to start anything, and does all else.
     Overloaded,
     /// The agent is gone: its calls never come back.
     Dead,
 }
 
+/// What the tasks of a job do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TaskPlan {
+    pub(crate) lasts: Duration,
+    pub(crate) ends_as: EndKind,
+    /// Members that have to be there before they work; 0 for tasks that work alone.
+    pub(crate) members: u32,
+}
+
 #[derive(Clone, Debug)]
 struct ActiveRun {
-    run: u32,
     began: Instant,
-    ends: Instant,
+    /// Nothing while other members of its gang are missing.
+    works_until: Option<Instant>,
     stops: Option<Instant>,
-    ends_as: EndKind,
+    breaks: Option<Instant>,
+    plan: TaskPlan,
+}
+
+impl ActiveRun {
+    /// When and how it ends, as things are.
+    fn end(&self, lease_end: Instant) -> (Instant, EndKind) {
+        let own = match self.works_until {
+            Some(until) => (until, self.plan.ends_as),
+            None => (self.began + GANG_WAIT, EndKind::Alone),
+        };
+        let mut ends = vec![own, (lease_end, EndKind::Lapsed)];
+        ends.extend(self.stops.map(|at| (at, EndKind::Stopped)));
+        ends.extend(self.breaks.map(|at| (at, EndKind::Broken)));
+        ends.into_iter().min_by_key(|(at, _)| *at).unwrap()
+    }
+
+    fn percent(&self) -> u32 {
+        let Some(until) = self.works_until else { return 0 };
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let lasts = self.plan.lasts.as_millis().max(1);
+        u32::try_from(100 - (left * 100 / lasts).min(100)).unwrap()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -83,10 +126,12 @@
     name: SmolStr,
     born_ms: u64,
     began: Instant,
+    /// By how much its clock runs slow.
+    slow_permille: u32,
     fence: u64,
     lease_ms: u64,
     lapsed_at: Option<Instant>,
-    running: BTreeMap<TaskKey, ActiveRun>,
+    running: BTreeMap<RunKey, ActiveRun>,
     ended: Vec<ListedEnd>,
     next_end: u64,
     /// Highest run of each task that was stopped or ended here.
@@ -94,11 +139,12 @@
 }
 
 impl Life {
-    fn new(name: &str, born_ms: u64) -> Self {
+    fn new(name: &str, born_ms: u64, slow_permille: u32) -> Self {
         Self {
             name: name.into(),
             born_ms,
             began: Instant::now(),
+            slow_permille,
             fence: 0,
             lease_ms: 0,
             lapsed_at: None,
@@ -110,7 +156,22 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap()
+        let elapsed = self.began.elapsed() * (1_000 - self.slow_permille) / 1_000;
+        u64::try_from(elapsed.as_millis()).unwrap()
+    }
+
+    fn lease_end(&self) -> Instant {
+        let lease = Duration::from_millis(self.lease_ms);
+        self.began + lease * 1_000 / (1_000 - self.slow_permille)
+    }
+
+    fn next_end(&self) -> Option<(Instant, EndKind, RunKey)> {
+        let lease_end = self.lease_end();
+        let ends = self.running.iter().map(|(run, active)| {
+            let (at, how) = active.end(lease_end);
+            (at, how, *run)
+        });
+        ends.min_by_key(|(at, _, _)| *at)
     }
 
     fn close(&mut self, task: TaskKey, run: u32) {
@@ -144,7 +205,11 @@
     life: Mutex<Option<Life>>,
     observer: Arc<Mutex<Observer>>,
     places: Arc<Mutex<Vec<Arc<WorkerPlace>>>>,
-    run_time: Mutex<BTreeMap<u64, (Duration, EndKind)>>,
+    plans: Mutex<BTreeMap<u64, TaskPlan>>,
+    /// By how much the clocks of its workers run slow.
+    pub(crate) slow_permille: AtomicU32,
+    /// Whether its workers refuse what they have no room for.
+    pub(crate) guards_room: AtomicBool,
 }
 
 impl WorkerPlace {
@@ -155,27 +220,36 @@
         places: Arc<Mutex<Vec<Arc<WorkerPlace>>>>,
     ) -> Arc<Self> {
         let life = Mutex::new(None);
-        Arc::new(Self { index, room, life, observer, places, run_time: Mutex::default() })
+        Arc::new(Self {
+            index,
+            room,
+            life,
+            observer,
+            places,
+            plans: Mutex::default(),
+            slow_permille: AtomicU32::new(0),
+            guards_room: AtomicBool::new(false),
+        })
     }
 
     /// Tells what the tasks of a job do.
-    pub(crate) fn know_job(&self, job: u64, lasts: Duration, ends_as: EndKind) {
-        self.run_time.lock().unwrap().insert(job, (lasts, ends_as));
+    pub(crate) fn know_job(&self, job: u64, plan: TaskPlan) {
+        self.plans.lock().unwrap().insert(job, plan);
     }
 
     /// Begins a life, after the one before was ended.
     pub(crate) fn boot(&self, name: &str, born_ms: u64) {
-        *self.life.lock().unwrap() = Some(Life::new(name, born_ms));
+        *self.life.lock().unwrap() =
+            Some(Life::new(name, born_ms, self.slow_permille.load(Ordering::Relaxed)));
     }
 
     /// Ends the life, and all that it runs.
     pub(crate) fn crash(&self) {
         self.advance();
-        if let Some(life) = self.life.lock().unwrap().take() {
-            let mut observer = self.observer.lock().unwrap();
-            for (task, active) in life.running {
-                observer.ended(self.index, RunKey { task, run: active.run });
-            }
+        let Some(life) = self.life.lock().unwrap().take() else { return };
+        for run in life.running.keys() {
+            self.observer.lock().unwrap().ended(self.index, *run, "crash");
+            self.break_gang(*run, Instant::now());
         }
     }
 
@@ -199,73 +273,118 @@
         self.life.lock().unwrap()
     }
 
-    /// Ends what is over, stopped or without a lease.
-    fn advance(&self) {
-        let mut life = self.life.lock().unwrap();
-        let Some(life) = life.as_mut() else { return };
-        let now = Instant::now();
-        let lease_end = life.began + Duration::from_millis(life.lease_ms);
-        let mut over = Vec::new();
-        for (task, active) in &life.running {
-            let mut ends = vec![(active.ends, active.ends_as), (lease_end, EndKind::Lapsed)];
-            ends.extend(active.stops.map(|at| (at, EndKind::Stopped)));
-            let (at, how) = ends.into_iter().min_by_key(|(at, _)| *at).unwrap();
-            if now >= at {
-                over.push((*task, active.run, how));
+    /// Ends what is over on all workers, in the order in which it happened.
+    pub(crate) fn advance(&self) {
+        let places = self.places.lock().unwrap().clone();
+        let next_end = |place: &Arc<Self>| place.life.lock().unwrap().as_ref()?.next_end();
+        loop {
+            let ends = places.iter().filter_map(|place| Some((next_end(place)?, place)));
+            let next = ends.min_by_key(|((at, _, _), _)| *at);
+            match next {
+                Some(((at, how, run), place)) if at <= Instant::now() => place.end(at, how, run),
+                _ => return,
             }
         }
-        let mut observer = self.observer.lock().unwrap();
-        for (task, run, how) in over {
-            life.running.remove(&task);
-            life.close(task, run);
-            let run = RunKey { task, run };
-            observer.ended(self.index, run);
+    }
+
+    fn end(&self, at: Instant, how: EndKind, run: RunKey) {
+        {
+            let mut life = self.life.lock().unwrap();
+            let Some(life) = life.as_mut() else { return };
+            life.running.remove(&run);
+            life.close(run.task, run.run);
+            let mut observer = self.observer.lock().unwrap();
+            observer.ended(self.index, run, &format!("{how:?}"));
             let done_at = (how == EndKind::Done).then(|| observer.done(run));
             let end = RunEnd { run, how, checkpoint: SmolStr::default() };
             life.ended.push(ListedEnd { number: life.next_end, end, done_at });
             life.next_end += 1;
         }
+        if how != EndKind::Done {
+            self.break_gang(run, at);
+        }
     }
 
-    /// Ends what is over on all workers, so that the observer sees what really runs.
-    fn advance_all(&self) {
-        let places = self.places.lock().unwrap().clone();
-        places.iter().for_each(|place| place.advance());
+    /// The other members of a run end soon once one has ended.
+    fn break_gang(&self, run: RunKey, at: Instant) {
+        self.each_mate(run, |active| {
+            active.breaks.get_or_insert(at + BREAK);
+        });
+    }
+
+    /// Members of a run of a gang, on all workers.
+    fn each_mate<F>(&self, run: RunKey, mut act: F)
+    where
+        F: FnMut(&mut ActiveRun),
+    {
+        for place in self.places.lock().unwrap().iter() {
+            let mut life = place.life.lock().unwrap();
+            for (mate, active) in life.iter_mut().flat_map(|life| &mut life.running) {
+                let is_same = mate.task.step == run.task.step && mate.run == run.run;
+                if is_same && active.plan.members > 0 {
+                    act(active);
+                }
+            }
+        }
+    }
+
+    /// A gang works once all its members are there.
+    fn begin_gang(&self, run: RunKey) {
+        let mut present = 0;
+        self.each_mate(run, |_| present += 1);
+        let now = Instant::now();
+        self.each_mate(run, |active| {
+            if present == active.plan.members {
+                active.works_until.get_or_insert(now + active.plan.lasts);
+            }
+        });
     }
 
     fn start(&self, order: &StartOrder) -> Result<Timed<StartAnswer>, PortError> {
-        self.advance_all();
+        self.advance();
+        let timed = self.begin(order)?;
+        self.begin_gang(order.run);
+        Ok(timed)
+    }
+
+    fn begin(&self, order: &StartOrder) -> Result<Timed<StartAnswer>, PortError> {
         let mut life = self.life.lock().unwrap();
         let life = named(&mut life, &order.worker)?;
         life.admit(order.fence, Some(order.deadline_ms))?;
-        let RunKey { task, run } = order.run;
         let clock_ms = Some(life.clock_ms());
-        if life.running.get(&task).is_some_and(|active| active.run == run) {
-            return Ok(Timed { clock_ms, answer: StartAnswer::Started });
+        let answered = |answer| Ok(Timed { clock_ms, answer });
+        if life.running.contains_key(&order.run) {
+            return answered(StartAnswer::Started);
         }
-        if life.is_closed(task, run) {
-            return Ok(Timed { clock_ms, answer: StartAnswer::Outdated });
+        if life.is_closed(order.run.task, order.run.run) {
+            return answered(StartAnswer::Outdated);
         }
         if order.deadline_ms < life.clock_ms() {
-            return Ok(Timed { clock_ms, answer: StartAnswer::TooLate });
+            return answered(StartAnswer::TooLate);
+        }
+        let mut observer = self.observer.lock().unwrap();
+        let guards_room = self.guards_room.load(Ordering::Relaxed);
+        if guards_room && !observer.has_room(self.index, order.run, self.room) {
+            return answered(StartAnswer::Refused);
         }
-        let (lasts, ends_as) = self.run_time.lock().unwrap()[&task.step.job.0];
+        let plan = self.plans.lock().unwrap()[&order.run.task.step.job.0];
         let began = Instant::now();
-        let active = ActiveRun { run, began, ends: began + lasts, stops: None, ends_as };
-        life.running.insert(task, active);
-        self.observer.lock().unwrap().began(self.index, order.run, self.room);
-        Ok(Timed { clock_ms, answer: StartAnswer::Started })
+        let works_until = (plan.members == 0).then(|| began + plan.lasts);
+        let active = ActiveRun { began, works_until, stops: None, breaks: None, plan };
+        life.running.insert(order.run, active);
+        observer.began(self.index, order.run, self.room);
+        answered(StartAnswer::Started)
     }
 
     fn stop(&self, worker: &str, run: RunKey, fence: u64) -> Result<Timed<()>, PortError> {
         let mut life = self.lock();
         let life = named(&mut life, worker)?;
         life.admit(fence, None)?;
-        match life.running.get_mut(&run.task) {
-            Some(active) if active.run <= run.run => {
+        match life.running.get_mut(&run) {
+            Some(active) => {
                 active.stops.get_or_insert(Instant::now() + STOP);
             }
-            _ => life.close(run.task, run.run),
+            None => life.close(run.task, run.run),
         }
         Ok(Timed { clock_ms: Some(life.clock_ms()), answer: () })
     }
@@ -287,14 +406,10 @@
                 observer.acknowledged(listed.end.run, at);
             }
         }
-        let percent = |active: &ActiveRun| {
-            let lasts = (active.ends - active.began).as_millis().max(1);
-            u32::try_from(active.began.elapsed().as_millis() * 100 / lasts).unwrap()
-        };
-        let running = life.running.iter().map(|(task, active)| WorkerRun {
-            run: RunKey { task: *task, run: active.run },
+        let running = life.running.iter().map(|(run, active)| WorkerRun {
+            run: *run,
             checkpoint: SmolStr::default(),
-            percent: percent(active),
+            percent: active.percent(),
             load: 0,
         });
         let ended = life
@@ -327,11 +442,16 @@
 pub(crate) struct WorkerDoor {
     place: Arc<WorkerPlace>,
     fault: watch::Sender<PathFault>,
+    gate: Gate,
 }
 
 impl WorkerDoor {
-    pub(crate) fn new(place: Arc<WorkerPlace>, fault: watch::Sender<PathFault>) -> Self {
-        Self { place, fault }
+    pub(crate) fn new(
+        place: Arc<WorkerPlace>,
+        fault: watch::Sender<PathFault>,
+        gate: Gate,
+    ) -> Self {
+        Self { place, fault, gate }
     }
 
     fn fault(&self) -> PathFault {
@@ -340,6 +460,17 @@
 
     /// Carries an order out as far as the path lets it through.
     async fn order<T, F>(&self, is_renewal: bool, wait: Duration, act: F) -> Result<T, PortError>
+    where
+        F: FnOnce(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
+        T: Send + 'static,
+    {
+        self.gate.pass().await;
+        let result = self.carry(is_renewal, wait, act).await;
+        self.gate.pass().await;
+        result
+    }
+
+    async fn carry<T, F>(&self, is_renewal: bool, wait: Duration, act: F) -> Result<T, PortError>
     where
         F: FnOnce(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
         T: Send + 'static,
@@ -353,7 +484,15 @@
                 let _ = act(&self.place);
                 unanswered(wait).await
             }
-            PathFault::Late(delay) if !is_renewal => {
+            PathFault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                let result = act(&self.place);
+                tokio::time::sleep(delay).await;
+                result
+            }
+            fault @ (PathFault::Late(delay) | PathFault::AllLate(delay))
+                if !is_renewal || fault == PathFault::AllLate(delay) =>
+            {
                 let place = Arc::clone(&self.place);
                 tokio::spawn(async move {
                     tokio::time::sleep(delay).await;
--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -7,3 +7,5 @@
 mod fake_worker;
 mod observer;
 mod proof_of_end;
+mod random_faults;
+mod random_histories;
--- a/crates/dispatch/tests/fleet/observer.rs
+++ b/crates/dispatch/tests/fleet/observer.rs
@@ -36,6 +36,9 @@
     done: BTreeMap<WorkUnit, Vec<DoneMark>>,
     starts: BTreeMap<WorkUnit, Vec<(Instant, RunKey)>>,
     pub(crate) faults: Vec<String>,
+    /// What happened, a line each, with when.
+    pub(crate) history: Vec<String>,
+    since: Option<Instant>,
 }
 
 impl Observer {
@@ -43,12 +46,33 @@
         self.work[&run.task.step.job.0]
     }
 
+    /// Notes what happens now.
+    pub(crate) fn note(&mut self, what: &str) {
+        let since = *self.since.get_or_insert_with(Instant::now);
+        let line = format!("{:7.3} {what}", since.elapsed().as_secs_f64());
+        log::info!(target: "cuminbarrow_dispatch::fleet", "{line}");
+        self.history.push(line);
+    }
+
+    fn fault(&mut self, what: String) {
+        self.note(&what);
+        self.faults.push(what);
+    }
+
+    /// Whether a run fits beside what really runs at a place.
+    pub(crate) fn has_room(&self, place: PlaceIndex, run: RunKey, room: Room) -> bool {
+        let runs = self.running.get(&place).into_iter().flatten().chain([&run]);
+        let held = runs.map(|run| self.known(*run).room);
+        room.covers(&held.fold(Room::default(), |sum, one| sum.plus(&one)))
+    }
+
     fn unit_of(&self, run: RunKey) -> WorkUnit {
         let is_gang = self.known(run).is_gang;
         WorkUnit(if is_gang { run.task.step.task(0) } else { run.task })
     }
 
     pub(crate) fn began(&mut self, place: PlaceIndex, run: RunKey, room: Room) {
+        self.note(&format!("{run} begins at {place}"));
         let unit = self.unit_of(run);
         let is_gang = self.known(run).is_gang;
         let elsewhere = self.running.iter();
@@ -61,26 +85,24 @@
                 format!("TWICE: {run} began at {place} beside {beside} at {other}")
             })
             .collect();
-        self.faults.extend(faults);
+        faults.into_iter().for_each(|fault| self.fault(fault));
         let is_gang_mate = |begun: &RunKey| is_gang && begun.run == run.run;
         let done = self.done.entry(unit).or_default();
         if done.iter().any(|mark| mark.is_acknowledged) {
-            self.faults.push(format!("TWICE: {run} began at {place} after it was done"));
+            self.fault(format!("TWICE: {run} began at {place} after it was done"));
         }
         let starts = self.starts.entry(unit).or_default();
         if !starts.iter().any(|(_, begun)| is_gang_mate(begun)) {
             starts.push((Instant::now(), run));
         }
-        let runs = self.running.entry(place).or_default();
-        runs.insert(run);
-        let held = runs.iter().map(|run| self.work[&run.task.step.job.0].room);
-        let held = held.fold(Room::default(), |sum, one| sum.plus(&one));
-        if !room.covers(&held) {
-            self.faults.push(format!("LIMIT: {run} began at {place} without room"));
+        if !self.has_room(place, run, room) {
+            self.fault(format!("LIMIT: {run} began at {place} without room"));
         }
+        self.running.entry(place).or_default().insert(run);
     }
 
-    pub(crate) fn ended(&mut self, place: PlaceIndex, run: RunKey) {
+    pub(crate) fn ended(&mut self, place: PlaceIndex, run: RunKey, how: &str) {
+        self.note(&format!("{run} ends at {place}: {how}"));
         self.running.entry(place).or_default().remove(&run);
     }
 
@@ -97,10 +119,9 @@
         for mark in self.done.entry(unit).or_default().iter_mut().filter(|mark| mark.at == at) {
             mark.is_acknowledged = true;
         }
-        let starts = self.starts.entry(unit).or_default();
+        let starts = self.starts.get(&unit).cloned().unwrap_or_default();
         for (_, later) in starts.iter().filter(|(begun, later)| *begun > at && *later != run) {
-            let fault = format!("TWICE: {later} began after {run} was done, acknowledged later");
-            self.faults.push(fault);
+            self.fault(format!("TWICE: {later} began after {run} was done, acknowledged later"));
         }
     }
 
--- a/crates/dispatch/tests/fleet/proof_of_end.rs
+++ b/crates/dispatch/tests/fleet/proof_of_end.rs
@@ -160,3 +160,16 @@
     assert_eq!(fleet.runs_begun(job), 1);
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Guards against a gang that waits for good since one of the workers that it needs refused it once.
+#[tokio::test(start_paused = true)]
+async fn a_gang_that_needs_a_worker_that_refused_it_once_runs_when_the_worker_is_well() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    fleet.nodes[0].set_path(PathFault::Overloaded);
+    let job = fleet.submit(gang(2, 8), Duration::from_secs(2)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.nodes[0].set_path(PathFault::None);
+    fleet.wait_for("the gang", |fleet| fleet.nodes[0].place.running().len() == 1).await;
+    assert_eq!(fleet.place_of(job), Some(0));
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
