Test two more ways in which incarnations of a worker get mixed up

An agent that does not know yet that its worker started again acknowledges ends by the numbers of the incarnation before: what the next one finished is forgotten unread, and its task runs again. And what a late start began at the next incarnation is stopped while the next task is already started in the room that it still holds.

The fake takes what a renewal carries when it arrives, before it waits for an end.

--- a/crates/dispatch/tests/fleet/fake_worker.rs
+++ b/crates/dispatch/tests/fleet/fake_worker.rs
@@ -389,7 +389,8 @@
         Ok(Timed { clock_ms: Some(life.clock_ms()), answer: () })
     }
 
-    fn renew(&self, order: &RenewalOrder) -> Result<Timed<WorkerLists>, PortError> {
+    /// Takes a renewal as it arrives.
+    fn take_renewal(&self, order: &RenewalOrder) -> Result<(), PortError> {
         let mut life = self.lock();
         let life = named(&mut life, &order.worker)?;
         let lapsed_before = life.clock_ms() > life.lease_ms;
@@ -406,6 +407,12 @@
                 observer.acknowledged(listed.end.run, at);
             }
         }
+        Ok(())
+    }
+
+    fn lists(&self, worker: &str) -> Result<Timed<WorkerLists>, PortError> {
+        let mut life = self.lock();
+        let life = named(&mut life, worker)?;
         let running = life.running.iter().map(|(run, active)| WorkerRun {
             run: *run,
             checkpoint: SmolStr::default(),
@@ -461,7 +468,7 @@
     /// Carries an order out as far as the path lets it through.
     async fn order<T, F>(&self, is_renewal: bool, wait: Duration, act: F) -> Result<T, PortError>
     where
-        F: FnOnce(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
+        F: Fn(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
         T: Send + 'static,
     {
         self.gate.pass().await;
@@ -472,7 +479,7 @@
 
     async fn carry<T, F>(&self, is_renewal: bool, wait: Duration, act: F) -> Result<T, PortError>
     where
-        F: FnOnce(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
+        F: Fn(&WorkerPlace) -> Result<T, PortError> + Send + 'static,
         T: Send + 'static,
     {
         tokio::time::sleep(WAY).await;
@@ -501,11 +508,12 @@
                 unanswered(wait).await
             }
             _ => {
+                let mut result = act(&self.place);
                 let until = Instant::now() + wait;
-                while is_renewal && !self.place.has_ends() && Instant::now() < until {
+                while result.is_ok() && !self.place.has_ends() && Instant::now() < until {
                     tokio::time::sleep(LOOK).await;
+                    result = act(&self.place);
                 }
-                let result = act(&self.place);
                 tokio::time::sleep(WAY).await;
                 match self.fault() {
                     PathFault::Dead => pending().await,
@@ -542,6 +550,13 @@
 
     async fn renew(&self, order: RenewalOrder) -> Result<Timed<WorkerLists>, PortError> {
         let wait = Duration::from_millis(order.wait_ms);
-        self.order(true, wait, move |place| place.renew(&order)).await
+        let is_taken = AtomicBool::new(false);
+        let act = move |place: &WorkerPlace| {
+            if !is_taken.swap(true, Ordering::Relaxed) {
+                place.take_renewal(&order)?;
+            }
+            place.lists(&order.worker)
+        };
+        self.order(true, wait, act).await
     }
 }
--- a/crates/dispatch/tests/fleet/proof_of_end.rs
+++ b/crates/dispatch/tests/fleet/proof_of_end.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::record::GraphRecord;
+
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::gang;
 use crate::fake_fleet::tasks;
@@ -173,3 +176,45 @@
     assert_eq!(fleet.place_of(job), Some(0));
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Guards against an acknowledgement, meant for one incarnation, of what the next one of the same name
+/// finished, which is lost with it.
+#[tokio::test(start_paused = true)]
+async fn an_end_at_the_next_incarnation_is_not_acknowledged_before_it_is_read() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    let earlier = fleet.submit(tasks(2, 8), Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.runs_begun(earlier), 2);
+    let node = &fleet.nodes[0];
+    node.set_reporting(false);
+    node.place.crash();
+    node.boot();
+    fleet.submit(tasks(2, 8), Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.nodes[0].set_reporting(true);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
+
+/// Guards against a worker over its room: what a late start began there is being stopped when the next
+/// task is started.
+#[tokio::test(start_paused = true)]
+async fn a_late_start_at_the_next_incarnation_is_over_before_its_room_is_used() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    fleet.nodes.iter().for_each(|node| node.set_path(PathFault::Late(Duration::from_secs(2))));
+    let cancelled = fleet.submit(tasks(2, 8), Duration::from_secs(20)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.nodes[0].set_reporting(false);
+    fleet.nodes[0].place.crash();
+    fleet.nodes[0].boot();
+    // Nothing stops it before the new incarnation is registered.
+    fleet.nodes[0].set_path(PathFault::Silent);
+    fleet.write_soon(GraphRecord::JobCancelled { job: JobId(cancelled) });
+    fleet.submit(tasks(2, 8), Duration::from_secs(2)).await;
+    fleet.wait_for("the late start", |fleet| fleet.place_of(cancelled) == Some(0)).await;
+    fleet.nodes[0].set_reporting(true);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.nodes.iter().for_each(|node| node.set_path(PathFault::None));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
