--- a/crates/dispatch/tests/confirmed_log.rs
+++ b/crates/dispatch/tests/confirmed_log.rs
@@ -139,6 +139,9 @@
     assert!(log.is_before_recent(2));
 }
 
+/// First byte of a record of a later program.
+const LATER_VERSION: u8 = 15;
+
 async fn wait_read(reads: &mut watch::Receiver<Option<ConfirmedRead>>, end: u64) {
     let read = reads.wait_for(|read| read.is_some_and(|read| read.end == end));
     tokio::time::timeout(Duration::from_secs(5), read).await.unwrap().unwrap();
@@ -148,8 +151,10 @@
 /// a suspicion.
 #[tokio::test]
 async fn a_read_counts_for_leases_only_once_its_batches_are_applied() {
-    // The second page can't be applied: the replica stays at its offset.
-    let (log, clock) = paged_log([page(0, 0, 0), page(0, 1, 1)]);
+    // The second page can't be applied, as its record is a later program's: the replica stays at its
+    // offset.
+    let later = LogPage { entries: vec![vec![LATER_VERSION]], ..page(0, 1, 1) };
+    let (log, clock) = paged_log([page(0, 0, 0), later]);
     let direct = Arc::new(DirectPath::new(log));
     let dialer = LinkDialer::new(SharedKey::new("key"), Arc::default());
     let place = ProcessPlace {
