Nothing is acknowledged to an incarnation that nobody has read

A task that was done ran again: its worker had crashed and come back under its name, a start for the earlier incarnation was carried out by the next, and its end there was lost.

Cause: a poll carries the number up to which ends are in the log, and names the worker by its name alone. The next incarnation numbers its ends from 1, so the number of the earlier one made it forget ends that it had never listed. The answer showed that another incarnation had given it, but it had taken effect by then, and the agent polled on. The same class as starts that cross a change of incarnations.

Now a poll acknowledges only after one that this incarnation answered, and a session whose place another incarnation has taken gives no more leases and starts.

Before: `an_end_at_the_next_incarnation_is_not_acknowledged_before_it_is_read` failed with "TWICE: 2.0.0.0#2 began at 1 after it was done". After: passes.

--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -103,12 +103,18 @@
         self.settle_grant(own, grant, &result);
         match result {
             Err(error) => {
+                if let Some(mut session) = self.session_of(own.key) {
+                    session.note_no_answer();
+                }
                 self.note_port_error(&error, "renew");
                 false
             }
             Ok(Timed { answer, .. }) if answer.born_ms.is_some_and(|at| at != own.born_ms) => {
                 let answered_ms = answer.born_ms;
                 log::warn!(worker:% = own.key, born_ms = own.born_ms, answered_ms; "not the worker meant");
+                if let Some(mut session) = self.session_of(own.key) {
+                    session.note_replaced();
+                }
                 self.note_port_error(&PortError::OtherIncarnation, "renew");
                 false
             }
@@ -203,7 +209,7 @@
     where
         D: FnOnce(&GraphState) -> bool,
     {
-        if session.has_left || session.is_given_up {
+        if !session.may_lease() {
             return (None, 0);
         }
         let Some((confirmed_ms, state)) = self.replica.confirmed_state() else { return (None, 0) };
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -52,6 +52,10 @@
     pub(crate) leases: LeaseBook,
     /// Set once the worker said that it ends. It gets no more leases.
     pub(crate) has_left: bool,
+    /// Set once another incarnation answered in its place. It is never back.
+    pub(crate) is_replaced: bool,
+    /// Whether the last poll was answered by this incarnation.
+    is_answering: bool,
     /// Set once the log is told that the worker is gone. Nothing is ordered from then on.
     pub(crate) is_given_up: bool,
     /// Highest end that the worker listed.
@@ -84,11 +88,31 @@
         Self { worker: Some(worker), leases, ..Self::default() }
     }
 
-    /// Highest number up to which every end is in the log.
+    /// Highest number up to which every end is in the log; 0 while it is not certain which incarnation
+    /// answers. The next one numbers its ends from 1 and would forget those that nobody read.
     pub(crate) fn acked_through(&self) -> u64 {
+        if !self.is_answering {
+            return 0;
+        }
         self.unrecorded.first().map_or(self.listed_through, |first| first.saturating_sub(1))
     }
 
+    /// A poll brought no list of this incarnation.
+    pub(crate) fn note_no_answer(&mut self) {
+        self.is_answering = false;
+    }
+
+    /// Another incarnation answered.
+    pub(crate) fn note_replaced(&mut self) {
+        self.is_answering = false;
+        self.is_replaced = true;
+    }
+
+    /// Whether the worker may get a lease.
+    pub(crate) fn may_lease(&self) -> bool {
+        !self.has_left && !self.is_given_up && !self.is_replaced
+    }
+
     /// The worker said that it ends.
     pub(crate) fn note_left(&mut self) {
         self.has_left = true;
@@ -102,6 +126,7 @@
 
     /// Takes what the worker lists. Ends that the log has to get are put out.
     pub(crate) fn take_lists(&mut self, poll: PollNumber, lists: &WorkerLists) {
+        self.is_answering = true;
         if lists.has_unread_runs {
             self.unread_through = self.unread_through.max(poll);
         }
