Start nothing beside a run that is not wanted until it has ended

A worker could be over its room while a run that the log does not want there was being stopped: the stop and the next starts went out together, and a stop takes up to the grace time.

Starts now wait for a look that lists nothing unwanted. `nothing_is_started_beside_a_run_that_is_not_wanted` states it.

--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -97,6 +97,8 @@
 pub struct RunTable {
     runs: BTreeMap<RunKey, LocalRun>,
     strays: BTreeSet<RunKey>,
+    /// Whether the worker listed strays last. They hold room until they have ended.
+    has_strays: bool,
     polls: u64,
     has_polled: bool,
     is_closed: bool,
@@ -155,7 +157,8 @@
             } else if local.order.is_some() {
                 None
             } else {
-                local.known_since.is_none().then_some(Order::Start(*run))
+                let may_start = local.known_since.is_none() && !self.has_strays;
+                may_start.then_some(Order::Start(*run))
             };
             if let Some(order) = order {
                 local.order = Some(order);
@@ -237,6 +240,7 @@
                 ends.push(entry.end.clone());
             }
         }
+        self.has_strays = listed.iter().any(|run| !self.runs.contains_key(run));
         for run in &listed {
             match self.runs.get_mut(run) {
                 None => {
--- a/crates/taskgraph/tests/graph/run_table.rs
+++ b/crates/taskgraph/tests/graph/run_table.rs
@@ -126,6 +126,20 @@
     assert_eq!(table.polled(late, &[], &[]), [end(run(1), EndKind::Refused)]);
 }
 
+/// Guards against a worker over its room: a run that is not wanted holds room until it has ended.
+#[test]
+fn nothing_is_started_beside_a_run_that_is_not_wanted() {
+    let mut table = table();
+    let look = table.begin_poll();
+    table.polled(look, &[running(run(9))], &[]);
+    table.sync(&wanted(&[(run(1), None)]));
+    assert_eq!(table.next_orders(), [Order::Stop(run(9))]);
+    assert_eq!(table.next_orders(), []);
+    let look = table.begin_poll();
+    table.polled(look, &[], &[]);
+    assert_eq!(table.next_orders(), [Order::Start(run(1))]);
+}
+
 #[test]
 fn a_worker_that_leaves_gives_back_what_it_has_not_begun() {
     let mut table = table();
