A step avoids workers on which it failed only while the others could hold it

A gang waited for good after one of the workers that it needs had refused it once.

Cause: workers on which a step failed are left out unless they are more than half of all ready workers, of whatever service and label. A gang that needs one of them was never placed. Now they are left out only while the rest could hold the step if it were empty.

Before: `a_gang_that_needs_a_worker_that_refused_it_once_runs_when_the_worker_is_well` waited in vain. After: passes.

--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -155,6 +155,11 @@
                 .is_advised
                 .then(|| AdviceView { advice: state.advice_for(waiting.key), now_ms: self.now_ms }),
         };
+        let request = if self.could_hold(&request) {
+            request
+        } else {
+            StepRequest { failed_on: &[], ..request }
+        };
         let count = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
         let allowed = self.allowed(state, waiting, count);
         if allowed == 0 {
@@ -267,6 +272,15 @@
         if failed_on.len() * 2 > ready { Vec::new() } else { failed_on }
     }
 
+    /// Whether the workers that a request allows would hold a task, or the whole gang, if they were
+    /// empty.
+    fn could_hold(&self, request: &StepRequest<'_>) -> bool {
+        let rooms = self.map.rooms.iter().filter(|room| room.state.is_ready());
+        let fits = rooms.map(|room| room.fit_into(room.state.spec.room, request));
+        let least = if request.spec.gang { request.spec.count } else { 1 };
+        fits.fold(0_u32, u32::saturating_add) >= least
+    }
+
     /// Places in the room map, with the tasks that each takes.
     fn find_places(
         &self,
