Last words that come late or twice cost no worker and bring none back

A worker was lost for its whole life when the last words of the incarnation before it, under the same name, came late: they were taken for its own, and its reports were dropped for good. And a worker that said twice that it ends was registered again by a late report, since the second time wiped out which incarnation had ended.

Now its reports are dropped for 15 s only, which is longer than any of them is late, and its start is kept when it ends again. Its answer comes before it asks again.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -30,9 +30,12 @@
 use crate::worker_port::WorkerPort;
 use crate::worker_session::WorkerSession;
 
-/// Longest time for which a worker that ends waits for its answer, while its runs are stopped. A stop
-/// takes up to 900 ms.
-const LEAVE_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest time for which a worker that ends waits for its answer, while its runs are stopped. It asks
+/// again after a second.
+const LEAVE_WAIT: Duration = Duration::from_millis(800);
+/// Time for which reports of a worker that said that it ends are taken for late ones, in ms. Orders and
+/// reports are up to 12 s late.
+const LEFT_KEPT_MS: u64 = 15_000;
 /// Time between looks at whether they are.
 const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
@@ -54,6 +57,24 @@
     pub(crate) at_ms: u64,
 }
 
+/// An incarnation that said that it ends.
+#[derive(Clone, Debug)]
+pub(crate) struct LeftWorker {
+    name: SmolStr,
+    /// Start of the incarnation; 0 where it is not known.
+    born_ms: u64,
+    /// When it said so, on the boot-time clock.
+    at_ms: u64,
+}
+
+impl LeftWorker {
+    /// Whether a report is one of its, told late.
+    fn is_late(&self, spec: &WorkerSpec, now_ms: u64) -> bool {
+        let is_same = spec.name == self.name && spec.born_ms == self.born_ms;
+        is_same && now_ms < self.at_ms + LEFT_KEPT_MS
+    }
+}
+
 /// An agent.
 pub struct AgentCore {
     pub(crate) replica: Arc<Replica>,
@@ -62,8 +83,8 @@
     pub(crate) lease: LeaseTerms,
     pub(crate) heard: watch::Sender<Option<HeardReport>>,
     pub(crate) session: Mutex<WorkerSession>,
-    /// Name and start of the last incarnation that said that it ends.
-    pub(crate) left_worker: Mutex<Option<(SmolStr, u64)>>,
+    /// The last incarnation that said that it ends.
+    pub(crate) left_worker: Mutex<Option<LeftWorker>>,
     /// The worker that the log is told to be gone. Until it is, nothing of it is used.
     pub(crate) given_up: Mutex<Option<WorkerKey>>,
     pub(crate) wake_orders: Notify,
@@ -127,11 +148,10 @@
     /// Takes a report of the worker. An older one than the newest is dropped, and so is one of an
     /// incarnation that said that it ends.
     pub fn note_report(&self, report: WorkerReport) {
-        let incarnation = (report.spec.name.clone(), report.spec.born_ms);
-        if report.spec.born_ms > 0 && *self.left_worker() == Some(incarnation) {
+        let at_ms = self.replica.clock.now_ms();
+        if self.left_worker().as_ref().is_some_and(|left| left.is_late(&report.spec, at_ms)) {
             return;
         }
-        let at_ms = self.replica.clock.now_ms();
         self.heard.send_if_modified(|heard| {
             let is_newer = heard.as_ref().is_none_or(|known| {
                 let known = &known.report;
@@ -158,8 +178,7 @@
             log::warn!(worker = name; "another worker than the one here says that it ends");
             return;
         }
-        let born_ms = heard.map_or(0, |heard| heard.born_ms);
-        *self.left_worker() = Some((SmolStr::new(name), born_ms));
+        self.note_left_worker(name, heard.map(|heard| heard.born_ms));
         let Some(own) = self.own_worker() else {
             // It may be on its way into the log.
             log::info!(worker = name; "a worker left before it was registered");
@@ -186,7 +205,16 @@
         }
     }
 
-    fn left_worker(&self) -> MutexGuard<'_, Option<(SmolStr, u64)>> {
+    /// Remembers an incarnation that ends. It may say so again once it was forgotten.
+    fn note_left_worker(&self, name: &str, born_ms: Option<u64>) {
+        let mut left = self.left_worker();
+        let known_ms = left.as_ref().filter(|left| left.name == name).map(|left| left.born_ms);
+        let born_ms = born_ms.or(known_ms).unwrap_or(0);
+        let at_ms = self.replica.clock.now_ms();
+        *left = Some(LeftWorker { name: name.into(), born_ms, at_ms });
+    }
+
+    fn left_worker(&self) -> MutexGuard<'_, Option<LeftWorker>> {
         self.left_worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/dispatch/tests/fleet/proof_of_end.rs
+++ b/crates/dispatch/tests/fleet/proof_of_end.rs
@@ -321,3 +321,33 @@
     tokio::time::sleep(Duration::from_secs(30)).await;
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Guards against a worker that is lost for good to the last words of the incarnation before, told late.
+#[tokio::test(start_paused = true)]
+async fn a_worker_is_used_again_after_late_words_of_the_incarnation_before() {
+    let fleet = FakeFleet::start(1, 2).await;
+    let node = &fleet.nodes[0];
+    node.place.crash();
+    node.boot();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    node.say_left_as("i-side-0").await;
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(fleet.entries[0].replica.state().workers.len(), 2);
+}
+
+/// Guards against a worker that is registered again by a late report, after it said twice that it ends.
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_says_twice_that_it_ends_is_not_registered_again() {
+    let fleet = FakeFleet::start(1, 2).await;
+    let node = &fleet.nodes[0];
+    node.delay_reports(Duration::from_secs(2));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    node.say_left().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    node.say_left().await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let state = fleet.entries[0].replica.state();
+    let names: Vec<_> =
+        state.workers.values().map(|worker| worker.spec.instance.to_string()).collect();
+    assert_eq!(names, vec!["side-1".to_owned()]);
+}
