Lock an agent's session before the state wherever both are held

Registering held the state while it locked the session; everything else locks them the other way round. With several threads and a batch waiting to be applied, three of them could wait for each other for good. The programs run agents on one thread, where that can't happen; a model of the locks on three threads hung in the review of the fixes.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -300,6 +300,8 @@
         if !self.replica.is_fresh() {
             return None;
         }
+        // The session is locked before the state, here as elsewhere.
+        let is_fenced = std::mem::take(&mut self.session().is_fenced);
         let state = self.replica.state();
         let own = own_in(&state, &heard.report.spec, self.replica.incarnation);
         let spec = heard.report.spec.clone();
@@ -310,9 +312,7 @@
         let Some((worker, known)) = own.filter(|(_, known)| !known.is_suspected()) else {
             return Some(up);
         };
-        if known.spec.room != heard.report.spec.room
-            || std::mem::take(&mut self.session().is_fenced)
-        {
+        if known.spec.room != heard.report.spec.room || is_fenced {
             return Some(up);
         }
         let is_draining = matches!(known.status, WorkerStatus::Draining { .. });
