Wait for the lease that a start may have given to the next incarnation

A lease counted as over by the deadline that was sent. Where an incarnation that had not reported yet took the start, its clock began anew, so the deadline did not bound it: the lease ran the longest time from when the start was carried out, up to two seconds past the book.

Now a start that was answered counts for the longest lease from its answer. Before: `a_lease_of_an_incarnation_that_has_not_reported_yet_is_waited_for` failed with "TWICE: 1.0.0.0#2 began at 1 beside 1.0.0.0#1 at 0". After: passes.

--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -80,6 +80,11 @@
         if session.worker != Some(own.key) {
             return;
         }
+        if answer == StartAnswer::Started {
+            // An incarnation that has not reported yet may have taken it.
+            let now_ms = self.replica.clock.now_ms();
+            session.leases.note(self.lease.longest_end_ms(now_ms));
+        }
         if let Some(end) = session.table.start_answered(run, answer) {
             session.outgoing.push((None, end));
             self.wake_reports.notify_one();
--- a/crates/dispatch/src/lease_book.rs
+++ b/crates/dispatch/src/lease_book.rs
@@ -38,6 +38,11 @@
         self.settled_ms = self.settled_ms.max(until_ms.unwrap_or(0));
     }
 
+    /// Notes a lease that may last until `until_ms`.
+    pub(crate) fn note(&mut self, until_ms: u64) {
+        self.settled_ms = self.settled_ms.max(until_ms);
+    }
+
     /// When the last lease that may have been granted ends, on the boot-time clock in ms.
     pub(crate) fn until_ms(&self) -> u64 {
         self.open.values().copied().fold(self.settled_ms, u64::max)
--- a/crates/dispatch/tests/fleet/proof_of_end.rs
+++ b/crates/dispatch/tests/fleet/proof_of_end.rs
@@ -351,3 +351,29 @@
         state.workers.values().map(|worker| worker.spec.instance.to_string()).collect();
     assert_eq!(names, vec!["side-1".to_owned()]);
 }
+
+/// Guards against a lease that an incarnation which has not reported yet takes, and that ends after
+/// its worker was given up.
+#[tokio::test(start_paused = true)]
+async fn a_lease_of_an_incarnation_that_has_not_reported_yet_is_waited_for() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    tokio::time::sleep(Duration::from_millis(20_000)).await;
+    for node in &fleet.nodes {
+        node.set_reporting(false);
+        node.place.crash();
+        node.boot();
+        node.set_path(PathFault::Silent);
+    }
+    let job = fleet.submit(tasks(1, 8), Duration::from_secs(20)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.nodes.iter().for_each(|node| node.set_log(DoorFault::Silent));
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    fleet.nodes.iter().for_each(|node| node.set_path(PathFault::None));
+    fleet.wait_for("a run", |fleet| fleet.place_of(job).is_some()).await;
+    let first = fleet.place_of(job).unwrap();
+    fleet.nodes[first].set_path(PathFault::Refused);
+    fleet.nodes[1 - first].set_reporting(true);
+    fleet.nodes.iter().for_each(|node| node.set_log(DoorFault::None));
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
--- a/crates/taskgraph/src/lease_terms.rs
+++ b/crates/taskgraph/src/lease_terms.rs
@@ -42,6 +42,13 @@
         Some(sample.worker_ms + left_ms * (1_000 - DRIFT_PERMILLE) / 1_000)
     }
 
+    /// End of the longest lease that an order carried out at `at_ms` can give, on the same clock. The
+    /// deadline does not bound it where another incarnation carried it out, whose clock began anew.
+    pub fn longest_end_ms(&self, at_ms: u64) -> u64 {
+        let lasts_ms = (self.length_ms * 1_000).div_ceil(1_000 - DRIFT_PERMILLE);
+        at_ms.saturating_add(lasts_ms)
+    }
+
     /// Whether every lease that rests on a read confirmed before `since_ms` has ended at `now_ms`,
     /// both on one boot-time clock.
     pub fn has_lapsed(&self, since_ms: u64, now_ms: u64) -> bool {
