--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -33,11 +33,11 @@
 /// Longest time for which a worker that ends waits for its answer, while its runs are stopped. It asks
 /// again after a second.
 const LEAVE_WAIT: Duration = Duration::from_millis(800);
+/// Time between looks at whether all of them have ended.
+const LEAVE_LOOK: Duration = Duration::from_millis(20);
 /// Time for which reports of a worker that said that it ends are taken for late ones, in ms. Orders and
 /// reports are up to 12 s late.
 const LEFT_KEPT_MS: u64 = 15_000;
-/// Time between looks at whether they are.
-const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
 /// What the worker says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
