Log the start of a registered incarnation, and finishes of abandoned runs

The hypotheses of the incident could not be told apart by logs: a registration named the worker but not its incarnation, so one name for two incarnations looked like an agent that registered again; and a finish that was reported after its run had been abandoned left a line only where it was superseded, not where it counted or its job had ended.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -381,7 +381,7 @@
 {
     match record {
         GraphRecord::WorkerRegistered { agent, spec } => {
-            log::info!(worker = spec.name.as_str(), agent = *agent, result:? = result; "registering");
+            log::info!(worker = spec.name.as_str(), born_ms = spec.started_ms, agent = *agent, result:? = result; "registering");
         }
         GraphRecord::WorkerDraining { worker, until_ms } => {
             log::info!(worker:% = worker, until_ms = *until_ms, result:? = result; "draining");
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -154,7 +154,11 @@
         // ever ordered here is gone.
         let poll = if poll <= self.incomplete_through { PollNumber::default() } else { poll };
         let mut ends = self.table.polled(poll, &answer.running, &answer.ended);
-        ends.extend(self.orphaned_ends(&answer.ended, &ends));
+        let orphaned = self.orphaned_ends(&answer.ended, &ends);
+        for end in &orphaned {
+            log::warn!(run:% = end.run; "an abandoned run finished");
+        }
+        ends.extend(orphaned);
         self.record_ends(&answer.ended, ends);
         // An end that can't be parsed is acknowledged. Otherwise the worker would list it forever, and
         // it would eventually hide later ends.
