Pass runs only to a worker at the same address

What callers see: two runs of one task or gang at the same time. The name of an instance comes back on another machine while the worker on the first one still runs, for example cut off from the log. Registering the second worker passes the runs of the first one to it. Its agent gets stops acknowledged by a worker that never had the runs, and its polls do not list them. They count as stopped, and their tasks are placed again.

Cause: the name alone was taken as proof that one worker follows the other at the same place.

An instance is now identified by its name and the address at which the agent calls the worker. At one address, a worker that answers shows that the one before it has ended. A worker at another address is registered beside the first one, which is removed by its own agent or after a suspicion, in both cases once its leases are over. Formats are unchanged. Across an upgrade a running worker gets a second key: the new agent stops its earlier runs, and the earlier key is removed by the planner.

The simulation had one machine for each name.

--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -1,5 +1,6 @@
 //! Simulated fleet: entries with planners, and nodes with a worker and its agent, on one log.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
@@ -13,6 +14,7 @@
 use cuminbarrow_dispatch::peer_list::ProcessLocation;
 use cuminbarrow_dispatch::planner_task::PlannerTask;
 use cuminbarrow_dispatch::replica::Replica;
+use cuminbarrow_dispatch::snapshot_writer;
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_taskgraph::job_id::JobId;
@@ -25,6 +27,7 @@
 use cuminbarrow_taskgraph::record::ProcessRole;
 use cuminbarrow_taskgraph::resource_amounts::ResourceAmounts;
 use cuminbarrow_taskgraph::worker::WorkerSpec;
+use cuminbarrow_taskgraph::worker::instance_at;
 use cuminbarrow_telemetry::log_settings::LogSettings;
 use cuminbarrow_telemetry::log_setup;
 use smol_str::SmolStr;
@@ -43,6 +46,8 @@
 use crate::observer::JobInfo;
 use crate::observer::Observer;
 
+/// Port of workers.
+const WORKER_PORT: u16 = 8_080;
 /// Interval between a worker's reports to its agent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Address of entries. It is unreachable, so that connections fail immediately instead of waiting
@@ -52,6 +57,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of attempts to write a record.
 const MAX_WRITE_ATTEMPTS: usize = 12;
+/// How much longer than the planner the other entries and the agents wait to write a snapshot.
+const ENTRY_SNAPSHOT_DELAY: Duration = Duration::from_secs(1);
+const AGENT_SNAPSHOT_DELAY: Duration = Duration::from_secs(4);
 /// Time in which every agent polls its worker at least once.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 const LEASE_TERMS: LeaseTerms = LeaseTerms { duration_ms: MAX_LEASE_MS };
@@ -101,6 +109,7 @@
 /// Instance with a worker and its agent.
 pub(crate) struct FakeNode {
     pub(crate) host: Arc<WorkerHost>,
+    name: SmolStr,
     instance: SmolStr,
     agent: Arc<Mutex<Option<FakeAgent>>>,
     is_reporting: Arc<Mutex<bool>>,
@@ -109,7 +118,8 @@
     report_delay: Arc<Mutex<Duration>>,
     port_fault: Mutex<PortFault>,
     log_fault: Mutex<LogFault>,
-    boot_count: Mutex<u64>,
+    /// Number of workers booted so far, on all nodes. It stands for their start times.
+    boot_count: Arc<Mutex<u64>>,
 }
 
 /// All entries and nodes, with their log and the observer.
@@ -120,6 +130,8 @@
     clock: Arc<dyn BootClock>,
     observer: Arc<Mutex<Observer>>,
     hosts: Arc<Mutex<Vec<Arc<WorkerHost>>>>,
+    behaviours: Vec<(u64, TaskBehaviour)>,
+    boot_count: Arc<Mutex<u64>>,
     jobs: u64,
 }
 
@@ -137,11 +149,13 @@
             clock: Arc::new(VirtualClock(Instant::now())),
             observer: Arc::default(),
             hosts: Arc::default(),
+            behaviours: Vec::new(),
+            boot_count: Arc::default(),
             jobs: 0,
         };
         tokio::spawn(advance_hosts(Arc::downgrade(&fleet.hosts)));
         (0..entries).for_each(|_| fleet.add_entry());
-        (0..nodes).for_each(|_| fleet.add_node());
+        (0..nodes).for_each(|index| fleet.add_node(&format!("side-{index}")));
         fleet
             .wait_for("workers that are ready", |fleet| {
                 let state = fleet.entries[0].replica.state();
@@ -193,21 +207,34 @@
         let tasks = vec![
             tokio::spawn(Arc::clone(&replica).run()).abort_handle(),
             tokio::spawn(planner.run(receiver)).abort_handle(),
+            tokio::spawn(write_snapshots(Arc::clone(&replica), ENTRY_SNAPSHOT_DELAY))
+                .abort_handle(),
             tokio::spawn(register_entry(Arc::clone(&replica), log_client.clone(), instance))
                 .abort_handle(),
         ];
         FakeEntry { replica, log_client, tasks, _shutdown: shutdown }
     }
 
-    fn add_node(&mut self) {
+    /// Adds another machine whose instance has the name of an existing one, which goes on. Returns
+    /// its index.
+    pub(crate) fn add_namesake(&mut self, node: usize) -> usize {
+        let name = self.nodes[node].name.clone();
+        self.add_node(&name);
+        self.nodes.len() - 1
+    }
+
+    fn add_node(&mut self, name: &str) {
         let index = self.nodes.len();
+        let address = SocketAddr::from(([10, 0, 0, u8::try_from(index).unwrap()], WORKER_PORT));
         let capacity = ResourceAmounts { cpu_millis: 8_000, memory_mb: 8_000, accelerators: 8 };
         let observer = Arc::clone(&self.observer);
         let host = WorkerHost::new(index, capacity, observer, Arc::clone(&self.hosts));
         self.hosts.lock().unwrap().push(Arc::clone(&host));
+        self.behaviours.iter().for_each(|(job, behaviour)| host.register_job(*job, *behaviour));
         let node = FakeNode {
             host,
-            instance: format!("side-{index}").into(),
+            name: name.into(),
+            instance: instance_at(name, address),
             agent: Arc::default(),
             is_reporting: Arc::new(Mutex::new(true)),
             drain_stage: Arc::default(),
@@ -215,7 +242,7 @@
             report_delay: Arc::default(),
             port_fault: Mutex::default(),
             log_fault: Mutex::default(),
-            boot_count: Mutex::new(0),
+            boot_count: Arc::clone(&self.boot_count),
         };
         node.boot();
         tokio::spawn(node.send_reports());
@@ -238,6 +265,8 @@
         let membership = Arc::new(log_client.clone());
         let core = AgentCore::new(Arc::clone(&replica), Arc::new(port), membership, LEASE_TERMS);
         let tasks = vec![
+            tokio::spawn(write_snapshots(Arc::clone(&replica), AGENT_SNAPSHOT_DELAY))
+                .abort_handle(),
             tokio::spawn(replica.run()).abort_handle(),
             tokio::spawn(Arc::clone(&core).run()).abort_handle(),
         ];
@@ -289,6 +318,7 @@
         self.observer.lock().unwrap().jobs.insert(job, job_info);
         let members = if step.gang { step.count } else { 0 };
         let behaviour = TaskBehaviour { duration, end_kind, members };
+        self.behaviours.push((job, behaviour));
         self.nodes.iter().for_each(|node| node.host.register_job(job, behaviour));
         let terms = JobTerms {
             queue: "queue".into(),
@@ -345,6 +375,16 @@
     pub(crate) fn expire_members(&self) {
         self.log.expire_members();
     }
+
+    /// Sets whether the list of live processes leaves out some of them, others at each look.
+    pub(crate) fn set_members_flapping(&self, is_flapping: bool) {
+        self.log.set_members_flapping(is_flapping);
+    }
+
+    /// Drops the history of the log.
+    pub(crate) fn drop_history(&self) {
+        self.log.drop_history();
+    }
 }
 
 impl FakeEntry {
@@ -367,7 +407,7 @@
         *boot_count += 1;
         *self.drain_stage.lock().unwrap() = DrainStage::Active;
         *self.sequence.lock().unwrap() = 0;
-        self.host.boot(&format!("i-{}", self.instance), 1_000 * *boot_count);
+        self.host.boot(&format!("i-{}", self.name), 1_000 * *boot_count);
     }
 
     /// Boots the worker under a new name.
@@ -376,7 +416,7 @@
         *boot_count += 1;
         *self.drain_stage.lock().unwrap() = DrainStage::Active;
         *self.sequence.lock().unwrap() = 0;
-        self.host.boot(&format!("i-{}-{boot_count}", self.instance), 1_000 * *boot_count);
+        self.host.boot(&format!("i-{}-{boot_count}", self.name), 1_000 * *boot_count);
     }
 
     /// Sets the delay of the worker's reports to the agent.
@@ -516,6 +556,14 @@
     }
 }
 
+/// Writes snapshots like a process on the platform does.
+async fn write_snapshots(replica: Arc<Replica>, standby_delay: Duration) {
+    let incarnation = replica.incarnation;
+    let observed = Arc::clone(&replica);
+    let is_planner = move || observed.state().planner.instance == Some(incarnation);
+    snapshot_writer::run(replica, is_planner, standby_delay).await;
+}
+
 /// Registers an entry in the log and keeps renewing its membership.
 async fn register_entry(replica: Arc<Replica>, log_client: LogClient, instance: SmolStr) {
     use cuminbarrow_dispatch::membership::Membership;
--- a/crates/dispatch/tests/fleet/fake_log.rs
+++ b/crates/dispatch/tests/fleet/fake_log.rs
@@ -6,6 +6,9 @@
 use std::future::pending;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -25,6 +28,14 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which a member is removed unless it joins again.
 const MEMBER_TTL: Duration = Duration::from_secs(3);
+/// Time that a dropped history reaches back.
+const KEPT_HISTORY: Duration = Duration::from_secs(1);
+/// Time between looks of a read that waits at an entry that is behind.
+const BEHIND_INTERVAL: Duration = Duration::from_millis(20);
+/// While the list of members flaps, it leaves out one of this many.
+const FLAPPING_DIVISOR: u64 = 3;
+/// Number of looks in a row that leave out the same members. Several in a row raise a suspicion.
+const FLAPPING_LOOKS: u64 = 6;
 
 /// Fault that affects the log calls of one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,6 +51,8 @@
     AnswersLost,
     /// Appends take effect after this delay, and their answers are lost.
     AppendsDelayed(Duration),
+    /// Calls succeed, and reads go through an entry that is this far behind and says so.
+    ReadsBehind(Duration),
     /// The process has been killed; its calls never return.
     Dead,
 }
@@ -66,10 +79,15 @@
 /// Shared in-memory log with its members.
 #[derive(Default)]
 pub(crate) struct FakeLog {
-    records: Mutex<Vec<Vec<u8>>>,
+    /// Records with the times of their appends.
+    records: Mutex<Vec<(Instant, Vec<u8>)>>,
+    /// Offset of the oldest record that is kept.
+    oldest: AtomicU64,
     snapshots: Mutex<Vec<Vec<u8>>>,
     end: watch::Sender<u64>,
     members: Mutex<BTreeMap<u64, Instant>>,
+    is_flapping: AtomicBool,
+    looks: AtomicU64,
 }
 
 impl FakeLog {
@@ -78,6 +96,39 @@
         self.members.lock().unwrap().clear();
     }
 
+    pub(crate) fn set_members_flapping(&self, is_flapping: bool) {
+        self.is_flapping.store(is_flapping, Ordering::Relaxed);
+    }
+
+    /// Drops all but the newest records.
+    pub(crate) fn drop_history(&self) {
+        let kept_from = Instant::now() - KEPT_HISTORY;
+        let records = self.records.lock().unwrap();
+        let oldest = records.partition_point(|(at, _)| *at < kept_from);
+        self.oldest.fetch_max(oldest as u64, Ordering::Relaxed);
+    }
+
+    /// The records from `from` on, as of `lag` ago.
+    fn records_page(&self, from: u64, limit: u32, lag: Duration) -> Result<LogPage, LogError> {
+        let oldest = self.oldest.load(Ordering::Relaxed);
+        if from < oldest {
+            return Err(LogError::Expired { oldest });
+        }
+        let until = Instant::now() - lag;
+        let records = self.records.lock().unwrap();
+        let seen = records.partition_point(|(at, _)| *at <= until).max(from as usize);
+        let seen = &records[..seen.min(records.len())];
+        let entries = seen.iter().skip(from as usize).take(limit as usize);
+        Ok(LogPage {
+            oldest,
+            next: seen.len() as u64,
+            first: from,
+            entries: entries.map(|(_, body)| body.clone()).collect(),
+            waited_ms: 0,
+            age_ms: u64::try_from(lag.as_millis()).unwrap(),
+        })
+    }
+
     fn append(&self, stream: LogStream, body: &Bytes) -> u64 {
         if stream == LogStream::Snapshots {
             let mut snapshots = self.snapshots.lock().unwrap();
@@ -85,7 +136,7 @@
             return snapshots.len() as u64 - 1;
         }
         let mut records = self.records.lock().unwrap();
-        records.push(body.to_vec());
+        records.push((Instant::now(), body.to_vec()));
         let end = records.len() as u64;
         self.end.send_replace(end);
         end - 1
@@ -136,6 +187,30 @@
     }
 }
 
+impl LogClient {
+    async fn read_records(
+        &self,
+        from: u64,
+        limit: u32,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        let LogFault::ReadsBehind(lag) = self.fault() else {
+            let mut end = self.log.end.subscribe();
+            let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
+            return self.log.records_page(from, limit, Duration::ZERO);
+        };
+        let began = Instant::now();
+        loop {
+            let page = self.log.records_page(from, limit, lag)?;
+            if !page.entries.is_empty() || began.elapsed() >= wait {
+                let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap();
+                return Ok(LogPage { waited_ms, ..page });
+            }
+            tokio::time::sleep(BEHIND_INTERVAL).await;
+        }
+    }
+}
+
 #[async_trait]
 impl LogStore for LogClient {
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
@@ -170,19 +245,20 @@
     ) -> Result<LogPage, LogError> {
         self.call_log().await?;
         let wait = Duration::from_millis(u64::from(wait_ms));
-        if stream == LogStream::Records {
-            let mut end = self.log.end.subscribe();
-            let _ = tokio::time::timeout(wait, end.wait_for(|end| *end > from)).await;
-        }
-        let page = {
-            let stored = match stream {
-                LogStream::Records => &self.log.records,
-                LogStream::Snapshots => &self.log.snapshots,
-            };
-            let stored = stored.lock().unwrap();
-            let entries = stored.iter().skip(from as usize).take(limit as usize).cloned().collect();
-            let next = stored.len() as u64;
-            LogPage { oldest: 0, next, first: from, entries, waited_ms: 0, age_ms: 0 }
+        let page = match stream {
+            LogStream::Records => self.read_records(from, limit, wait).await?,
+            LogStream::Snapshots => {
+                let stored = self.log.snapshots.lock().unwrap();
+                let entries = stored.iter().skip(from as usize).take(limit as usize);
+                LogPage {
+                    oldest: 0,
+                    next: stored.len() as u64,
+                    first: from,
+                    entries: entries.cloned().collect(),
+                    waited_ms: 0,
+                    age_ms: 0,
+                }
+            }
         };
         // A fault that was set during the wait affects the answer too.
         self.call_log().await?;
@@ -201,7 +277,14 @@
     async fn members(&self) -> Result<BTreeSet<u64>, MembershipError> {
         self.call_log().await.map_err(|error| MembershipError { reason: error.to_string() })?;
         let members = self.log.members.lock().unwrap();
-        let live = members.iter().filter(|(_, joined)| joined.elapsed() < MEMBER_TTL);
+        let is_flapping = self.log.is_flapping.load(Ordering::Relaxed);
+        let look = self.log.looks.fetch_add(1, Ordering::Relaxed) / FLAPPING_LOOKS;
+        let is_left_out = |incarnation: u64| {
+            is_flapping && incarnation % FLAPPING_DIVISOR == look % FLAPPING_DIVISOR
+        };
+        let live = members.iter().filter(|(incarnation, joined)| {
+            joined.elapsed() < MEMBER_TTL && !is_left_out(**incarnation)
+        });
         Ok(live.map(|(incarnation, _)| *incarnation).collect())
     }
 }
--- a/crates/dispatch/tests/fleet/random_faults.rs
+++ b/crates/dispatch/tests/fleet/random_faults.rs
@@ -77,6 +77,14 @@
         entry: usize,
     },
     ExpireMembers,
+    FlapMembers {
+        is_flapping: bool,
+    },
+    DropHistory,
+    /// Adds a machine whose instance has the name of an existing node, which goes on.
+    AddNamesake {
+        node: usize,
+    },
 }
 
 /// Events with their times in ms.
@@ -121,6 +129,43 @@
     (shape, generator.history)
 }
 
+/// Generates a large fleet with wide gangs from a seed. Its history also has the faults that need
+/// more than one process at a time: several machines of one instance name, a log that drops its
+/// history, entries that are behind, and a list of live processes that leaves some out.
+pub(crate) fn generate_large(seed: u64) -> (FleetShape, History) {
+    let mut generator =
+        HistoryGenerator { rng: ChaCha8Rng::seed_from_u64(seed), history: Vec::new() };
+    let nodes = generator.rng.random_range(20..=30);
+    let shape = FleetShape {
+        entries: 3,
+        nodes,
+        slow_permille: (0..nodes).map(|_| generator.rng.random_range(0..=20)).collect(),
+        enforces_capacity: generator.rng.random_bool(0.25),
+    };
+    generator.wide_jobs();
+    for node in 0..nodes {
+        generator.fault_series(0.2, |generator, at_ms| generator.restart_fault(node, at_ms));
+        generator.fault_series(0.2, |generator, at_ms| generator.port_fault(node, at_ms));
+        generator.fault_series(0.1, |generator, at_ms| generator.report_fault(node, at_ms));
+        generator.fault_series(0.2, |generator, at_ms| generator.agent_log_fault(node, at_ms));
+        generator.fault_series(0.2, |generator, at_ms| generator.entry_behind(node, at_ms));
+        generator.fault_series(0.2, |generator, at_ms| generator.agent_fault(node, at_ms));
+        if generator.rng.random_bool(0.2) {
+            generator.namesake(node);
+        }
+    }
+    for entry in 0..shape.entries {
+        generator.fault_series(0.6, |generator, at_ms| generator.entry_fault(entry, at_ms));
+    }
+    generator.fault_series(0.4, |generator, at_ms| generator.members_fault(at_ms));
+    generator.fault_series(0.5, |generator, at_ms| {
+        generator.add(at_ms, Event::DropHistory);
+        at_ms
+    });
+    generator.history.sort_by_key(|(at_ms, _)| *at_ms);
+    (shape, generator.history)
+}
+
 struct HistoryGenerator {
     rng: ChaCha8Rng,
     history: History,
@@ -155,6 +200,67 @@
         }
     }
 
+    /// Jobs of which most are gangs, some of dozens of members.
+    fn wide_jobs(&mut self) {
+        let count = self.rng.random_range(20..=40);
+        let mut times: Vec<u64> =
+            (0..count).map(|_| self.rng.random_range(0..DURATION_MS)).collect();
+        times.sort_unstable();
+        for (job, at_ms) in (1..).zip(times) {
+            let accelerators = self.rng.random_range(1..=4);
+            let step = match self.rng.random_range(0..5) {
+                0 => tasks(self.rng.random_range(1..=20), accelerators),
+                1 => gang(1, accelerators),
+                _ => gang(self.rng.random_range(2..=64 / accelerators), accelerators),
+            };
+            let duration = Duration::from_millis(self.rng.random_range(300..9_000));
+            let fails = self.rng.random_bool(0.05);
+            let end_kind = if fails { EndKind::Failed } else { EndKind::Done };
+            self.add(at_ms, Event::Submit { step, duration, end_kind });
+            if self.rng.random_bool(0.1) {
+                let cancelled_ms = at_ms + self.rng.random_range(0..10_000);
+                self.add(cancelled_ms, Event::Cancel { job });
+            }
+        }
+    }
+
+    /// Adds a machine with the name of a node. That one goes on, cut off from the log at times, and
+    /// loses its agent or its worker later at times.
+    fn namesake(&mut self, node: usize) {
+        let at_ms = self.rng.random_range(5_000..DURATION_MS);
+        if self.rng.random_bool(0.5) {
+            let cut_ms = at_ms - self.rng.random_range(0..5_000);
+            self.add(cut_ms, Event::AgentLogFault { node, fault: LogFault::RequestsLost });
+        }
+        self.add(at_ms, Event::AddNamesake { node });
+        let end_ms = at_ms + self.rng.random_range(0..12_000);
+        match self.rng.random_range(0..3) {
+            0 => self.add(end_ms, Event::KillAgent { node }),
+            1 => self.add(end_ms, Event::Crash { node }),
+            _ => {}
+        }
+    }
+
+    /// Lets an agent read through an entry that is behind.
+    fn entry_behind(&mut self, node: usize, at_ms: u64) -> u64 {
+        let fault = LogFault::ReadsBehind(Duration::from_millis(self.rng.random_range(50..2_200)));
+        let end_ms = at_ms + self.rng.random_range(1_000..12_000);
+        self.add(at_ms, Event::AgentLogFault { node, fault });
+        self.add(end_ms, Event::AgentLogFault { node, fault: LogFault::None });
+        end_ms
+    }
+
+    fn members_fault(&mut self, at_ms: u64) -> u64 {
+        if self.rng.random_bool(0.3) {
+            self.add(at_ms, Event::ExpireMembers);
+            return at_ms;
+        }
+        let end_ms = at_ms + self.rng.random_range(3_000..15_000);
+        self.add(at_ms, Event::FlapMembers { is_flapping: true });
+        self.add(end_ms, Event::FlapMembers { is_flapping: false });
+        end_ms
+    }
+
     /// Adds a series of faults of one kind with the given probability. `add_fault` adds a fault
     /// that begins at a time and returns its end; faults of a series do not overlap.
     fn fault_series<F>(&mut self, probability: f64, mut add_fault: F)
--- a/crates/dispatch/tests/fleet/random_histories.rs
+++ b/crates/dispatch/tests/fleet/random_histories.rs
@@ -14,10 +14,15 @@
 use crate::fake_log::LogFault;
 use crate::fake_worker::PortFault;
 use crate::random_faults::Event;
+use crate::random_faults::FleetShape;
+use crate::random_faults::History;
 use crate::random_faults::generate;
+use crate::random_faults::generate_large;
 
 /// Seeds that every test run uses.
 const DEFAULT_SEEDS: Range<u64> = 0..16;
+/// Seeds of large fleets that every test run uses.
+const DEFAULT_LARGE_SEEDS: Range<u64> = 0..1;
 /// Environment variable with the seeds of a long run, `from..to`.
 const SEEDS_VARIABLE: &str = "CUMINBARROW_SEEDS";
 /// Environment variable that lets the next incarnation of the same name carry out delayed orders to
@@ -41,7 +46,7 @@
 /// end, under overlapping faults.
 #[test]
 fn random_histories_violate_no_invariant() {
-    let failed_seeds = run_histories(DEFAULT_SEEDS);
+    let failed_seeds = run_histories(generate, DEFAULT_SEEDS);
     assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
 }
 
@@ -49,18 +54,41 @@
 #[test]
 #[ignore = "takes its seeds from CUMINBARROW_SEEDS"]
 fn many_random_histories_violate_no_invariant() {
+    let failed_seeds = run_histories(generate, seeds_from_environment());
+    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+}
+
+/// The same check for fleets of dozens of nodes, wide gangs, and faults that need more than one
+/// process of a kind.
+#[test]
+fn large_random_histories_violate_no_invariant() {
+    let failed_seeds = run_histories(generate_large, DEFAULT_LARGE_SEEDS);
+    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+}
+
+/// The same check for a range of seeds given in the environment.
+#[test]
+#[ignore = "takes its seeds from CUMINBARROW_SEEDS"]
+fn many_large_random_histories_violate_no_invariant() {
+    let failed_seeds = run_histories(generate_large, seeds_from_environment());
+    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+}
+
+fn seeds_from_environment() -> Range<u64> {
     let seeds = std::env::var(SEEDS_VARIABLE).unwrap();
     let (from, to) = seeds.split_once("..").unwrap();
-    let failed_seeds = run_histories(from.parse().unwrap()..to.parse().unwrap());
-    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+    from.parse().unwrap()..to.parse().unwrap()
 }
 
+/// Generates a fleet and its history from a seed.
+type Generate = fn(u64) -> (FleetShape, History);
+
 /// Runs the histories of some seeds, prints the failures, with all events of the first one, and
 /// returns the seeds that failed.
-fn run_histories(seeds: Range<u64>) -> Vec<u64> {
+fn run_histories(generate: Generate, seeds: Range<u64>) -> Vec<u64> {
     let mut failed_seeds = Vec::new();
     for seed in seeds {
-        let result = run_seed(seed);
+        let result = run_seed(generate, seed);
         if result.violations.is_empty() {
             continue;
         }
@@ -73,13 +101,13 @@
     failed_seeds
 }
 
-fn run_seed(seed: u64) -> HistoryResult {
+fn run_seed(generate: Generate, seed: u64) -> HistoryResult {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().start_paused(true).build().unwrap();
-    runtime.block_on(run_history(seed))
+    runtime.block_on(run_history(generate, seed))
 }
 
-async fn run_history(seed: u64) -> HistoryResult {
+async fn run_history(generate: Generate, seed: u64) -> HistoryResult {
     let (shape, history) = generate(seed);
     let mut fleet = FakeFleet::start(shape.entries, shape.nodes).await;
     for (node, slow_permille) in fleet.nodes.iter().zip(&shape.slow_permille) {
@@ -124,6 +152,11 @@
         Event::EntryLogFault { entry, fault } => fleet.entries[entry].log_client.set_fault(fault),
         Event::RestartEntry { entry } => fleet.restart_entry(entry),
         Event::ExpireMembers => fleet.expire_members(),
+        Event::FlapMembers { is_flapping } => fleet.set_members_flapping(is_flapping),
+        Event::DropHistory => fleet.drop_history(),
+        Event::AddNamesake { node } => {
+            fleet.add_namesake(node);
+        }
     }
 }
 
@@ -131,6 +164,7 @@
 fn clear_faults(fleet: &FakeFleet) {
     fleet.record_event("all faults end");
     fleet.entries.iter().for_each(|entry| entry.log_client.set_fault(LogFault::None));
+    fleet.set_members_flapping(false);
     for (index, node) in fleet.nodes.iter().enumerate() {
         node.set_fault(PortFault::None);
         node.set_log_fault(LogFault::None);
--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -297,7 +297,7 @@
         let state = fleet.entries[0].replica.state();
         state.workers.values().find(|w| !w.runs.is_empty()).map(|w| w.spec.instance.clone())
     };
-    let first = usize::from(instance_with_runs(&fleet).unwrap() == "side-1");
+    let first = usize::from(instance_with_runs(&fleet).unwrap() == fleet.nodes[1].instance());
     fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::None));
     fleet.nodes[first].set_fault(PortFault::Refused);
     fleet.nodes[first].set_reporting(false);
@@ -319,7 +319,7 @@
     let first = {
         let state = fleet.entries[0].replica.state();
         let worker = state.workers.values().find(|w| !w.runs.is_empty()).unwrap();
-        usize::from(worker.spec.instance == "side-1")
+        usize::from(worker.spec.instance == fleet.nodes[1].instance())
     };
     fleet.nodes[1 - first].set_fault(PortFault::None);
     fleet.nodes[first].host.crash();
@@ -358,7 +358,7 @@
     let state = fleet.entries[0].replica.state();
     let names: Vec<_> =
         state.workers.values().map(|worker| worker.spec.instance.to_string()).collect();
-    assert_eq!(names, vec!["side-1".to_owned()]);
+    assert_eq!(names, vec![fleet.nodes[1].instance().to_owned()]);
 }
 
 /// Guards against a lease granted to an incarnation that has not reported yet, and that is still
@@ -386,3 +386,20 @@
     tokio::time::sleep(Duration::from_secs(30)).await;
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
+
+/// Guards against a second run while the first one continues on a machine whose instance name has
+/// come back on another machine. The worker there knows nothing of the first run.
+#[tokio::test(start_paused = true)]
+async fn namesake_of_a_machine_that_still_runs_frees_no_runs() {
+    for fault in [LogFault::None, LogFault::RequestsLost] {
+        let mut fleet = FakeFleet::start(1, 2).await;
+        let job = fleet.submit(gang(1, 8), Duration::from_secs(30)).await;
+        fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+        let first = fleet.node_of(job).unwrap();
+        fleet.nodes[first].set_log_fault(fault);
+        fleet.add_namesake(first);
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        assert_eq!(fleet.violations(), Vec::<String>::new());
+        assert_eq!(fleet.entries[0].replica.state().active.len(), 0);
+    }
+}
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -367,7 +367,7 @@
             .map(|placement| placement.worker)
     }
 
-    /// Worker that runs on an instance.
+    /// Worker that runs on an instance, as given by [`crate::worker::instance_at`].
     pub fn worker_on(&self, instance: &str) -> Option<(WorkerKey, &WorkerState)> {
         let mut workers = self.workers.iter().map(|(key, worker)| (*key, worker));
         workers.find(|(_, worker)| worker.spec.instance == instance)
--- a/crates/taskgraph/src/worker.rs
+++ b/crates/taskgraph/src/worker.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 
 use crate::resource_amounts::ResourceAmounts;
 use crate::task_key::RunKey;
@@ -31,7 +33,7 @@
     pub name: SmolStr,
     /// Start time of this incarnation, in ms since the Unix epoch.
     pub started_ms: u64,
-    /// Instance that the worker runs on.
+    /// Instance that the worker runs on, as given by [`instance_at`].
     pub instance: SmolStr,
     /// Service that the worker belongs to.
     pub service: SmolStr,
@@ -45,6 +47,15 @@
     pub resources: ResourceAmounts,
 }
 
+/// Identifies the instance of this name whose worker is called at `address`.
+///
+/// One worker runs at a time on an instance, so the next one there shows what has become of the runs
+/// of the one before. A name alone does not tell that: it may come back on another machine while the
+/// first one still runs.
+pub fn instance_at(name: &str, address: SocketAddr) -> SmolStr {
+    format_smolstr!("{name}/{address}")
+}
+
 impl WorkerSpec {
     /// Whether both describe the same incarnation of the same worker.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
