Set the wall clocks of simulated nodes back

Workers that start again while their clock is set back report an earlier start than the worker before them. Reports of both then arrive in the wrong order.

--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -46,6 +46,10 @@
 use crate::observer::JobInfo;
 use crate::observer::Observer;
 
+/// Start time of the first worker, late enough that clocks can be set back.
+const FIRST_START_TIME_MS: u64 = 1_000_000;
+/// Time between the starts of two workers, as far as their start times show.
+const START_TIME_STEP_MS: u64 = 1_000;
 /// Port of workers.
 const WORKER_PORT: u16 = 8_080;
 /// Interval between a worker's reports to its agent.
@@ -120,6 +124,8 @@
     log_fault: Mutex<LogFault>,
     /// Number of workers booted so far, on all nodes. It stands for their start times.
     boot_count: Arc<Mutex<u64>>,
+    /// By how much the wall clock is set back.
+    clock_back_ms: Mutex<u64>,
 }
 
 /// All entries and nodes, with their log and the observer.
@@ -243,6 +249,7 @@
             port_fault: Mutex::default(),
             log_fault: Mutex::default(),
             boot_count: Arc::clone(&self.boot_count),
+            clock_back_ms: Mutex::default(),
         };
         node.boot();
         tokio::spawn(node.send_reports());
@@ -407,7 +414,7 @@
         *boot_count += 1;
         *self.drain_stage.lock().unwrap() = DrainStage::Active;
         *self.sequence.lock().unwrap() = 0;
-        self.host.boot(&format!("i-{}", self.name), 1_000 * *boot_count);
+        self.host.boot(&format!("i-{}", self.name), self.start_time_ms(*boot_count));
     }
 
     /// Boots the worker under a new name.
@@ -416,7 +423,19 @@
         *boot_count += 1;
         *self.drain_stage.lock().unwrap() = DrainStage::Active;
         *self.sequence.lock().unwrap() = 0;
-        self.host.boot(&format!("i-{}-{boot_count}", self.name), 1_000 * *boot_count);
+        let name = format!("i-{}-{boot_count}", self.name);
+        self.host.boot(&name, self.start_time_ms(*boot_count));
+    }
+
+    /// Start time that a worker reports which boots now.
+    fn start_time_ms(&self, boot_count: u64) -> u64 {
+        let start_ms = FIRST_START_TIME_MS + START_TIME_STEP_MS * boot_count;
+        start_ms - *self.clock_back_ms.lock().unwrap()
+    }
+
+    /// Sets the wall clock back. Workers that boot later seem to be older than those before.
+    pub(crate) fn set_clock_back(&self, back_ms: u64) {
+        *self.clock_back_ms.lock().unwrap() = back_ms;
     }
 
     /// Sets the delay of the worker's reports to the agent.
--- a/crates/dispatch/tests/fleet/random_faults.rs
+++ b/crates/dispatch/tests/fleet/random_faults.rs
@@ -81,6 +81,11 @@
         is_flapping: bool,
     },
     DropHistory,
+    /// Sets the wall clock of a node back.
+    ClockBack {
+        node: usize,
+        back_ms: u64,
+    },
     /// Adds a machine whose instance has the name of an existing node, which goes on.
     AddNamesake {
         node: usize,
@@ -153,6 +158,7 @@
         if generator.rng.random_bool(0.2) {
             generator.namesake(node);
         }
+        generator.fault_series(0.2, |generator, at_ms| generator.clock_fault(node, at_ms));
     }
     for entry in 0..shape.entries {
         generator.fault_series(0.6, |generator, at_ms| generator.entry_fault(entry, at_ms));
@@ -250,6 +256,15 @@
         end_ms
     }
 
+    /// Sets the wall clock of a node back for a while.
+    fn clock_fault(&mut self, node: usize, at_ms: u64) -> u64 {
+        let back_ms = self.rng.random_range(1..60_000);
+        let end_ms = at_ms + self.rng.random_range(2_000..12_000);
+        self.add(at_ms, Event::ClockBack { node, back_ms });
+        self.add(end_ms, Event::ClockBack { node, back_ms: 0 });
+        end_ms
+    }
+
     fn members_fault(&mut self, at_ms: u64) -> u64 {
         if self.rng.random_bool(0.3) {
             self.add(at_ms, Event::ExpireMembers);
--- a/crates/dispatch/tests/fleet/random_histories.rs
+++ b/crates/dispatch/tests/fleet/random_histories.rs
@@ -154,6 +154,7 @@
         Event::ExpireMembers => fleet.expire_members(),
         Event::FlapMembers { is_flapping } => fleet.set_members_flapping(is_flapping),
         Event::DropHistory => fleet.drop_history(),
+        Event::ClockBack { node, back_ms } => fleet.nodes[node].set_clock_back(back_ms),
         Event::AddNamesake { node } => {
             fleet.add_namesake(node);
         }
@@ -171,6 +172,7 @@
         node.set_suspended(false);
         node.set_reporting(true);
         node.delay_reports(Duration::ZERO);
+        node.set_clock_back(0);
         if !node.has_agent() {
             fleet.start_agent(index);
         }
