dispatch: Announce an entry as soon as it has read the log

Cause: the announcer looked once whether the replica was fresh, after the first heartbeat, and looked again only with the next one, 1.2 s later. Where the heartbeat was answered before the first read, the entry served callers for 1.2 s without being in the log. The other entry of its region then did not know it, took itself for the region's reader, and both appended directly. In the trace, reads stopped in that time: the first entry had the job at offset 6 in its cache and needed offset 7, the second had offset 7 and needed 6. Neither got on until the reads failed and both were stale. An entry that is not in the log can't claim the planner role either, so a lone entry placed nothing in that time.

Change: the announcer waits for the first confirmed read, until the next heartbeat is due at the latest. Heartbeats stay where they were, before the announcement, so that the planner does not miss an entry that it knows.

--- a/crates/dispatch/src/entry_announcer.rs
+++ b/crates/dispatch/src/entry_announcer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cuminbarrow_taskgraph::record::GraphRecord;
+use tokio::time::Instant;
 
 use crate::entry_directory::EntryAddress;
 use crate::entry_directory::EntryDirectory;
@@ -14,6 +15,9 @@
 
 /// Publishes `address` in the directory, keeps the entry a member of the group of live processes, and
 /// records its address in the log again whenever it is missing there.
+///
+/// An entry that has just started is announced as soon as it has read the log. Until then the entries
+/// of its region do not append through each other, and none has the batches of the others in its cache.
 pub async fn run(
     replica: Arc<Replica>,
     membership: Arc<dyn Membership>,
@@ -28,14 +32,21 @@
         if let Err(error) = membership.join(replica.incarnation).await {
             log::warn!("{error}");
         }
+        let next_join = Instant::now() + JOIN_INTERVAL;
+        let fresh = tokio::time::timeout_at(next_join, wait_until_fresh(&replica)).await;
         let is_known = replica.state().processes.contains_key(&replica.incarnation);
-        if replica.is_fresh() && !is_known {
+        if fresh.is_ok() && !is_known {
             announce(&replica, address).await;
         }
-        tokio::time::sleep(JOIN_INTERVAL).await;
+        tokio::time::sleep_until(next_join).await;
     }
 }
 
+async fn wait_until_fresh(replica: &Replica) {
+    let mut confirmed = replica.log.confirmed();
+    while !replica.is_fresh() && confirmed.changed().await.is_ok() {}
+}
+
 async fn publish(replica: &Replica, directory: &dyn EntryDirectory, address: SocketAddr) -> bool {
     let ProcessLocation { instance, region, data_centre, .. } = replica.location.clone();
     let entry = EntryAddress { instance, region, data_centre, address };
