Count the wait of a relayed read that is answered with batches

Seen: task_of_lost_agent_runs_again_only_after_its_lease failed in 2 of 48 suites on a busy machine. A run on a live worker lapsed under its lease of 2.5 s, and its task ran a third time.

Cause: an entry answers a relayed read as soon as it has a batch, but told a wait of zero with it, only an answer without batches told the wait. The age of the entry's own read includes that time, so the reader took the log to be confirmed up to 0.6 s earlier than it was, at times earlier than by the answer before, and granted leases that were shorter by as much.

Change: the wait is told with every answer. It is measured before the age is taken, as before, so the answer still confirms no later moment than the entry's own read.

Evidence: an_answer_with_a_batch_counts_the_wait_for_it failed before: the answer confirmed a moment 426 ms before the entry's own read, with a batch that came after 400 ms. It passes now, and so does the test that nothing later is confirmed.

--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -120,6 +120,11 @@
         let mut pages = self.replica.log.pages();
         loop {
             pages.mark_unchanged();
+            // The wait is measured before the age is taken, because the age does not cover time that
+            // passes after it. Otherwise a stall in between would make the answer look newer than it
+            // is.
+            let waited = began.elapsed();
+            let is_over = Instant::now() >= deadline;
             match self.replica.log.recent_page(from) {
                 // Batches that are no longer cached are covered by this entry's snapshot.
                 None if self.replica.log.is_before_recent(from) => {
@@ -128,19 +133,13 @@
                     };
                 }
                 Some(page) if page.age_ms > MAX_AGE_MS => return behind_response(),
-                Some(page) if !page.entries.is_empty() => return to_records(page, Duration::ZERO),
+                Some(page) if is_over || !page.entries.is_empty() => {
+                    return to_records(page, waited);
+                }
+                None if is_over => return behind_response(),
                 _ => {}
             }
-            if tokio::time::timeout_at(deadline, pages.changed()).await.is_err() {
-                break;
-            }
-        }
-        // The wait is measured before the age is taken, because the age does not cover time that
-        // passes after it. Otherwise a stall in between would make the answer look newer than it is.
-        let waited = began.elapsed();
-        match self.replica.log.recent_page(from) {
-            Some(page) if page.age_ms <= MAX_AGE_MS => to_records(page, waited),
-            _ => behind_response(),
+            let _ = tokio::time::timeout_at(deadline, pages.changed()).await;
         }
     }
 
--- a/crates/dispatch/tests/relayed_read_age.rs
+++ b/crates/dispatch/tests/relayed_read_age.rs
@@ -38,11 +38,16 @@
 const STALL_MS: u64 = 300;
 /// Wait that the reader requests, in ms.
 const WAIT_MS: u32 = 100;
+/// Time after which a batch is appended for which the reader waits, in ms.
+const BATCH_DELAY_MS: u64 = 400;
+/// Part of that time that the answer may leave out, in ms.
+const MAX_UNCOUNTED_WAIT_MS: u64 = 200;
 
-/// An empty log that answers only the first read.
+/// A log that answers the first read at once, the second with `batch` if there is one, and no more.
 #[derive(Default)]
 struct UnresponsiveLog {
     reads: AtomicU64,
+    batch: Option<Vec<u8>>,
 }
 
 #[async_trait]
@@ -58,10 +63,15 @@
         _limit: u32,
         _wait_ms: u32,
     ) -> Result<LogPage, LogError> {
-        if self.reads.fetch_add(1, Ordering::Relaxed) > 0 {
-            std::future::pending().await
+        match (self.reads.fetch_add(1, Ordering::Relaxed), &self.batch) {
+            (0, _) => Ok(LogPage { next: from, first: from, ..LogPage::default() }),
+            (1, Some(batch)) => {
+                tokio::time::sleep(Duration::from_millis(BATCH_DELAY_MS)).await;
+                let entries = vec![batch.clone()];
+                Ok(LogPage { next: from + 1, first: from, entries, ..LogPage::default() })
+            }
+            _ => std::future::pending().await,
         }
-        Ok(LogPage { next: from, first: from, ..LogPage::default() })
     }
 }
 
@@ -100,10 +110,10 @@
 }
 
 /// Starts an entry and waits until it has read the log once.
-async fn start_entry() -> RelayingEntry {
+async fn start_entry(log: UnresponsiveLog) -> RelayingEntry {
     let key = SharedKey::new("key");
     let dialer = LinkDialer::new(key.clone(), Arc::default());
-    let caching_log = Arc::new(CachingLog::new(Arc::new(UnresponsiveLog::default())));
+    let caching_log = Arc::new(CachingLog::new(Arc::new(log)));
     let direct = Arc::new(DirectPath::new(Arc::clone(&caching_log) as Arc<dyn LogStore>));
     let peers = Arc::new(PeerList::default());
     let clock = Arc::new(StallingClock::default());
@@ -136,7 +146,7 @@
 /// taking the age of its read and measuring its wait reported a wait that the age did not cover.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_stalls_before_its_answer_confirms_no_later_time() {
-    let entry = start_entry().await;
+    let entry = start_entry(UnresponsiveLog::default()).await;
     let read_ms = entry.replica.log.latest().unwrap().at_ms;
     let mut link: Link<RelayRequest, RelayResponse> =
         entry.dialer.open(entry.address, LinkKind::Relay).await.unwrap();
@@ -155,3 +165,27 @@
         confirmed_ms - read_ms
     );
 }
+
+/// A lease that rests on a read through an entry must not be shortened by the time that the entry
+/// waited for a batch. The answer with the batch left this time out.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_a_batch_counts_the_wait_for_it() {
+    let batch = b"a foreign record".to_vec();
+    let entry = start_entry(UnresponsiveLog { batch: Some(batch), ..Default::default() }).await;
+    let mut link: Link<RelayRequest, RelayResponse> =
+        entry.dialer.open(entry.address, LinkKind::Relay).await.unwrap();
+    let requested_ms = SystemClock.now_ms();
+    let wait_ms = 2 * u32::try_from(BATCH_DELAY_MS).unwrap();
+    let request = RelayRequest::Read { from: 0, wait_ms, is_from_entry: false };
+    link.sender.send(&request).await.unwrap();
+    let response = link.receiver.receive().await.unwrap();
+    let RelayResponse::Records { next: 1, waited_ms, age_ms, .. } = response else {
+        panic!("{response:?}");
+    };
+    let read_ms = entry.replica.log.latest().unwrap().at_ms;
+    let confirmed_ms = requested_ms + waited_ms - age_ms;
+    assert!(
+        (read_ms.saturating_sub(MAX_UNCOUNTED_WAIT_MS)..=read_ms).contains(&confirmed_ms),
+        "the answer confirms {confirmed_ms} ms, the entry's own read {read_ms} ms"
+    );
+}
