--- a/crates/dispatch/tests/fleet/random_faults.rs
+++ b/crates/dispatch/tests/fleet/random_faults.rs
@@ -153,7 +153,7 @@
         generator.fault_series(0.2, |generator, at_ms| generator.port_fault(node, at_ms));
         generator.fault_series(0.1, |generator, at_ms| generator.report_fault(node, at_ms));
         generator.fault_series(0.2, |generator, at_ms| generator.agent_log_fault(node, at_ms));
-        generator.fault_series(0.2, |generator, at_ms| generator.entry_behind(node, at_ms));
+        generator.fault_series(0.2, |generator, at_ms| generator.reads_behind_fault(node, at_ms));
         generator.fault_series(0.2, |generator, at_ms| generator.agent_fault(node, at_ms));
         if generator.rng.random_bool(0.2) {
             generator.namesake(node);
@@ -162,6 +162,8 @@
     }
     for entry in 0..shape.entries {
         generator.fault_series(0.6, |generator, at_ms| generator.entry_fault(entry, at_ms));
+        generator
+            .fault_series(0.4, |generator, at_ms| generator.entry_reads_behind_fault(entry, at_ms));
     }
     generator.fault_series(0.4, |generator, at_ms| generator.members_fault(at_ms));
     generator.fault_series(0.5, |generator, at_ms| {
@@ -248,7 +250,7 @@
     }
 
     /// Lets an agent read through an entry that is behind.
-    fn entry_behind(&mut self, node: usize, at_ms: u64) -> u64 {
+    fn reads_behind_fault(&mut self, node: usize, at_ms: u64) -> u64 {
         let fault = LogFault::ReadsBehind(Duration::from_millis(self.rng.random_range(50..2_200)));
         let end_ms = at_ms + self.rng.random_range(1_000..12_000);
         self.add(at_ms, Event::AgentLogFault { node, fault });
@@ -256,6 +258,15 @@
         end_ms
     }
 
+    /// Lets an entry read through another one that is behind.
+    fn entry_reads_behind_fault(&mut self, entry: usize, at_ms: u64) -> u64 {
+        let fault = LogFault::ReadsBehind(Duration::from_millis(self.rng.random_range(50..2_200)));
+        let end_ms = at_ms + self.rng.random_range(1_000..12_000);
+        self.add(at_ms, Event::EntryLogFault { entry, fault });
+        self.add(end_ms, Event::EntryLogFault { entry, fault: LogFault::None });
+        end_ms
+    }
+
     /// Sets the wall clock of a node back for a while.
     fn clock_fault(&mut self, node: usize, at_ms: u64) -> u64 {
         let back_ms = self.rng.random_range(1..60_000);
