Wait for late starts before a worker is given up

Callers saw one task run twice at once: a start order that got no answer was carried out seconds later by the next incarnation of the worker under the same name, when the worker had been removed from the log and the task been placed elsewhere.

The agent removes a silent worker once every lease that it may have granted is over, and took the deadline in an order for the end of its lease. That holds for the incarnation the order was sent to. The next one begins with a new clock and has seen no fencing token, so it takes the order up to 12 s later and grants a whole lease from then on. If it sends no report and can't be called, nobody stops it.

While a run in the log has an unanswered start, the worker is now kept until the last unanswered order with a lease can't arrive any more and the lease that it grants then is over; renewals count, since they extend the lease of what a late start began. A start is settled once the worker answers a poll sent 12 s after it. Unanswered orders pass to the session of the next incarnation, and an agent that follows another one takes each run that it finds for unanswered. Where all starts were answered, or were certainly not sent, work is placed again as soon as before; a test says so.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -248,10 +248,17 @@
         if session.worker != Some(worker) {
             // A previous agent may have granted leases up to this moment.
             let now_ms = self.replica.clock.now_ms();
-            *session = WorkerSession::new(worker, now_ms.saturating_add(self.lease.duration_ms));
+            let leased_until_ms = now_ms.saturating_add(self.lease.duration_ms);
+            let earlier =
+                std::mem::replace(&mut *session, WorkerSession::new(worker, leased_until_ms));
             if let Some(known) = self.replica.state().workers.get(&worker) {
                 session.table.sync(&known.runs);
             }
+            if earlier.worker.is_some() {
+                session.leases.inherit(earlier.leases);
+            } else {
+                session.suspect_unanswered_starts(now_ms);
+            }
         }
         Some(session)
     }
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -11,6 +11,7 @@
 use crate::agent_core::AgentCore;
 use crate::agent_core::OwnWorker;
 use crate::lease_grants::GrantNumber;
+use crate::lease_grants::LeaseOrder;
 use crate::worker_port::StartOrder;
 use crate::worker_port::ThrottleOrder;
 
@@ -135,7 +136,9 @@
         }
         let (deadline_ms, until_ms) = self.lease_end(&session, is_wanted);
         let deadline_ms = deadline_ms?;
-        Some((session.leases.grant(until_ms), deadline_ms))
+        let sent_ms = self.replica.clock.now_ms();
+        let grant = session.leases.grant(LeaseOrder { started_run: Some(run), sent_ms, until_ms });
+        Some((grant, deadline_ms))
     }
 
     /// Sends a throttle order. An order without an answer is sent again after the next poll.
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -14,7 +14,9 @@
 
 use crate::agent_core::AgentCore;
 use crate::agent_core::OwnWorker;
+use crate::lease_grants::Delivery;
 use crate::lease_grants::GrantNumber;
+use crate::lease_grants::LeaseOrder;
 use crate::replica::WRITE_RETRY_DELAY;
 use crate::worker_port::PortError;
 use crate::worker_port::RenewalAnswer;
@@ -139,8 +141,9 @@
     ) -> Option<(PollNumber, GrantNumber, RenewalOrder)> {
         let mut session = self.session_of(own.key)?;
         let (deadline_ms, until_ms) = self.lease_end(&session, |state| own.is_current(state));
-        session.unanswered_since_ms.get_or_insert(self.replica.clock.now_ms());
-        let grant = session.leases.grant(until_ms);
+        let sent_ms = self.replica.clock.now_ms();
+        session.unanswered_since_ms.get_or_insert(sent_ms);
+        let grant = session.leases.grant(LeaseOrder { started_run: None, sent_ms, until_ms });
         let order = RenewalOrder {
             worker: own.name.clone(),
             deadline_ms,
@@ -151,16 +154,21 @@
         Some((session.table.begin_poll(), grant, order))
     }
 
-    /// Records whether an order that carried a lease may have been sent.
+    /// Records what became of an order that carried a lease.
     pub(crate) fn settle_grant<T>(
         &self,
         own: &OwnWorker,
         grant: GrantNumber,
         result: &Result<T, PortError>,
     ) {
+        let delivery = match result {
+            Err(PortError::ConnectionRefused) => Delivery::NotSent,
+            Err(PortError::NoAnswer { .. } | PortError::BadAnswer { .. }) => Delivery::Unanswered,
+            Ok(_) | Err(PortError::Fenced | PortError::OtherIncarnation) => Delivery::Answered,
+        };
         let mut session = self.session();
         if session.worker == Some(own.key) {
-            session.leases.settle(grant, !matches!(result, Err(PortError::ConnectionRefused)));
+            session.leases.settle(grant, delivery);
         }
     }
 
@@ -177,7 +185,9 @@
         if session.worker != Some(own.key) {
             return false;
         }
-        session.unanswered_since_ms = None;
+        if let Some(sent_ms) = session.unanswered_since_ms.take() {
+            session.leases.record_answer(sent_ms);
+        }
         self.update_clock_sample(&mut session, clock_ms);
         session.apply_renewal_answer(poll, answer);
         for run in session.table.orphaned_runs() {
@@ -272,7 +282,7 @@
 
     /// Whether every lease that the worker may have been granted has expired.
     fn has_lapsed(&self, worker: WorkerKey) -> bool {
-        let until_ms = self.session_of(worker).map(|session| session.leases.until_ms());
+        let until_ms = self.session_of(worker).map(|session| session.leased_until_ms(self.lease));
         let now_ms = self.replica.clock.now_ms();
         until_ms.is_some_and(|until_ms| now_ms >= until_ms.saturating_add(LEASE_EXPIRY_MARGIN_MS))
     }
@@ -286,7 +296,7 @@
             self.latest_report.borrow().as_ref().map_or(0, |latest| latest.received_ms);
         let silent_ms = now_ms.saturating_sub(received_ms);
         let known = self.session_of(own.key);
-        let known = known.map(|session| (session.has_left, session.leases.until_ms()));
+        let known = known.map(|session| (session.has_left, session.leased_until_ms(self.lease)));
         let Some((has_left, lease_ended_ms)) = known else { return };
         if (has_left || silent_ms >= REPORT_TIMEOUT_MS) && self.has_lapsed(own.key) {
             let lapsed_ms = now_ms.saturating_sub(lease_ended_ms);
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -5,6 +5,7 @@
 
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
+use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
 use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
 use cuminbarrow_taskgraph::progress_watch::RunExpectation;
 use cuminbarrow_taskgraph::record::EndKind;
@@ -91,6 +92,19 @@
         Self { worker: Some(worker), leases, ..Self::default() }
     }
 
+    /// Records that any run may have an unanswered order to start, by an earlier agent, sent at
+    /// `now_ms` at the latest.
+    pub(crate) fn suspect_unanswered_starts(&mut self, now_ms: u64) {
+        for run in self.table.runs() {
+            self.leases.record_unanswered_start(run, now_ms);
+        }
+    }
+
+    /// Latest end of all leases that the worker may have been granted, on the boot-time clock in ms.
+    pub(crate) fn leased_until_ms(&self, lease: LeaseTerms) -> u64 {
+        self.leases.until_ms(lease, |run| self.table.is_assigned(run))
+    }
+
     /// Highest number up to which all ends may be acknowledged; 0 while it is uncertain which
     /// incarnation answers. The next incarnation numbers its ends from 1 again and would drop ends that
     /// were never read.
--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -5,6 +5,7 @@
 
 use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use tokio::time::Instant;
 
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::gang;
@@ -307,6 +308,67 @@
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
 
+/// Guards against a delayed renewal that extends the lease of a run begun by a delayed start, beyond
+/// the removal of the worker.
+#[tokio::test(start_paused = true)]
+async fn late_renewal_at_an_incarnation_that_nobody_knows_is_awaited() {
+    let delay = Duration::from_millis(11_900);
+    let mut fleet = FakeFleet::start(1, 2).await;
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::Delayed(delay)));
+    let job = fleet.submit(tasks(1, 8), Duration::from_secs(30)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::None));
+    fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+    let first = fleet.node_of(job).unwrap();
+    fleet.nodes[first].set_fault(PortFault::AllDelayed(delay));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    fleet.nodes[first].set_fault(PortFault::Refused);
+    fleet.nodes[first].set_reporting(false);
+    fleet.nodes[first].host.crash();
+    fleet.nodes[first].boot();
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Guards against a delayed start by an agent that was replaced, carried out by an incarnation that
+/// the next agent does not know, after that agent removed the worker.
+#[tokio::test(start_paused = true)]
+async fn late_start_of_a_replaced_agent_is_awaited() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::Delayed(Duration::from_secs(10))));
+    let job = fleet.submit(tasks(1, 8), Duration::from_secs(30)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::None));
+    fleet.start_agent(0);
+    fleet.start_agent(1);
+    fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+    let first = fleet.node_of(job).unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.nodes[first].set_fault(PortFault::Refused);
+    fleet.nodes[first].set_reporting(false);
+    fleet.nodes[first].host.crash();
+    fleet.nodes[first].boot();
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Guards against work of a crashed worker that waits for late starts although all starts there were
+/// answered.
+#[tokio::test(start_paused = true)]
+async fn answered_start_is_placed_again_at_lease_expiry() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    let job = fleet.submit(tasks(1, 8), Duration::from_secs(20)).await;
+    fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+    let first = fleet.node_of(job).unwrap();
+    fleet.nodes[first].set_reporting(false);
+    fleet.nodes[first].host.crash();
+    let crashed_at = Instant::now();
+    fleet.wait_for("a second run", |fleet| fleet.node_of(job) == Some(1 - first)).await;
+    assert!(crashed_at.elapsed() < Duration::from_secs(8), "{:?}", crashed_at.elapsed());
+}
+
 /// Guards against a delayed start by a dead agent that reaches the next incarnation, after the
 /// planner removed the worker.
 #[tokio::test(start_paused = true)]
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -132,6 +132,16 @@
         self.is_stopping_all = true;
     }
 
+    /// Runs that the log assigns to the worker.
+    pub fn runs(&self) -> impl Iterator<Item = RunKey> {
+        self.runs.keys().copied()
+    }
+
+    /// Whether the log assigns `run` to the worker.
+    pub fn is_assigned(&self, run: RunKey) -> bool {
+        self.runs.contains_key(&run)
+    }
+
     /// Whether the worker neither has nor should have any runs.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.orphans_to_stop.is_empty() && self.has_polled
