Count a worker's registration as a sign of life

An agent that the group of live processes did not list was suspected again at the next check, half a second after it had registered its worker to take the suspicion back: the time since when it was missing was kept by worker and survived the registration. So the worker was taken out of placement twice a second, with a new fencing token each time, and a removal could begin right after a sign of life.

The time is now kept by worker and fencing token. A registration gets a new token, so the 1.5 s start anew with it. An agent that stays silent is still suspected after 1.5 s, since only the agent registers.

The new test fails on the earlier detector (suspected at 52,000 ms, registered at 51,500) and passes now.

--- a/crates/dispatch/src/failure_detector.rs
+++ b/crates/dispatch/src/failure_detector.rs
@@ -24,8 +24,9 @@
 /// Failure detector of the planner. Times are on the boot-time clock in ms.
 #[derive(Clone, Debug, Default)]
 pub struct FailureDetector {
-    /// Workers whose agents are missing, with the time since when.
-    missing: BTreeMap<WorkerKey, u64>,
+    /// Workers whose agents are missing, by worker and fencing token, with the time since when. A
+    /// registration is a sign of life and gets a new token, so the time starts anew with it.
+    missing: BTreeMap<(WorkerKey, u64), u64>,
     /// Missing entries by incarnation, with the time since when.
     missing_entries: BTreeMap<u64, u64>,
     /// When each suspicion was first seen, by worker and offset of the suspicion.
@@ -42,13 +43,14 @@
         now_ms: u64,
     ) -> Vec<GraphRecord> {
         let mut records = Vec::new();
-        self.missing.retain(|worker, _| state.workers.contains_key(worker));
+        let mut still_missing = BTreeMap::new();
         for (worker, known) in &state.workers {
             if known.is_suspected() || members.contains(&known.agent) {
-                self.missing.remove(worker);
                 continue;
             }
-            let since_ms = *self.missing.entry(*worker).or_insert(now_ms);
+            let key = (*worker, known.fencing_token);
+            let since_ms = self.missing.get(&key).copied().unwrap_or(now_ms);
+            still_missing.insert(key, since_ms);
             if now_ms >= since_ms + AGENT_MISSING_TIMEOUT_MS {
                 records.push(GraphRecord::WorkerSuspected {
                     epoch: state.planner.epoch,
@@ -57,6 +59,7 @@
                 });
             }
         }
+        self.missing = still_missing;
         records.extend(self.expired_suspicions(state, lease, now_ms));
         records.extend(self.lost_entries(state, members, now_ms));
         records
--- a/crates/dispatch/tests/failure_detector.rs
+++ b/crates/dispatch/tests/failure_detector.rs
@@ -149,3 +149,23 @@
     let record = GraphRecord::WorkerSuspected { epoch: 1, worker: WORKER, agent: AGENT };
     assert_eq!(suspected, [record]);
 }
+
+/// An agent that the group of live processes does not list must not be suspected again right after it
+/// registered its worker, which shows that it lives.
+#[test]
+fn a_registration_starts_a_new_missing_time() {
+    let mut history = History::new();
+    let mut detector = FailureDetector::default();
+    assert_eq!(history.check(&mut detector, 50_000), []);
+    let suspicion = GraphRecord::WorkerSuspected { epoch: 1, worker: WORKER, agent: AGENT };
+    assert_eq!(history.check(&mut detector, 51_500), std::slice::from_ref(&suspicion));
+    history.apply(suspicion.clone()).unwrap();
+    history.register();
+    assert_eq!(history.check(&mut detector, 52_000), []);
+    // A registration that takes no suspicion back counts as well.
+    history.register();
+    for now_ms in [52_500, 53_999] {
+        assert_eq!(history.check(&mut detector, now_ms), [], "at {now_ms}");
+    }
+    assert_eq!(history.check(&mut detector, 54_000), [suspicion]);
+}
