Keep the worker of an earlier version across an upgrade

The agent now keeps the instance under which it, or an agent of an earlier version, registered the worker: name and start of the incarnation are the same, and the known instance is the name in its own. So there is one key for one worker. The fold and the formats are unchanged.

Without the change, upgraded_agent_keeps_the_worker_of_the_earlier_version fails (two starts), with it both tests pass; a namesake beside the upgraded machine takes over nothing. A registration is logged with its instance, since the earlier line could not show this cause. Not played with a binary of the earlier version.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -268,7 +268,8 @@
         let latest = self.latest_report.borrow();
         let latest = latest.as_ref()?;
         let state = self.replica.state();
-        let (key, worker) = find_own_worker(&state, &latest.report.spec, self.replica.incarnation)?;
+        let spec = registered_spec(&state, &latest.report.spec, self.replica.incarnation);
+        let (key, worker) = find_own_worker(&state, &spec, self.replica.incarnation)?;
         if worker.is_suspected() || *self.removing() == Some(key) {
             return None;
         }
@@ -327,8 +328,8 @@
         // Lock order, here as elsewhere: the session before the state.
         let is_fenced = std::mem::take(&mut self.session().is_fenced);
         let state = self.replica.state();
-        let own = find_own_worker(&state, &latest.report.spec, self.replica.incarnation);
-        let spec = latest.report.spec.clone();
+        let spec = registered_spec(&state, &latest.report.spec, self.replica.incarnation);
+        let own = find_own_worker(&state, &spec, self.replica.incarnation);
         let register = GraphRecord::WorkerRegistered { agent: self.replica.incarnation, spec };
         if own.is_some_and(|(worker, _)| *self.removing() == Some(worker)) {
             return None;
@@ -382,13 +383,24 @@
     (worker.spec.is_same_incarnation(spec) && worker.agent == agent).then_some((key, worker))
 }
 
+/// The spec with which a worker is registered. It keeps the instance under which this agent, or that of
+/// an earlier version, has registered a worker here. Otherwise one worker would have two keys, and a
+/// lease that is extended under one of them would outlast the removal of the other.
+fn registered_spec(state: &GraphState, spec: &WorkerSpec, agent: u64) -> WorkerSpec {
+    let mut workers = state.workers.values();
+    let known = workers
+        .find(|known| known.agent == agent || known.spec.is_earlier_form_of(spec))
+        .map(|known| known.spec.instance.clone());
+    WorkerSpec { instance: known.unwrap_or_else(|| spec.instance.clone()), ..spec.clone() }
+}
+
 fn log_registration<R>(record: &GraphRecord, result: &R)
 where
     R: std::fmt::Debug,
 {
     match record {
         GraphRecord::WorkerRegistered { agent, spec } => {
-            log::info!(worker = spec.name.as_str(), born_ms = spec.started_ms, agent = *agent, result:? = result; "registering");
+            log::info!(worker = spec.name.as_str(), born_ms = spec.started_ms, instance = spec.instance.as_str(), agent = *agent, result:? = result; "registering");
         }
         GraphRecord::WorkerDraining { worker, until_ms } => {
             log::info!(worker:% = worker, until_ms = *until_ms, result:? = result; "draining");
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -276,8 +276,9 @@
             return None;
         }
         let state = self.replica.state();
-        let (key, worker) = state.worker_on(&self.replica.location.instance)?;
-        (worker.agent == self.replica.incarnation).then_some(key)
+        let mut workers = state.workers.iter();
+        let own = workers.find(|(_, worker)| worker.agent == self.replica.incarnation);
+        own.map(|(key, _)| *key)
     }
 
     /// Whether every lease that the worker may have been granted has expired.
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -114,7 +114,9 @@
 pub(crate) struct FakeNode {
     pub(crate) host: Arc<WorkerHost>,
     name: SmolStr,
-    instance: SmolStr,
+    /// Instance by which the present agent identifies the node.
+    instance: Arc<Mutex<SmolStr>>,
+    address: SocketAddr,
     agent: Arc<Mutex<Option<FakeAgent>>>,
     is_reporting: Arc<Mutex<bool>>,
     drain_stage: Arc<Mutex<DrainStage>>,
@@ -240,7 +242,8 @@
         let node = FakeNode {
             host,
             name: name.into(),
-            instance: instance_at(name, address),
+            instance: Arc::new(Mutex::new(instance_at(name, address))),
+            address,
             agent: Arc::default(),
             is_reporting: Arc::new(Mutex::new(true)),
             drain_stage: Arc::default(),
@@ -261,7 +264,7 @@
     pub(crate) fn start_agent(&self, index: usize) {
         let node = &self.nodes[index];
         node.kill_agent();
-        let (replica, log_client) = self.replica(ProcessRole::Agent, &node.instance);
+        let (replica, log_client) = self.replica(ProcessRole::Agent, &node.instance());
         log_client.set_fault(*node.log_fault.lock().unwrap());
         let port_fault = watch::Sender::new(*node.port_fault.lock().unwrap());
         let port = WorkerConnection::new(
@@ -280,6 +283,23 @@
         *node.agent.lock().unwrap() = Some(FakeAgent { core, log_client, port_fault, tasks });
     }
 
+    /// Replaces the agent of a node by that of an earlier version, which identifies the node by its
+    /// name alone.
+    pub(crate) fn downgrade_agent(&self, index: usize) {
+        let node = &self.nodes[index];
+        node.kill_agent();
+        node.instance.lock().unwrap().clone_from(&node.name);
+        self.start_agent(index);
+    }
+
+    /// Replaces the agent of a node by that of the present version. The worker goes on.
+    pub(crate) fn upgrade_agent(&self, index: usize) {
+        let node = &self.nodes[index];
+        node.kill_agent();
+        *node.instance.lock().unwrap() = instance_at(&node.name, node.address);
+        self.start_agent(index);
+    }
+
     /// Submits a job of one step and returns its number.
     pub(crate) async fn submit(&mut self, step: StepSpec, duration: Duration) -> u64 {
         self.submit_ending(step, duration, EndKind::Done).await
@@ -449,8 +469,8 @@
         }
     }
 
-    pub(crate) fn instance(&self) -> &str {
-        &self.instance
+    pub(crate) fn instance(&self) -> SmolStr {
+        self.instance.lock().unwrap().clone()
     }
 
     pub(crate) fn has_agent(&self) -> bool {
@@ -513,7 +533,7 @@
     fn send_reports(&self) -> impl Future<Output = ()> + Send + use<> {
         let agent = Arc::clone(&self.agent);
         let host = Arc::clone(&self.host);
-        let instance = self.instance.clone();
+        let instance = Arc::clone(&self.instance);
         let is_reporting = Arc::clone(&self.is_reporting);
         let drain_stage = Arc::clone(&self.drain_stage);
         let sequence = Arc::clone(&self.sequence);
@@ -531,7 +551,7 @@
                     let spec = WorkerSpec {
                         name,
                         started_ms,
-                        instance: instance.clone(),
+                        instance: instance.lock().unwrap().clone(),
                         service: "service".into(),
                         data_centre: "dc".into(),
                         rack: "rack".into(),
--- a/crates/dispatch/tests/fleet/random_histories.rs
+++ b/crates/dispatch/tests/fleet/random_histories.rs
@@ -188,7 +188,7 @@
     for node in fleet.nodes.iter().filter(|node| node.host.running().is_empty()) {
         let failures = {
             let state = fleet.entries[0].replica.state();
-            state.worker_on(node.instance()).map_or(0, |(_, worker)| worker.consecutive_failures)
+            state.worker_on(&node.instance()).map_or(0, |(_, worker)| worker.consecutive_failures)
         };
         if failures > 1 {
             fleet.record_event(&format!("{} is replaced", node.instance()));
--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -465,3 +465,41 @@
         assert_eq!(fleet.entries[0].replica.state().active.len(), 0);
     }
 }
+
+/// Guards against giving up, after an upgrade, a worker that still runs: its earlier key was removed
+/// after a lease that the agent extended under the next key.
+#[tokio::test(start_paused = true)]
+async fn upgraded_agent_keeps_the_worker_of_the_earlier_version() {
+    for fault in [PortFault::None, PortFault::Delayed(Duration::from_secs(60))] {
+        let mut fleet = FakeFleet::start(1, 1).await;
+        fleet.downgrade_agent(0);
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        let job = fleet.submit(gang(1, 8), Duration::from_secs(40)).await;
+        fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+        fleet.add_namesake(0);
+        fleet.nodes[0].set_fault(fault);
+        fleet.upgrade_agent(0);
+        tokio::time::sleep(Duration::from_secs(25)).await;
+        fleet.nodes[0].set_fault(PortFault::None);
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        assert_eq!(fleet.violations(), Vec::<String>::new(), "{fault:?}");
+        assert_eq!(fleet.start_count(job), 1, "{fault:?}");
+    }
+}
+
+/// Guards against a worker that is used no more after an upgrade: the next one on its machine is
+/// registered where the upgraded agent found the earlier one.
+#[tokio::test(start_paused = true)]
+async fn worker_that_follows_an_upgrade_is_used() {
+    let mut fleet = FakeFleet::start(1, 1).await;
+    fleet.downgrade_agent(0);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    fleet.upgrade_agent(0);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    fleet.nodes[0].host.crash();
+    fleet.nodes[0].boot_renamed();
+    let job = fleet.submit(tasks(3, 8), Duration::from_secs(2)).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+    assert!(!fleet.entries[0].replica.state().active.contains(&JobId(job)));
+}
--- a/crates/taskgraph/src/worker.rs
+++ b/crates/taskgraph/src/worker.rs
@@ -56,12 +56,25 @@
     format_smolstr!("{name}/{address}")
 }
 
+/// Whether `earlier` identifies an instance as earlier versions do, by the name in `instance`.
+fn is_name_of(earlier: &str, instance: &str) -> bool {
+    instance.split_once('/').is_some_and(|(name, _)| name == earlier)
+}
+
 impl WorkerSpec {
     /// Whether both describe the same incarnation of the same worker.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
-        self.name == other.name
-            && self.started_ms == other.started_ms
-            && self.instance == other.instance
+        self.has_same_start(other) && self.instance == other.instance
+    }
+
+    /// Whether both describe the same incarnation of the same worker, and this one was registered by
+    /// an earlier version.
+    pub fn is_earlier_form_of(&self, other: &Self) -> bool {
+        self.has_same_start(other) && is_name_of(&self.instance, &other.instance)
+    }
+
+    fn has_same_start(&self, other: &Self) -> bool {
+        self.name == other.name && self.started_ms == other.started_ms
     }
 }
 
