Test workers that start again under their name while they are not known

The third is known red: behind a cut of the agent from the log it is the planner that removes the worker, and it knows of no order. It needs a cut, a worker that starts again under its name and a start without an answer within seconds.

--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -1,6 +1,7 @@
 //! A task runs at most once at a time: its capacity is freed, and it is placed again, only once its
 //! previous run can no longer be active.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cuminbarrow_taskgraph::job_id::JobId;
@@ -503,3 +504,98 @@
     assert_eq!(fleet.violations(), Vec::<String>::new());
     assert!(!fleet.entries[0].replica.state().active.contains(&JobId(job)));
 }
+
+/// Guards against a lease, granted by an order without an answer to an incarnation that has not
+/// reported yet, that is still valid when its worker is removed.
+#[tokio::test(start_paused = true)]
+async fn lease_of_an_unanswered_start_at_an_unreported_incarnation_is_awaited() {
+    for is_log_cut in [true, false] {
+        for lost_ms in [500_u64, 800, 1_100] {
+            let mut fleet = FakeFleet::start(1, 2).await;
+            tokio::time::sleep(Duration::from_secs(20)).await;
+            for node in &fleet.nodes {
+                node.set_reporting(false);
+                node.host.crash();
+                node.boot();
+                node.set_fault(PortFault::RequestsLost);
+            }
+            let job = fleet.submit(tasks(1, 8), Duration::from_secs(20)).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            if is_log_cut {
+                fleet.nodes.iter().for_each(|node| node.set_log_fault(LogFault::RequestsLost));
+            }
+            tokio::time::sleep(Duration::from_millis(lost_ms)).await;
+            fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::AnswersLost));
+            fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+            let first = fleet.node_of(job).unwrap();
+            fleet.nodes[first].set_fault(PortFault::Refused);
+            fleet.nodes[1 - first].set_fault(PortFault::None);
+            fleet.nodes[1 - first].set_reporting(true);
+            fleet.nodes.iter().for_each(|node| node.set_log_fault(LogFault::None));
+            tokio::time::sleep(Duration::from_secs(40)).await;
+            let violations = fleet.violations();
+            assert_eq!(violations, Vec::<String>::new(), "cut {is_log_cut}, lost {lost_ms} ms");
+        }
+    }
+}
+
+/// Guards against giving up a worker that started again under its name on a machine whose wall clock
+/// was set back. Its reports seem old and are dropped, while orders reach it.
+#[tokio::test(start_paused = true)]
+async fn worker_whose_clock_was_set_back_is_not_given_up_while_it_runs() {
+    let slow_start = |delay_ms| PortFault::Delayed(Duration::from_millis(delay_ms));
+    for behind_ms in [0_u64, 400, 700, 1_200, 2_000] {
+        for fault in [PortFault::None, slow_start(10), slow_start(400)] {
+            let mut fleet = FakeFleet::start(1, 2).await;
+            let other = fleet.submit(tasks(1, 8), Duration::from_secs(24)).await;
+            fleet.wait_for("a run", |fleet| fleet.node_of(other).is_some()).await;
+            let node = &fleet.nodes[1 - fleet.node_of(other).unwrap()];
+            tokio::time::sleep(Duration::from_secs(20)).await;
+            if behind_ms > 0 {
+                node.set_log_fault(LogFault::ReadsBehind(Duration::from_millis(behind_ms)));
+            }
+            node.set_clock_back(5_000);
+            node.host.crash();
+            node.boot();
+            node.set_fault(fault);
+            let node = 1 - fleet.node_of(other).unwrap();
+            let job = fleet.submit(gang(1, 8), Duration::from_secs(20)).await;
+            fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            fleet.nodes[node].set_fault(PortFault::None);
+            tokio::time::sleep(Duration::from_secs(60)).await;
+            let violations = fleet.violations();
+            assert_eq!(violations, Vec::<String>::new(), "{behind_ms} ms behind, {fault:?}");
+        }
+    }
+}
+
+/// Guards against giving up a worker that started again under its name, with its clock set back, while
+/// its agent was cut off from the log. The planner does not know when its lease began.
+#[tokio::test(start_paused = true)]
+async fn worker_started_again_behind_a_log_cut_is_not_given_up_while_it_runs() {
+    for crash_ms in (2_000_u64..6_000).step_by(300) {
+        let mut fleet = FakeFleet::start(1, 2).await;
+        let other = fleet.submit(tasks(1, 8), Duration::from_secs(24)).await;
+        fleet.wait_for("a run", |fleet| fleet.node_of(other).is_some()).await;
+        let node = 1 - fleet.node_of(other).unwrap();
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        // Orders to the earlier incarnation are never carried out.
+        fleet.nodes[node].host.checks_incarnation.store(true, Ordering::Relaxed);
+        fleet.nodes[node].set_fault(PortFault::Delayed(Duration::from_secs(60)));
+        fleet.submit(gang(1, 8), Duration::from_secs(20)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.nodes[node].set_log_fault(LogFault::RequestsLost);
+        tokio::time::sleep(Duration::from_millis(crash_ms)).await;
+        fleet.nodes[node].set_clock_back(5_000);
+        fleet.nodes[node].host.crash();
+        fleet.nodes[node].boot();
+        fleet.nodes[node].set_fault(PortFault::Delayed(Duration::from_millis(10)));
+        tokio::time::sleep(Duration::from_secs(14)).await;
+        fleet.nodes[node].set_log_fault(LogFault::None);
+        fleet.nodes[node].set_fault(PortFault::None);
+        tokio::time::sleep(Duration::from_secs(40)).await;
+        let violations = fleet.violations();
+        assert_eq!(violations, Vec::<String>::new(), "crash after {crash_ms} ms");
+    }
+}
