--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -10,3 +10,4 @@
 mod random_faults;
 mod random_histories;
 mod single_execution;
+mod unknown_workers;
