--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -399,6 +399,16 @@
         self.observer.lock().unwrap().record_event(what);
     }
 
+    /// Restarts all workers under their names. Their reports, and all requests to them, are lost.
+    pub(crate) fn restart_workers_unreported(&self) {
+        for node in &self.nodes {
+            node.set_reporting(false);
+            node.host.crash();
+            node.boot();
+            node.set_fault(PortFault::RequestsLost);
+        }
+    }
+
     pub(crate) fn expire_members(&self) {
         self.log.expire_members();
     }
--- a/crates/dispatch/tests/fleet/random_faults.rs
+++ b/crates/dispatch/tests/fleet/random_faults.rs
@@ -18,6 +18,26 @@
 /// Maximum time between two faults of a series, in ms.
 const MAX_GAP_MS: u64 = 12_000;
 
+/// Minimum duration of a task, in ms.
+const MIN_DURATION_MS: u64 = 300;
+/// Maximum time from the submission of a job to its cancellation, in ms.
+const MAX_CANCELLATION_DELAY_MS: u64 = 10_000;
+
+/// What happens to the jobs of a history.
+#[derive(Clone, Copy, Debug)]
+struct JobTraits {
+    max_duration_ms: u64,
+    failure_probability: f64,
+    cancellation_probability: f64,
+}
+
+/// Jobs of a small fleet.
+const NARROW_JOBS: JobTraits =
+    JobTraits { max_duration_ms: 12_000, failure_probability: 0.1, cancellation_probability: 0.15 };
+/// Jobs of a large fleet, most of them wide gangs.
+const WIDE_JOBS: JobTraits =
+    JobTraits { max_duration_ms: 9_000, failure_probability: 0.05, cancellation_probability: 0.1 };
+
 /// Event that affects a node, an entry or a job.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Event {
@@ -197,14 +217,7 @@
                 1 => gang(count.min(16 / accelerators), accelerators),
                 _ => tasks(1, accelerators),
             };
-            let duration = Duration::from_millis(self.rng.random_range(300..12_000));
-            let fails = self.rng.random_bool(0.1);
-            let end_kind = if fails { EndKind::Failed } else { EndKind::Done };
-            self.add(at_ms, Event::Submit { step, duration, end_kind });
-            if self.rng.random_bool(0.15) {
-                let cancelled_ms = at_ms + self.rng.random_range(0..10_000);
-                self.add(cancelled_ms, Event::Cancel { job });
-            }
+            self.submit(job, at_ms, step, NARROW_JOBS);
         }
     }
 
@@ -221,14 +234,20 @@
                 1 => gang(1, accelerators),
                 _ => gang(self.rng.random_range(2..=64 / accelerators), accelerators),
             };
-            let duration = Duration::from_millis(self.rng.random_range(300..9_000));
-            let fails = self.rng.random_bool(0.05);
-            let end_kind = if fails { EndKind::Failed } else { EndKind::Done };
-            self.add(at_ms, Event::Submit { step, duration, end_kind });
-            if self.rng.random_bool(0.1) {
-                let cancelled_ms = at_ms + self.rng.random_range(0..10_000);
-                self.add(cancelled_ms, Event::Cancel { job });
-            }
+            self.submit(job, at_ms, step, WIDE_JOBS);
+        }
+    }
+
+    /// Submits a job, which fails or is cancelled with the given probabilities.
+    fn submit(&mut self, job: u64, at_ms: u64, step: StepSpec, traits: JobTraits) {
+        let duration_ms = self.rng.random_range(MIN_DURATION_MS..traits.max_duration_ms);
+        let duration = Duration::from_millis(duration_ms);
+        let fails = self.rng.random_bool(traits.failure_probability);
+        let end_kind = if fails { EndKind::Failed } else { EndKind::Done };
+        self.add(at_ms, Event::Submit { step, duration, end_kind });
+        if self.rng.random_bool(traits.cancellation_probability) {
+            let cancelled_ms = at_ms + self.rng.random_range(0..MAX_CANCELLATION_DELAY_MS);
+            self.add(cancelled_ms, Event::Cancel { job });
         }
     }
 
--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -429,12 +429,7 @@
 async fn lease_of_an_unreported_incarnation_is_awaited() {
     let mut fleet = FakeFleet::start(1, 2).await;
     tokio::time::sleep(Duration::from_millis(20_000)).await;
-    for node in &fleet.nodes {
-        node.set_reporting(false);
-        node.host.crash();
-        node.boot();
-        node.set_fault(PortFault::RequestsLost);
-    }
+    fleet.restart_workers_unreported();
     let job = fleet.submit(tasks(1, 8), Duration::from_secs(20)).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.nodes.iter().for_each(|node| node.set_log_fault(LogFault::RequestsLost));
--- a/crates/dispatch/tests/fleet/unknown_workers.rs
+++ b/crates/dispatch/tests/fleet/unknown_workers.rs
@@ -75,12 +75,7 @@
         for lost_ms in [500_u64, 800, 1_100] {
             let mut fleet = FakeFleet::start(1, 2).await;
             tokio::time::sleep(Duration::from_secs(20)).await;
-            for node in &fleet.nodes {
-                node.set_reporting(false);
-                node.host.crash();
-                node.boot();
-                node.set_fault(PortFault::RequestsLost);
-            }
+            fleet.restart_workers_unreported();
             let job = fleet.submit(tasks(1, 8), Duration::from_secs(20)).await;
             tokio::time::sleep(Duration::from_millis(300)).await;
             if is_log_cut {
