--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -27,7 +27,7 @@
 use crate::membership::Membership;
 use crate::replica::Replica;
 
-/// Time without a batch from the planner after which another entry claims the role.
+/// Time without a batch from the planner in the log after which another entry claims the role.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// Time without a write after which the planner renews its role. Three intervals fit into the takeover
 /// timeout.
@@ -138,7 +138,14 @@
             return false;
         }
         let is_held = planner.instance.is_some_and(is_known);
-        !is_held || self.planner_seen_at.elapsed() >= TAKEOVER_TIMEOUT
+        !is_held || self.planner_silence() >= TAKEOVER_TIMEOUT
+    }
+
+    /// How long the planner has been silent, up to the last confirmed read. What it wrote since then
+    /// is not known: while the log answers nobody, all entries would otherwise claim the role.
+    fn planner_silence(&self) -> Duration {
+        let Some(age_ms) = self.task.replica.log.age_ms() else { return Duration::ZERO };
+        self.planner_seen_at.elapsed().saturating_sub(Duration::from_millis(age_ms))
     }
 
     /// Records when the planner writes a batch. Batches of other processes do not postpone a takeover;
--- /dev/null
+++ b/crates/dispatch/tests/fleet/log_outages.rs
@@ -0,0 +1,73 @@
+//! Outages of the log: who plans afterwards, and what callers are told.
+
+use std::time::Duration;
+
+use cuminbarrow_dispatch::job_service::JobService;
+use cuminbarrow_dispatch::job_service::JobServiceError;
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_spec::JobSpec;
+use cuminbarrow_taskgraph::job_terms::JobTerms;
+use tokio::time::Instant;
+
+use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::tasks;
+use crate::fake_log::LogFault;
+
+/// Guards against claims by all entries while the log answers nobody. They took effect once it was
+/// back, and until then held up the records of callers.
+#[tokio::test(start_paused = true)]
+async fn planner_keeps_its_role_across_an_outage_of_the_log() {
+    for outage_ms in [1_000, 1_800, 2_300, 4_200, 8_000] {
+        let fleet = FakeFleet::start(3, 1).await;
+        let planner = fleet.entries[0].replica.state().planner;
+        let set_fault = |fault| {
+            fleet.entries.iter().for_each(|entry| entry.log_client.set_fault(fault));
+            fleet.nodes.iter().for_each(|node| node.set_log_fault(fault));
+        };
+        set_fault(LogFault::RequestsLost);
+        tokio::time::sleep(Duration::from_millis(outage_ms)).await;
+        set_fault(LogFault::None);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        assert_eq!(fleet.entries[0].replica.state().planner, planner, "{outage_ms} ms");
+    }
+}
+
+/// Guards against a planner that is not replaced while the log answers.
+#[tokio::test(start_paused = true)]
+async fn planner_without_a_path_to_the_log_is_replaced() {
+    let fleet = FakeFleet::start(2, 1).await;
+    let planner = fleet.entries[1].replica.state().planner;
+    let index = fleet
+        .entries
+        .iter()
+        .position(|entry| planner.instance == Some(entry.replica.incarnation))
+        .unwrap();
+    fleet.entries[index].log_client.set_fault(LogFault::RequestsLost);
+    let other = &fleet.entries[1 - index];
+    let began = Instant::now();
+    fleet
+        .wait_for("another planner", |_| {
+            other.replica.state().planner.instance == Some(other.replica.incarnation)
+        })
+        .await;
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+}
+
+/// Guards against an answer that comes when its caller has no time left for a second attempt.
+#[tokio::test(start_paused = true)]
+async fn submission_without_an_outcome_is_answered_in_time_for_another_attempt() {
+    for patience_ms in [1_200, 3_000, 60_000] {
+        let patience = Duration::from_millis(patience_ms);
+        let fleet = FakeFleet::start(1, 1).await;
+        let service = JobService::new(fleet.entries[0].replica.clone());
+        fleet.entries[0].log_client.set_fault(LogFault::RequestsLost);
+        let steps = vec![tasks(1, 1)];
+        let spec = JobSpec { steps, ..JobSpec::default() };
+        let began = Instant::now();
+        let submission = service.submit(JobId(1), spec, JobTerms::default(), patience);
+        assert_eq!(submission.await, Err(JobServiceError::Unknown));
+        let took = began.elapsed();
+        let limit = patience.min(Duration::from_secs(3)) * 2 / 3;
+        assert!(took <= limit + Duration::from_millis(20), "{took:?} of {patience:?}");
+    }
+}
--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod fake_fleet;
 mod fake_log;
 mod fake_worker;
+mod log_outages;
 mod observer;
 mod random_faults;
 mod random_histories;
