Answer callers while they can still try another entry

Cause, in the same trace: eight submissions were held until their callers' 3 s had passed, 2 s for the append and one more for its outcome. An entry whose own path is silent thereby cost the caller the attempt at another.

A submission or a cancellation is answered after two thirds of the caller's Deadline-Ms at the latest, of 3 s if it tells none or more. The time for an append's outcome is half a second instead of one.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminbarrow_ledger::log_writer::OUTCOME_GRACE_PERIOD;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
+use cuminbarrow_taskgraph::graph_state::GraphOutcome;
 use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::job_spec::JobSpec;
 use cuminbarrow_taskgraph::job_spec::JobSpecError;
@@ -21,6 +23,13 @@
 
 use crate::replica::Replica;
 
+/// Share of a caller's patience after which a submission or cancellation is answered in any case, in
+/// percent. The rest is for a second attempt at another entry, whose path to the log may work.
+const ANSWER_PERCENT: u32 = 66;
+/// Minimum time for a record to be appended and applied, however little patience its caller has.
+const MIN_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Patience of callers that do not tell theirs, and the maximum of those that do.
+pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
 /// Maximum time that a query waits for the replica to be fresh.
 const FRESH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Minimum retry delay given to callers while the log accepts no records. The delay grows with the
@@ -85,7 +94,8 @@
         Self { replica }
     }
 
-    /// Accepts a job. Idempotent: a job that is submitted again is not accepted twice.
+    /// Accepts a job. Idempotent: a job that is submitted again is not accepted twice. `patience` is
+    /// the time that the caller waits for the answer.
     ///
     /// # Errors
     /// [`JobServiceError`].
@@ -94,6 +104,7 @@
         job: JobId,
         spec: JobSpec,
         terms: JobTerms,
+        patience: Duration,
     ) -> Result<(), JobServiceError> {
         spec.check().map_err(|source| JobServiceError::BadSpec { source })?;
         let queue = terms.queue.clone();
@@ -106,7 +117,7 @@
         }
         self.check_writable()?;
         let record = GraphRecord::JobAccepted { job, spec, terms };
-        let outcome = self.replica.write(record).await.map_err(write_error)?;
+        let outcome = self.write(record, patience).await?;
         match outcome {
             Ok(GraphEffect::Job { queue: held_by }) if held_by == queue => Ok(()),
             Ok(_) => Err(JobServiceError::Conflict),
@@ -117,11 +128,16 @@
         }
     }
 
-    /// Cancels a job of a queue.
+    /// Cancels a job of a queue. `patience` is the time that the caller waits for the answer.
     ///
     /// # Errors
     /// [`JobServiceError`].
-    pub async fn cancel(&self, queue: &str, job: JobId) -> Result<(), JobServiceError> {
+    pub async fn cancel(
+        &self,
+        queue: &str,
+        job: JobId,
+        patience: Duration,
+    ) -> Result<(), JobServiceError> {
         match self.status(queue, job).await? {
             JobStatus::Cancelled => return Ok(()),
             JobStatus::Completed | JobStatus::Failed => return Err(JobServiceError::NoJob),
@@ -129,7 +145,7 @@
         }
         self.check_writable()?;
         let record = GraphRecord::JobCancelled { job };
-        let outcome = self.replica.write(record).await.map_err(write_error)?;
+        let outcome = self.write(record, patience).await?;
         match outcome {
             Ok(_) => Ok(()),
             Err(GraphRefusal::JobEnded { .. }) => match self.known_status(queue, job) {
@@ -140,6 +156,17 @@
         }
     }
 
+    /// Writes a caller's record, and leaves the caller time for a second attempt.
+    async fn write(
+        &self,
+        record: GraphRecord,
+        patience: Duration,
+    ) -> Result<GraphOutcome, JobServiceError> {
+        let answer_time = patience.min(DEFAULT_PATIENCE) * ANSWER_PERCENT / 100;
+        let timeout = answer_time.saturating_sub(OUTCOME_GRACE_PERIOD).max(MIN_WRITE_TIMEOUT);
+        self.replica.write_within(record, timeout).await.map_err(write_error)
+    }
+
     /// Status of a job of a queue. A job is reported as missing only if the replica is fresh.
     ///
     /// # Errors
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -37,7 +37,7 @@
 /// entry that reads the log directly, the waits of two relayed reads, and their answers.
 const MAX_FRESH_AGE_MS: u64 = 2_500;
 
-/// Timeout for a record to be appended and applied. Callers wait 3 s for their answer.
+/// Timeout for a record of this process to be appended and applied.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Delay before a record that must get into the log is written again.
 pub(crate) const WRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -141,7 +141,20 @@
     /// # Errors
     /// [`WriteError`], which shows whether the record was certainly not written.
     pub async fn write(&self, record: GraphRecord) -> Result<GraphOutcome, WriteError> {
-        self.writer.write(record, WRITE_TIMEOUT).await.map(|applied| applied.result)
+        self.write_within(record, WRITE_TIMEOUT).await
+    }
+
+    /// Like [`Replica::write`], with another timeout. The result may take [`cuminbarrow_ledger::log_writer::OUTCOME_GRACE_PERIOD`]
+    /// more.
+    ///
+    /// # Errors
+    /// [`WriteError`], which shows whether the record was certainly not written.
+    pub async fn write_within(
+        &self,
+        record: GraphRecord,
+        timeout: Duration,
+    ) -> Result<GraphOutcome, WriteError> {
+        self.writer.write(record, timeout).await.map(|applied| applied.result)
     }
 
     /// Appends related records and waits for each as [`Replica::write`] does.
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -42,7 +42,7 @@
 const BACKOFF_MAX_MS: u64 = 2_000;
 
 /// Time after a caller's deadline in which the outcome of an append in flight is awaited.
-const OUTCOME_GRACE_PERIOD: Duration = Duration::from_secs(1);
+pub const OUTCOME_GRACE_PERIOD: Duration = Duration::from_millis(500);
 /// Interval at which an append in flight is checked for a refusal during the grace period.
 const OUTCOME_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
