--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -130,8 +130,7 @@
         Err(LogError::Expired { oldest })
     }
 
-    /// Like [`Self::read_through`], but without a result it returns only after
-    /// [`DIRECT_PATH_TIMEOUT`].
+    /// Like [`Self::read_through`], but returns `None` only after [`DIRECT_PATH_TIMEOUT`].
     async fn read_through_for(
         &self,
         peers: &[SocketAddr],
@@ -222,9 +221,10 @@
         // the direct path works again. The read therefore takes whichever comes first: an entry's
         // answer or a working direct path.
         tokio::select! {
-            Some(result) = self.read_through_for(&choice.fallbacks, from, wait_ms) => return result,
+            result = self.read_through_for(&choice.fallbacks, from, wait_ms) => {
+                return result.unwrap_or(Err(error));
+            }
             () = self.direct.working(), if is_direct => {}
-            else => return Err(error),
         }
         let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(0);
         let page = self.read_direct(from, limit, 0).await?;
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -205,6 +205,31 @@
     address
 }
 
+/// Starts an entry that refuses its first reads because it is behind, and then serves.
+async fn start_recovering_peer(key: SharedKey, refusals: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let received = Arc::new(AtomicU64::new(0));
+    tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
+        let received = Arc::clone(&received);
+        tokio::spawn(async move {
+            let mut link: Link<RelayResponse, RelayRequest> = incoming.into_link();
+            while link.receiver.receive().await.is_ok() {
+                let response = if received.fetch_add(1, Ordering::Relaxed) < refusals {
+                    RelayResponse::Refused { reason: "behind".to_owned() }
+                } else {
+                    let (oldest, entries) = (0, Vec::new());
+                    RelayResponse::Records { oldest, next: 103, entries, waited_ms: 0, age_ms: 0 }
+                };
+                if link.sender.send(&response).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }));
+    address
+}
+
 async fn start_refusing_peers(key: &SharedKey) -> Vec<SocketAddr> {
     let mut peers = Vec::new();
     for _ in 0..ENTRY_COUNT {
@@ -257,3 +282,27 @@
     assert_eq!(page.first, 3);
     assert!(longest < Duration::from_secs(2), "a read took {longest:?}");
 }
+
+/// Guards against a read that waits for the process's own path to the log although entries can serve
+/// again.
+#[tokio::test]
+async fn read_goes_through_an_entry_that_recovers_while_the_own_path_stays_broken() {
+    let key = SharedKey::new("key");
+    let peers = Arc::new(PeerList::default());
+    let fallbacks = vec![start_recovering_peer(key.clone(), 3).await];
+    peers.set(PeerChoice { fallbacks, ..PeerChoice::default() });
+    let down_until = Some(Instant::now() + Duration::from_secs(3_600));
+    let log = FakeLog { down_until, ..FakeLog::default() };
+    let direct = Arc::new(DirectPath::new(Arc::new(log)));
+    let dialer = LinkDialer::new(key, Arc::default());
+    let log = RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry);
+    let reads = async {
+        loop {
+            if let Ok(page) = log.read(LogStream::Records, 3, 10, 0).await {
+                return page;
+            }
+        }
+    };
+    let page = timeout(Duration::from_secs(10), reads).await.expect("no read goes through");
+    assert_eq!(page.next, 103);
+}
