Plan beside the request for live processes, on an entry that reaches the log

The list is requested beside planning. A planner whose own path has been broken for a second, while others reach the log, releases its role; entries in the same state leave it to others, and so do, for 200 ms, entries with less than a quarter of a core (`processor_share` in the settings). The test of waiting jobs fails when planning awaits the list.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod lease_grants;
 pub mod membership;
 pub mod peer_list;
+pub mod planner_role;
 pub mod planner_task;
 mod relay_link;
 pub mod relay_server;
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -9,15 +9,18 @@
 use std::time::Duration;
 
 use cuminbarrow_ledger::state::PlannerState;
+use cuminbarrow_taskgraph::graph_state::ProcessState;
 use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
 use cuminbarrow_taskgraph::plan_round::PlannerInput;
 use cuminbarrow_taskgraph::plan_round::UnplacedStep;
 use cuminbarrow_taskgraph::plan_round::plan_round;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::record::ProcessRole;
 use cuminbarrow_taskgraph::step_queue::next_due_ms;
 use cuminbarrow_telemetry::wall_clock::wall_ms;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::advice_port::AdvicePort;
@@ -25,12 +28,14 @@
 use crate::configuration::Configuration;
 use crate::failure_detector::FailureDetector;
 use crate::membership::Membership;
+use crate::membership::MembershipError;
+use crate::planner_role::EntrySize;
+use crate::planner_role::RoleDecision;
+use crate::planner_role::RoleView;
 use crate::replica::Replica;
 
-/// Time without a batch from the planner in the log after which another entry claims the role.
-const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(1_700);
-/// Time without a write after which the planner renews its role. Three intervals fit into the takeover
-/// timeout.
+/// Time without a write after which the planner renews its role. Three intervals fit into the time after
+/// which another entry claims the role.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between planning rounds, so that changes in quick succession are planned together.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
@@ -56,6 +61,8 @@
     pub lease: LeaseTerms,
     /// Advice service; `None` if none is configured.
     pub advice: Option<Arc<dyn AdvicePort>>,
+    /// Size of this entry.
+    pub size: EntrySize,
 }
 
 impl PlannerTask {
@@ -67,8 +74,11 @@
             failure_detector: FailureDetector::default(),
             planner_seen_at: Instant::now(),
             planner_seen_offset: 0,
+            free_since: None,
+            path_broken_since: None,
             fresh_since: None,
             members_checked_at: Instant::now(),
+            member_request: None,
             written_at: Instant::now(),
             wait_reasons: BTreeMap::new(),
             has_waiting_jobs: false,
@@ -93,13 +103,19 @@
     task: PlannerTask,
     advice: AdviceRequester,
     failure_detector: FailureDetector,
-    /// Start of the takeover timeout: when a batch of the planner was last seen, this replica was last
+    /// Start of the planner's silence: when a batch of the planner was last seen, this replica was last
     /// stale, or this entry last tried to claim the role.
     planner_seen_at: Instant,
     planner_seen_offset: u64,
+    /// Since when the planner role has been free.
+    free_since: Option<Instant>,
+    /// Since when this entry's own path to the log has been broken.
+    path_broken_since: Option<Instant>,
     /// Since when this replica has been fresh without interruption.
     fresh_since: Option<Instant>,
     members_checked_at: Instant,
+    /// Request for the list of live processes, while it is in flight. Planning does not wait for it.
+    member_request: Option<JoinHandle<Result<BTreeSet<u64>, MembershipError>>>,
     written_at: Instant,
     /// Reasons of the waiting jobs, as logged last.
     wait_reasons: BTreeMap<JobId, &'static str>,
@@ -117,35 +133,50 @@
             return;
         }
         self.fresh_since.get_or_insert_with(Instant::now);
-        if planner.instance == Some(self.task.replica.incarnation) {
-            self.plan(planner.epoch).await;
-            self.detect_failures().await;
-            self.renew(planner.epoch).await;
-        } else {
-            self.has_waiting_jobs = false;
-            if self.is_vacant(planner) {
-                self.claim(planner.epoch + 1).await;
+        match self.role_view(planner).decide() {
+            RoleDecision::Plan => {
+                self.plan(planner.epoch).await;
+                self.detect_failures().await;
+                self.renew(planner.epoch).await;
+            }
+            RoleDecision::Release => {
+                log::warn!(epoch = planner.epoch; "releasing the planner role: the log answers other entries only");
+                self.release().await;
             }
+            RoleDecision::Claim => self.claim(planner.epoch + 1).await,
+            RoleDecision::Wait => self.has_waiting_jobs = false,
         }
     }
 
-    /// Whether the planner role is vacant: released, held by a process that was replaced or removed, or
-    /// held by one that has been silent for too long. Only an entry announced in the log may claim it.
-    fn is_vacant(&self, planner: PlannerState) -> bool {
-        let state = self.task.replica.state();
-        let is_known = |incarnation: u64| state.processes.contains_key(&incarnation);
-        if !is_known(self.task.replica.incarnation) {
-            return false;
+    /// What this entry knows of the planner role. Only an entry announced in the log may claim it.
+    fn role_view(&mut self, planner: PlannerState) -> RoleView {
+        let replica = &self.task.replica;
+        let (is_announced, is_free, has_other_entries) = {
+            let state = replica.state();
+            let is_known = |incarnation: u64| state.processes.contains_key(&incarnation);
+            let is_announced = is_known(replica.incarnation);
+            let is_free = !planner.instance.is_some_and(is_known);
+            let is_other_entry = |(incarnation, process): (&u64, &ProcessState)| {
+                *incarnation != replica.incarnation && process.role == ProcessRole::Entry
+            };
+            (is_announced, is_free, state.processes.iter().any(is_other_entry))
+        };
+        let read_age = Duration::from_millis(replica.log.age_ms().unwrap_or(0));
+        update_since(&mut self.free_since, is_free && is_announced);
+        update_since(&mut self.path_broken_since, replica.is_log_path_broken());
+        RoleView {
+            is_own: planner.instance == Some(replica.incarnation),
+            free_for: self.free_since.map(|since| since.elapsed()),
+            silence: if is_announced {
+                self.planner_seen_at.elapsed().saturating_sub(read_age)
+            } else {
+                Duration::ZERO
+            },
+            read_age,
+            path_broken_for: self.path_broken_since.map(|since| since.elapsed()),
+            has_other_entries,
+            size: self.task.size,
         }
-        let is_held = planner.instance.is_some_and(is_known);
-        !is_held || self.planner_silence() >= TAKEOVER_TIMEOUT
-    }
-
-    /// How long the planner has been silent, up to the last confirmed read. What it wrote since then
-    /// is not known: while the log answers nobody, all entries would otherwise claim the role.
-    fn planner_silence(&self) -> Duration {
-        let Some(age_ms) = self.task.replica.log.age_ms() else { return Duration::ZERO };
-        self.planner_seen_at.elapsed().saturating_sub(Duration::from_millis(age_ms))
     }
 
     /// Records when the planner writes a batch. Batches of other processes do not postpone a takeover;
@@ -167,6 +198,7 @@
             Ok(Ok(_)) => {
                 log::info!(epoch; "this entry holds the planner role");
                 self.failure_detector = FailureDetector::default();
+                self.member_request = None;
             }
         }
         self.planner_seen_at = Instant::now();
@@ -199,17 +231,32 @@
         if self.members_checked_at.elapsed() < MEMBER_CHECK_INTERVAL {
             return;
         }
-        self.members_checked_at = Instant::now();
         if self.fresh_since.is_none_or(|since| since.elapsed() < MEMBER_REJOIN_DELAY) {
+            self.members_checked_at = Instant::now();
             self.failure_detector.forget_missing();
+            self.member_request = None;
             return;
         }
-        match self.task.membership.members().await {
+        let Some(request) = self.member_request.take() else {
+            let membership = Arc::clone(&self.task.membership);
+            self.member_request = Some(tokio::spawn(async move { membership.members().await }));
+            return;
+        };
+        if !request.is_finished() {
+            self.member_request = Some(request);
+            return;
+        }
+        self.members_checked_at = Instant::now();
+        match request.await {
             Err(error) => {
+                log::error!("the request for the list of live processes ended: {error}");
+                self.failure_detector.forget_missing();
+            }
+            Ok(Err(error)) => {
                 log::warn!("{error}");
                 self.failure_detector.forget_missing();
             }
-            Ok(members) => {
+            Ok(Ok(members)) => {
                 let records = self.failure_records(&members);
                 if !records.is_empty() {
                     records.iter().for_each(log_decision);
@@ -264,6 +311,15 @@
     }
 }
 
+/// Keeps since when a condition holds.
+fn update_since(since: &mut Option<Instant>, holds: bool) {
+    if holds {
+        since.get_or_insert_with(Instant::now);
+    } else {
+        *since = None;
+    }
+}
+
 fn log_decision(record: &GraphRecord) {
     match record {
         GraphRecord::RunsPlaced { epoch, step, tasks } => {
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -52,6 +52,7 @@
     pub log: Arc<ConfirmedLog>,
     /// Role and location of this process.
     pub location: ProcessLocation,
+    direct: Arc<DirectPath>,
     peers: Arc<PeerList>,
     tail: LogTail<GraphState>,
     writer: LogWriter<GraphState>,
@@ -69,12 +70,17 @@
         dialer: &LinkDialer,
     ) -> Arc<Self> {
         let incarnation = rand::random();
-        let store = Arc::new(RelayedLog::new(direct, Arc::clone(&peers), dialer, location.role));
+        let store = Arc::new(RelayedLog::new(
+            Arc::clone(&direct),
+            Arc::clone(&peers),
+            dialer,
+            location.role,
+        ));
         let log = Arc::new(ConfirmedLog::new(store, Arc::clone(&clock)));
         let writer = LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms);
         let applied = watch::Sender::new(0);
         let tail = LogTail::default();
-        Arc::new(Self { incarnation, clock, log, location, peers, tail, writer, applied })
+        Arc::new(Self { incarnation, clock, log, location, direct, peers, tail, writer, applied })
     }
 
     /// Follows the log; never returns.
@@ -106,6 +112,11 @@
         self.tail.state()
     }
 
+    /// Whether the log does not answer this process's own calls.
+    pub fn is_log_path_broken(&self) -> bool {
+        self.direct.is_broken()
+    }
+
     /// Watches the offset of the next batch to apply.
     pub fn applied(&self) -> watch::Receiver<u64> {
         self.applied.subscribe()
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -12,6 +12,7 @@
 use cuminbarrow_dispatch::direct_path::DirectPath;
 use cuminbarrow_dispatch::peer_list::PeerList;
 use cuminbarrow_dispatch::peer_list::ProcessLocation;
+use cuminbarrow_dispatch::planner_role::EntrySize;
 use cuminbarrow_dispatch::planner_task::PlannerTask;
 use cuminbarrow_dispatch::replica::Replica;
 use cuminbarrow_dispatch::snapshot_writer;
@@ -210,6 +211,7 @@
             membership: Arc::new(log_client.clone()),
             lease: LEASE_TERMS,
             advice: None,
+            size: EntrySize::Regular,
         };
         let (shutdown, receiver) = watch::channel(false);
         let tasks = vec![
--- a/crates/dispatch/tests/fleet/fake_log.rs
+++ b/crates/dispatch/tests/fleet/fake_log.rs
@@ -53,6 +53,8 @@
     AppendsDelayed(Duration),
     /// Calls succeed, and reads go through an entry that is this far behind and says so.
     ReadsBehind(Duration),
+    /// Requests for the list of members are lost; other calls succeed.
+    MembersLost,
     /// The process has been killed; its calls never return.
     Dead,
 }
@@ -275,6 +277,10 @@
     }
 
     async fn members(&self) -> Result<BTreeSet<u64>, MembershipError> {
+        if self.fault() == LogFault::MembersLost {
+            tokio::time::sleep(CALL_TIMEOUT).await;
+            return Err(MembershipError { reason: "no answer in time".to_owned() });
+        }
         self.call_log().await.map_err(|error| MembershipError { reason: error.to_string() })?;
         let members = self.log.members.lock().unwrap();
         let is_flapping = self.log.is_flapping.load(Ordering::Relaxed);
--- a/crates/dispatch/tests/fleet/log_outages.rs
+++ b/crates/dispatch/tests/fleet/log_outages.rs
@@ -71,3 +71,19 @@
         assert!(took <= limit + Duration::from_millis(20), "{took:?} of {patience:?}");
     }
 }
+
+/// Load pattern: urgent jobs arrive while the planner is cut off from the list of live processes. No
+/// job waits for that list.
+#[tokio::test(start_paused = true)]
+async fn planner_places_jobs_while_the_list_of_live_processes_does_not_answer() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    fleet.entries[0].log_client.set_fault(LogFault::MembersLost);
+    for _ in 0..20 {
+        let submitted = Instant::now();
+        let job = fleet.submit(tasks(1, 1), Duration::from_millis(100)).await;
+        fleet.wait_for("a run", |fleet| fleet.start_count(job) > 0).await;
+        assert!(submitted.elapsed() < Duration::from_millis(500), "{:?}", submitted.elapsed());
+        tokio::time::sleep(Duration::from_millis(330)).await;
+    }
+}
