--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -33,6 +33,8 @@
 /// Maximum time that one poll waits while best-effort tasks may slow down latency-sensitive ones, in
 /// ms. Workers report latencies over the last half second.
 const THROTTLING_POLL_WAIT_MS: u64 = 400;
+/// Maximum time that one poll waits while only a poll can show that a stopped run is gone, in ms.
+const PROOF_POLL_WAIT_MS: u64 = 50;
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time between polls while listed run ends are not in the log yet: the worker then answers without
@@ -94,6 +96,8 @@
         let is_recent = last_poll.elapsed() < Duration::from_millis(2 * POLL_WAIT_MS);
         if session.clock_sample.is_none() || !is_recent || !session.unrecorded.is_empty() {
             0
+        } else if session.table.awaits_proof() {
+            PROOF_POLL_WAIT_MS
         } else if session.throttle.is_needed() {
             THROTTLING_POLL_WAIT_MS
         } else {
--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -12,3 +12,4 @@
 mod random_histories;
 mod single_execution;
 mod unknown_workers;
+mod worker_restarts;
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -92,6 +92,15 @@
     stopped_from: Option<PollNumber>,
     /// Whether an end of the run was returned to the caller for the log.
     is_end_emitted: bool,
+    /// Whether the last poll listed the run as running.
+    is_listed: bool,
+}
+
+impl LocalRun {
+    /// Whether the run must not start, for example because the worker is draining.
+    fn must_not_start(&self, is_draining: bool) -> bool {
+        self.is_refused || is_draining && self.confirmed_from.is_none()
+    }
 }
 
 /// Runs of one worker incarnation.
@@ -147,6 +156,17 @@
         self.runs.is_empty() && self.orphans_to_stop.is_empty() && self.has_polled
     }
 
+    /// Whether a run is to be stopped that the worker did not list in the last poll. Nothing may end
+    /// there that would wake a waiting poll, but only a later poll shows that the run is gone.
+    pub fn awaits_proof(&self) -> bool {
+        self.runs.values().any(|local| {
+            let is_stop_requested = local.is_stop_requested
+                || local.must_not_start(self.is_draining)
+                || self.is_stopping_all;
+            is_stop_requested && !local.is_listed && !local.is_end_emitted
+        })
+    }
+
     /// Orders to send now. An order is not repeated while its answer is pending.
     pub fn next_orders(&mut self) -> Vec<Order> {
         let mut orders = Vec::new();
@@ -157,10 +177,9 @@
             if local.is_end_emitted {
                 continue;
             }
-            let must_not_start =
-                local.is_refused || self.is_draining && local.confirmed_from.is_none();
-            let is_stop_requested =
-                local.is_stop_requested || must_not_start || self.is_stopping_all;
+            let is_stop_requested = local.is_stop_requested
+                || local.must_not_start(self.is_draining)
+                || self.is_stopping_all;
             if is_stop_requested && !local.may_be_running {
                 local.stopped_from.get_or_insert(PollNumber::default());
             }
@@ -269,8 +288,8 @@
             }
         }
         for (run, local) in &mut self.runs {
-            let is_listed = listed.contains(run);
-            if is_listed || local.is_end_emitted {
+            local.is_listed = listed.contains(run);
+            if local.is_listed || local.is_end_emitted {
                 continue;
             }
             let is_confirmed_gone =
