--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -135,6 +135,9 @@
         store: Arc<dyn LogStore>,
         observer: Arc<dyn BatchObserver<F>>,
     ) -> TailError {
+        if self.state().offset() == 0 {
+            self.restore_at_start(&*store, &*observer).await;
+        }
         loop {
             let from = self.state().offset();
             let wait_ms = if self.is_current() { READ_POLL_TIMEOUT_MS } else { 0 };
@@ -183,6 +186,20 @@
         self.offset.send_replace(offset + 1);
     }
 
+    /// Restores the latest snapshot, if there is one. The log may retain far more history than was
+    /// appended since that snapshot, and all of it takes many reads.
+    async fn restore_at_start(&self, store: &dyn LogStore, observer: &dyn BatchObserver<F>) {
+        match snapshot::read_latest::<F>(store).await {
+            Err(error) => log::info!("starting without a snapshot: {error}"),
+            Ok(None) => {}
+            Ok(Some(state)) => {
+                log::info!("starting from the snapshot at offset {}", state.offset());
+                self.replace(state);
+                observer.state_replaced(&self.state());
+            }
+        }
+    }
+
     /// Restores the latest snapshot, if it is newer than the current state and leaves no gap before
     /// the oldest batch of the log.
     async fn restore(
--- a/crates/ledger/tests/log_recovery.rs
+++ b/crates/ledger/tests/log_recovery.rs
@@ -5,8 +5,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use cuminbarrow_ledger::apply::BatchReport;
 use cuminbarrow_ledger::batch::Batch;
@@ -18,6 +21,8 @@
 use cuminbarrow_ledger::record::Record;
 use cuminbarrow_ledger::snapshot::write_snapshot;
 use cuminbarrow_ledger::state::State;
+use cuminbarrow_resources::log_store::LogError;
+use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
 use cuminbarrow_standin::log_service::LogFaults;
@@ -36,6 +41,33 @@
     fn state_replaced(&self, _: &State) {}
 }
 
+/// A log that counts the batches that were read.
+struct CountingLog {
+    log: Arc<LogService>,
+    batches: AtomicUsize,
+}
+
+#[async_trait]
+impl LogStore for CountingLog {
+    async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError> {
+        self.log.append(stream, body).await
+    }
+
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: u64,
+        limit: u32,
+        wait_ms: u32,
+    ) -> Result<LogPage, LogError> {
+        let page = self.log.read(stream, from, limit, wait_ms).await?;
+        if stream == LogStream::Records {
+            self.batches.fetch_add(page.entries.len(), Ordering::Relaxed);
+        }
+        Ok(page)
+    }
+}
+
 struct Instance {
     writer: LogWriter,
     tail: Arc<LogTail>,
@@ -173,6 +205,31 @@
     assert_eq!(restored.tail.state().digest().unwrap(), digest);
 }
 
+/// Load pattern: all processes start at once after a power cut, and each reads what the log retains.
+#[tokio::test(start_paused = true)]
+async fn replica_that_starts_reads_only_the_history_after_the_snapshot() {
+    let log = Arc::new(LogService::default());
+    let own = instance(&log, 1);
+    for index in 1..=2_000 {
+        own.writer.write(entry_joined(index), TIMEOUT).await.unwrap();
+    }
+    let state = own.tail.state().clone();
+    write_snapshot(&*log, 1, &state).await.unwrap();
+    for index in 2_001..=2_100 {
+        own.writer.write(entry_joined(index), TIMEOUT).await.unwrap();
+    }
+    let counting = Arc::new(CountingLog { log: Arc::clone(&log), batches: AtomicUsize::new(0) });
+    let tail = Arc::new(LogTail::default());
+    let mut offsets = tail.offsets();
+    let (running, store) = (Arc::clone(&tail), Arc::clone(&counting) as Arc<dyn LogStore>);
+    let observer = Arc::new(WriteCompleter(own.writer.clone()));
+    tokio::spawn(async move { running.run(store, observer).await });
+    offsets.wait_for(|offset| *offset == 2_100).await.unwrap();
+    assert_eq!(counting.batches.load(Ordering::Relaxed), 100);
+    let digest = own.tail.state().digest().unwrap();
+    assert_eq!(tail.state().digest().unwrap(), digest);
+}
+
 #[tokio::test(start_paused = true)]
 async fn replica_behind_the_oldest_record_without_a_snapshot_reports_a_gap() {
     let log = Arc::new(LogService::default());
