Count the planner's silence only while the log is read

The planner's first write after an outage takes up to 0.2 s longer than the first read of another entry, which then counted the outage as silence: planner_keeps_its_role_across_an_outage_of_the_log failed after 1.8 s once the pauses of a read had changed. A gap between two confirmed reads now counts 0.7 s at most.

--- a/crates/dispatch/src/planner_role.rs
+++ b/crates/dispatch/src/planner_role.rs
@@ -60,8 +60,7 @@
     /// How long the role has been free, or held by a process that is gone; `None` while a known
     /// process holds it.
     pub free_for: Option<Duration>,
-    /// How long the planner had written nothing at the last confirmed read. Later silence is that of
-    /// the log.
+    /// How long the planner has written nothing while the log was read.
     pub silence: Duration,
     /// Age of the last confirmed read.
     pub read_age: Duration,
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -37,6 +37,9 @@
 /// Time without a write after which the planner renews its role. Three intervals fit into the time after
 /// which another entry claims the role.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum time between two confirmed reads of a log that answers: a read through another entry waits
+/// 600 ms.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Minimum time between planning rounds, so that changes in quick succession are planned together.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time between planning rounds while jobs wait.
@@ -72,7 +75,8 @@
         let mut planner = Planner {
             advice,
             failure_detector: FailureDetector::default(),
-            planner_seen_at: Instant::now(),
+            silence: Duration::ZERO,
+            confirmed_ms: 0,
             planner_seen_offset: 0,
             free_since: None,
             path_broken_since: None,
@@ -103,9 +107,10 @@
     task: PlannerTask,
     advice: AdviceRequester,
     failure_detector: FailureDetector,
-    /// Start of the planner's silence: when a batch of the planner was last seen, this replica was last
-    /// stale, or this entry last tried to claim the role.
-    planner_seen_at: Instant,
+    /// How long the planner has written nothing while the log was read.
+    silence: Duration,
+    /// Latest confirmed read, on the boot-time clock in ms.
+    confirmed_ms: u64,
     planner_seen_offset: u64,
     /// Since when the planner role has been free.
     free_since: Option<Instant>,
@@ -129,7 +134,7 @@
         if !self.task.replica.is_fresh() {
             self.fresh_since = None;
             self.failure_detector.forget_missing();
-            self.planner_seen_at = Instant::now();
+            self.silence = Duration::ZERO;
             return;
         }
         self.fresh_since.get_or_insert_with(Instant::now);
@@ -167,11 +172,7 @@
         RoleView {
             is_own: planner.instance == Some(replica.incarnation),
             free_for: self.free_since.map(|since| since.elapsed()),
-            silence: if is_announced {
-                self.planner_seen_at.elapsed().saturating_sub(read_age)
-            } else {
-                Duration::ZERO
-            },
+            silence: if is_announced { self.silence } else { Duration::ZERO },
             read_age,
             path_broken_for: self.path_broken_since.map(|since| since.elapsed()),
             has_other_entries,
@@ -179,13 +180,18 @@
         }
     }
 
-    /// Records when the planner writes a batch. Batches of other processes do not postpone a takeover;
-    /// they need not, because renewals are frequent enough.
+    /// Measures the planner's silence. Batches of other processes do not end it; they need not, because
+    /// renewals are frequent enough. Time in which the log was not read counts only in part: the planner
+    /// could not write then either, and needs a moment afterwards.
     fn observe_planner(&mut self) {
         let offset = self.task.replica.state().planner_last_offset;
+        let confirmed_ms = self.task.replica.log.latest().map_or(0, |read| read.at_ms);
+        let read_ms = confirmed_ms.saturating_sub(self.confirmed_ms);
+        self.confirmed_ms = confirmed_ms;
+        self.silence += Duration::from_millis(read_ms).min(MAX_READ_INTERVAL);
         if offset != self.planner_seen_offset {
             self.planner_seen_offset = offset;
-            self.planner_seen_at = Instant::now();
+            self.silence = Duration::ZERO;
         }
     }
 
@@ -201,7 +207,7 @@
                 self.member_request = None;
             }
         }
-        self.planner_seen_at = Instant::now();
+        self.silence = Duration::ZERO;
         self.written_at = Instant::now();
     }
 
