Tell agents without entries so at once, and callers what is certain

And a submission to a log that refuses appends was answered 504 instead of 503: the append held it for a second beyond its caller's limit. refused_job_never_runs_and_running_task_completes_during_store_outage showed it. An append now waits 0.4 s for the path, and a limited write keeps a quarter of its time for the outcome; other writes keep a second.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminbarrow_ledger::log_writer::OUTCOME_GRACE_PERIOD;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
 use cuminbarrow_taskgraph::graph_state::GraphOutcome;
@@ -27,7 +26,7 @@
 /// percent. The rest is for a second attempt at another entry, whose path to the log may work.
 const ANSWER_PERCENT: u32 = 66;
 /// Minimum time for a record to be appended and applied, however little patience its caller has.
-const MIN_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
+const MIN_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Patience of callers that do not tell theirs, and the maximum of those that do.
 pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
 /// Maximum time that a query waits for the replica to be fresh.
@@ -162,9 +161,8 @@
         record: GraphRecord,
         patience: Duration,
     ) -> Result<GraphOutcome, JobServiceError> {
-        let answer_time = patience.min(DEFAULT_PATIENCE) * ANSWER_PERCENT / 100;
-        let timeout = answer_time.saturating_sub(OUTCOME_GRACE_PERIOD).max(MIN_WRITE_TIMEOUT);
-        self.replica.write_within(record, timeout).await.map_err(write_error)
+        let limit = patience.min(DEFAULT_PATIENCE) * ANSWER_PERCENT / 100;
+        self.replica.write_within(record, limit.max(MIN_WRITE_TIME)).await.map_err(write_error)
     }
 
     /// Status of a job of a queue. A job is reported as missing only if the replica is fresh.
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -36,8 +36,11 @@
 /// Time for which reads through entries must have failed before an agent reads the log directly.
 /// Restarted entries serve again within two seconds; a lease lasts for at least 6 s.
 const AGENT_DIRECT_READ_DELAY: Duration = Duration::from_millis(2_500);
-/// Maximum time that one call waits for a broken path to work again.
+/// Maximum time that one read waits for a broken path to work again.
 const DIRECT_PATH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time that one append waits for a broken path to work again. Until it returns, its record
+/// counts as sent, and callers can't be told that it was not written.
+const APPEND_PATH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum time that one read through an entry waits for a record, in ms. Even an answer without
 /// records reports how fresh the entry is.
 const MAX_RELAYED_WAIT_MS: u32 = 600;
@@ -185,7 +188,7 @@
         if let Some(result) = append_result(self.call_fallbacks(&self.appends, request).await) {
             return result;
         }
-        if self.direct.is_broken() && self.direct.wait_until_working(DIRECT_PATH_TIMEOUT).await {
+        if self.direct.is_broken() && self.direct.wait_until_working(APPEND_PATH_TIMEOUT).await {
             return self.direct.append(body).await;
         }
         Err(error)
@@ -217,6 +220,10 @@
                 result => return result,
             }
         }
+        if !is_direct {
+            let result = self.read_through(&choice.fallbacks, from, wait_ms).await;
+            return result.unwrap_or(Err(error));
+        }
         // The entries may be behind as well. This replica then stays stale, and its callers wait, until
         // the direct path works again. The read therefore takes whichever comes first: an entry's
         // answer or a working direct path.
@@ -224,7 +231,7 @@
             result = self.read_through_for(&choice.fallbacks, from, wait_ms) => {
                 return result.unwrap_or(Err(error));
             }
-            () = self.direct.working(), if is_direct => {}
+            () = self.direct.working() => {}
         }
         let waited_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(0);
         let page = self.read_direct(from, limit, 0).await?;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -39,6 +39,8 @@
 
 /// Timeout for a record of this process to be appended and applied.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Part of a limited write that is kept for the outcome of an append in flight.
+const OUTCOME_GRACE_DIVISOR: u32 = 4;
 /// Delay before a record that must get into the log is written again.
 pub(crate) const WRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -152,20 +154,21 @@
     /// # Errors
     /// [`WriteError`], which shows whether the record was certainly not written.
     pub async fn write(&self, record: GraphRecord) -> Result<GraphOutcome, WriteError> {
-        self.write_within(record, WRITE_TIMEOUT).await
+        self.writer.write(record, WRITE_TIMEOUT).await.map(|applied| applied.result)
     }
 
-    /// Like [`Replica::write`], with another timeout. The result may take [`cuminbarrow_ledger::log_writer::OUTCOME_GRACE_PERIOD`]
-    /// more.
+    /// Like [`Replica::write`], with a result after `limit` at the latest.
     ///
     /// # Errors
     /// [`WriteError`], which shows whether the record was certainly not written.
     pub async fn write_within(
         &self,
         record: GraphRecord,
-        timeout: Duration,
+        limit: Duration,
     ) -> Result<GraphOutcome, WriteError> {
-        self.writer.write(record, timeout).await.map(|applied| applied.result)
+        let grace = limit / OUTCOME_GRACE_DIVISOR;
+        let result = self.writer.write_with_grace(record, limit - grace, grace).await;
+        result.map(|applied| applied.result)
     }
 
     /// Appends related records and waits for each as [`Replica::write`] does.
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -306,3 +306,15 @@
     let page = timeout(Duration::from_secs(10), reads).await.expect("no read goes through");
     assert_eq!(page.next, 103);
 }
+
+/// Guards against an agent that waits for a path to the log that it does not use yet: just after its
+/// start it knows no entries, and knows them a moment later.
+#[tokio::test]
+async fn agent_without_entries_is_told_so_at_once() {
+    let peers = Arc::new(PeerList::default());
+    let direct = Arc::new(DirectPath::new(Arc::new(FakeLog::default())));
+    let dialer = LinkDialer::new(SharedKey::new("key"), Arc::default());
+    let log = RelayedLog::new(direct, peers, &dialer, ProcessRole::Agent);
+    let read = timeout(CALL_TIMEOUT, log.read(LogStream::Records, 0, 10, 0)).await;
+    assert!(read.expect("the read waits").is_err());
+}
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -42,7 +42,7 @@
 const BACKOFF_MAX_MS: u64 = 2_000;
 
 /// Time after a caller's deadline in which the outcome of an append in flight is awaited.
-pub const OUTCOME_GRACE_PERIOD: Duration = Duration::from_millis(500);
+const OUTCOME_GRACE_PERIOD: Duration = Duration::from_secs(1);
 /// Interval at which an append in flight is checked for a refusal during the grace period.
 const OUTCOME_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -168,9 +168,23 @@
         &self,
         record: F::Record,
         timeout: Duration,
+    ) -> Result<AppliedRecord<F::Outcome>, WriteError> {
+        self.write_with_grace(record, timeout, OUTCOME_GRACE_PERIOD).await
+    }
+
+    /// Like [`LogWriter::write`], but awaits the outcome of an append that is in flight at the timeout
+    /// for `grace`.
+    ///
+    /// # Errors
+    /// [`WriteError`] says whether the record is certainly not written.
+    pub async fn write_with_grace(
+        &self,
+        record: F::Record,
+        timeout: Duration,
+        grace: Duration,
     ) -> Result<AppliedRecord<F::Outcome>, WriteError> {
         let handle = self.enqueue(record)?;
-        handle.wait(Instant::now() + timeout).await
+        handle.wait(Instant::now() + timeout, grace).await
     }
 
     /// Writes related records, in one batch if it can hold them, and waits for each.
@@ -185,7 +199,7 @@
         for handle in handles {
             results.push(match handle {
                 Err(error) => Err(error),
-                Ok(handle) => handle.wait(deadline).await,
+                Ok(handle) => handle.wait(deadline, OUTCOME_GRACE_PERIOD).await,
             });
         }
         results
@@ -223,11 +237,15 @@
 }
 
 impl<O> WriteHandle<O> {
-    async fn wait(mut self, deadline: Instant) -> Result<AppliedRecord<O>, WriteError> {
+    async fn wait(
+        mut self,
+        deadline: Instant,
+        grace: Duration,
+    ) -> Result<AppliedRecord<O>, WriteError> {
         if let Ok(Ok(applied)) = tokio::time::timeout_at(deadline, &mut self.receiver).await {
             return Ok(applied);
         }
-        self.abandon(deadline + OUTCOME_GRACE_PERIOD).await
+        self.abandon(deadline + grace).await
     }
 
     /// Withdraws the record once it is certainly not in flight. An append in flight at the deadline
