Let an agent know the entries before its first read

At its start an agent read the log before it knew any entry, failed, and tried again half a second later. It now takes the list of entries first.

--- a/crates/dispatch/src/entry_directory.rs
+++ b/crates/dispatch/src/entry_directory.rs
@@ -63,16 +63,21 @@
     peers: Arc<PeerList>,
 ) {
     while replica.state().offset == 0 {
-        match directory.entries().await {
-            Err(error) => log::warn!("{error}"),
-            Ok(entries) => {
-                let spread = replica.incarnation % 64;
-                let choice = PeerChoice::from_directory(&entries, &replica.location, spread);
-                if replica.state().offset == 0 {
-                    peers.set(choice);
-                }
+        tokio::time::sleep(LIST_INTERVAL).await;
+        list_peers(&*directory, &replica, &peers).await;
+    }
+}
+
+/// Takes the peers from the directory once, unless the replica has applied records.
+pub async fn list_peers(directory: &dyn EntryDirectory, replica: &Replica, peers: &PeerList) {
+    match directory.entries().await {
+        Err(error) => log::warn!("{error}"),
+        Ok(entries) => {
+            let spread = replica.incarnation % 64;
+            let choice = PeerChoice::from_directory(&entries, &replica.location, spread);
+            if replica.state().offset == 0 {
+                peers.set(choice);
             }
         }
-        tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
