--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -134,7 +134,7 @@
     }
 
     /// Like [`Self::read_through`], but returns `None` only after [`DIRECT_PATH_TIMEOUT`].
-    async fn read_through_for(
+    async fn read_through_patiently(
         &self,
         peers: &[SocketAddr],
         from: u64,
@@ -228,7 +228,7 @@
         // the direct path works again. The read therefore takes whichever comes first: an entry's
         // answer or a working direct path.
         tokio::select! {
-            result = self.read_through_for(&choice.fallbacks, from, wait_ms) => {
+            result = self.read_through_patiently(&choice.fallbacks, from, wait_ms) => {
                 return result.unwrap_or(Err(error));
             }
             () = self.direct.working() => {}
--- a/crates/taskgraph/src/run_table.rs
+++ b/crates/taskgraph/src/run_table.rs
@@ -97,9 +97,11 @@
 }
 
 impl LocalRun {
-    /// Whether the run must not start, for example because the worker is draining.
-    fn must_not_start(&self, is_draining: bool) -> bool {
-        self.is_refused || is_draining && self.confirmed_from.is_none()
+    /// Whether the run is to be stopped: the log requests it, the run must not start any more because
+    /// the worker refused it or is draining, or the worker is shutting down.
+    fn is_unwanted(&self, is_draining: bool, is_stopping_all: bool) -> bool {
+        let must_not_start = self.is_refused || is_draining && self.confirmed_from.is_none();
+        self.is_stop_requested || must_not_start || is_stopping_all
     }
 }
 
@@ -160,10 +162,9 @@
     /// there that would wake a waiting poll, but only a later poll shows that the run is gone.
     pub fn awaits_proof(&self) -> bool {
         self.runs.values().any(|local| {
-            let is_stop_requested = local.is_stop_requested
-                || local.must_not_start(self.is_draining)
-                || self.is_stopping_all;
-            is_stop_requested && !local.is_listed && !local.is_end_emitted
+            local.is_unwanted(self.is_draining, self.is_stopping_all)
+                && !local.is_listed
+                && !local.is_end_emitted
         })
     }
 
@@ -177,15 +178,13 @@
             if local.is_end_emitted {
                 continue;
             }
-            let is_stop_requested = local.is_stop_requested
-                || local.must_not_start(self.is_draining)
-                || self.is_stopping_all;
-            if is_stop_requested && !local.may_be_running {
+            let is_unwanted = local.is_unwanted(self.is_draining, self.is_stopping_all);
+            if is_unwanted && !local.may_be_running {
                 local.stopped_from.get_or_insert(PollNumber::default());
             }
             // A stop is sent even while a start is unanswered: once the stop is acknowledged, the
             // worker rejects the start.
-            let order = if is_stop_requested {
+            let order = if is_unwanted {
                 let is_pending = local.pending_order == Some(Order::Stop(*run));
                 (local.stopped_from.is_none() && !is_pending).then_some(Order::Stop(*run))
             } else if local.pending_order.is_some() {
