Share the stand-in of an entry that answers reads, and the restart of a worker that goes unheard

Three entries in the tests of relayed reads differed in their answers and delays alone; three tests restarted a worker in the same four lines. Assertions, bounds and delays stay. EntrySize loses a default that nothing used.

--- a/crates/dispatch/src/planner_role.rs
+++ b/crates/dispatch/src/planner_role.rs
@@ -36,12 +36,11 @@
 }
 
 /// Size of an entry, as far as it decides who plans.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntrySize {
     /// Planning must not slow down this entry's callers.
     Small,
     /// Planning has little effect on this entry.
-    #[default]
     Regular,
 }
 
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -449,6 +449,14 @@
         self.host.boot(&format!("i-{}", self.name), self.start_time_ms(*boot_count));
     }
 
+    /// Restarts the worker under its name. The agent reaches it no more and gets no reports of it.
+    pub(crate) fn restart_unheard(&self) {
+        self.set_fault(PortFault::Refused);
+        self.set_reporting(false);
+        self.host.crash();
+        self.boot();
+    }
+
     /// Boots the worker under a new name.
     pub(crate) fn boot_renamed(&self) {
         let mut boot_count = self.boot_count.lock().unwrap();
--- a/crates/dispatch/tests/fleet/single_execution.rs
+++ b/crates/dispatch/tests/fleet/single_execution.rs
@@ -300,10 +300,7 @@
     };
     let first = usize::from(instance_with_runs(&fleet).unwrap() == fleet.nodes[1].instance());
     fleet.nodes.iter().for_each(|node| node.set_fault(PortFault::None));
-    fleet.nodes[first].set_fault(PortFault::Refused);
-    fleet.nodes[first].set_reporting(false);
-    fleet.nodes[first].host.crash();
-    fleet.nodes[first].boot();
+    fleet.nodes[first].restart_unheard();
     tokio::time::sleep(Duration::from_secs(30)).await;
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
@@ -323,10 +320,7 @@
     let first = fleet.node_of(job).unwrap();
     fleet.nodes[first].set_fault(PortFault::AllDelayed(delay));
     tokio::time::sleep(Duration::from_millis(2_500)).await;
-    fleet.nodes[first].set_fault(PortFault::Refused);
-    fleet.nodes[first].set_reporting(false);
-    fleet.nodes[first].host.crash();
-    fleet.nodes[first].boot();
+    fleet.nodes[first].restart_unheard();
     tokio::time::sleep(Duration::from_secs(40)).await;
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
@@ -346,10 +340,7 @@
     fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
     let first = fleet.node_of(job).unwrap();
     tokio::time::sleep(Duration::from_millis(500)).await;
-    fleet.nodes[first].set_fault(PortFault::Refused);
-    fleet.nodes[first].set_reporting(false);
-    fleet.nodes[first].host.crash();
-    fleet.nodes[first].boot();
+    fleet.nodes[first].restart_unheard();
     tokio::time::sleep(Duration::from_secs(40)).await;
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -141,21 +141,24 @@
 /// Timeout of the caller that abandons its read before the answer arrives.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Starts an entry that answers each read late, with an end of the log that identifies the request.
-async fn start_late_peer(key: SharedKey) -> SocketAddr {
+/// Starts an entry that answers each read after `delay`. `answer` gets the number of reads before it and
+/// the offset that it asks for.
+async fn start_reading_peer<A>(key: SharedKey, delay: Duration, answer: A) -> SocketAddr
+where
+    A: Fn(u64, u64) -> RelayResponse + Send + Sync + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
+    let (answer, reads) = (Arc::new(answer), Arc::new(AtomicU64::new(0)));
     tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
+        let (answer, reads) = (Arc::clone(&answer), Arc::clone(&reads));
         tokio::spawn(async move {
             let mut link: Link<RelayResponse, RelayRequest> = incoming.into_link();
             while let Ok(RelayRequest::Read { from, .. }) = link.receiver.receive().await {
-                tokio::time::sleep(ANSWER_DELAY).await;
-                let next = from + 100;
-                let (oldest, entries) = (0, Vec::new());
-                let records =
-                    RelayResponse::Records { oldest, next, entries, waited_ms: 0, age_ms: 0 };
+                tokio::time::sleep(delay).await;
+                let response = answer(reads.fetch_add(1, Ordering::Relaxed), from);
                 // A caller that abandoned its call has closed the link.
-                if link.sender.send(&records).await.is_err() {
+                if link.sender.send(&response).await.is_err() {
                     return;
                 }
             }
@@ -164,6 +167,21 @@
     address
 }
 
+/// Answer without batches. Its end of the log identifies the request.
+fn empty_page(from: u64) -> RelayResponse {
+    let (oldest, next, entries) = (0, from + 100, Vec::new());
+    RelayResponse::Records { oldest, next, entries, waited_ms: 0, age_ms: 0 }
+}
+
+fn refusal() -> RelayResponse {
+    RelayResponse::Refused { reason: "behind".to_owned() }
+}
+
+/// Starts an entry that answers each read late.
+async fn start_late_peer(key: SharedKey) -> SocketAddr {
+    start_reading_peer(key, ANSWER_DELAY, |_, from| empty_page(from)).await
+}
+
 /// An answer must not be taken for that of a later request, whose time it would then confirm.
 #[tokio::test]
 async fn an_answer_to_an_abandoned_read_is_not_returned_by_the_next_read() {
@@ -186,54 +204,17 @@
 /// Number of entries of a large deployment.
 const ENTRY_COUNT: usize = 40;
 
-/// Starts an entry that is behind and refuses all calls.
-async fn start_refusing_peer(key: SharedKey) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
-        tokio::spawn(async move {
-            let mut link: Link<RelayResponse, RelayRequest> = incoming.into_link();
-            while link.receiver.receive().await.is_ok() {
-                tokio::time::sleep(REFUSAL_DELAY).await;
-                let refusal = RelayResponse::Refused { reason: "behind".to_owned() };
-                if link.sender.send(&refusal).await.is_err() {
-                    return;
-                }
-            }
-        });
-    }));
-    address
-}
-
 /// Starts an entry that refuses its first reads because it is behind, and then serves.
 async fn start_recovering_peer(key: SharedKey, refusals: u64) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let received = Arc::new(AtomicU64::new(0));
-    tokio::spawn(accept_links(listener, key, Arc::default(), move |incoming| {
-        let received = Arc::clone(&received);
-        tokio::spawn(async move {
-            let mut link: Link<RelayResponse, RelayRequest> = incoming.into_link();
-            while link.receiver.receive().await.is_ok() {
-                let response = if received.fetch_add(1, Ordering::Relaxed) < refusals {
-                    RelayResponse::Refused { reason: "behind".to_owned() }
-                } else {
-                    let (oldest, entries) = (0, Vec::new());
-                    RelayResponse::Records { oldest, next: 103, entries, waited_ms: 0, age_ms: 0 }
-                };
-                if link.sender.send(&response).await.is_err() {
-                    return;
-                }
-            }
-        });
-    }));
-    address
+    let answer = move |read, from| if read < refusals { refusal() } else { empty_page(from) };
+    start_reading_peer(key, Duration::ZERO, answer).await
 }
 
+/// Starts entries that are behind and refuse all reads.
 async fn start_refusing_peers(key: &SharedKey) -> Vec<SocketAddr> {
     let mut peers = Vec::new();
     for _ in 0..ENTRY_COUNT {
-        peers.push(start_refusing_peer(key.clone()).await);
+        peers.push(start_reading_peer(key.clone(), REFUSAL_DELAY, |_, _| refusal()).await);
     }
     peers
 }
