--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -218,7 +219,8 @@
             at += 4 + length
         if sum(map(len, records)) > CALL_BYTES or any(len(one) > RECORD_BYTES for one in records):
             self.refused_appends.append((topic, len(body)))
-            self.record.write(f"store: refuses an append of {len(body)} bytes to {topic}: over call-bytes or record-bytes")
+            if len(self.refused_appends) <= 5:
+                self.record.write(f"store: refuses an append of {len(body)} bytes to {topic}: over call-bytes or record-bytes")
             return 400, {}
         if topic in ("keyed.op", "keyed.servers"):
             return 403, {}
@@ -567,13 +569,17 @@
         return status, text.decode("utf-8", "replace")
 
     async def stop(self):
+        """Ends all processes, and removes the temporary folder unless KEEP is set."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for process in self.entries + self.agents:
             if process.child and process.child.returncode is None:
                 process.child.send_signal(signal.SIGCONT)
                 process.child.kill()
                 await process.child.wait()
-        for task in self.tasks:
-            task.cancel()
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case):
@@ -582,11 +588,13 @@
     limit = 110
 
     async def limited():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         return await asyncio.wait_for(case(trouble), limit)
 
     try:
         held = asyncio.run(limited())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0 if held else 1)
