--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -111,8 +111,9 @@
             writer.close()
 
 
-async def call(host, port, method, path, body=None, headers=None, timeout=3.0):
-    """One call on a connection of its own. Returns the status, 0 for no answer, and the body."""
+async def call(host, port, method, path, body=None, headers=None, timeout=3.0, sender=None):
+    """One call on a connection of its own, from the address `sender`. Returns the status, 0 for no
+    answer, and the body."""
     data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
     lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(data)}", "Content-Type: application/json"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
@@ -120,7 +121,8 @@
 
     async def exchange():
         nonlocal writer
-        reader, writer = await asyncio.open_connection(host, port, limit=2**24)
+        local = (sender, 0) if sender else None
+        reader, writer = await asyncio.open_connection(host, port, limit=2**24, local_addr=local)
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
         await writer.drain()
         message = await read_message(reader)
@@ -152,6 +154,24 @@
         return self.first + len(self.records)
 
 
+class Door:
+    """The address at which one machine reaches the store."""
+
+    def __init__(self, store, host):
+        self.store, self.address = store, (host, free_port(host))
+        # While set, the store serves others only: calls of this machine get no answer and do nothing.
+        self.is_silent = False
+        self.http = HttpServer(self.answer)
+
+    async def answer(self, *request):
+        if not self.is_silent:
+            out = await self.store.answer(*request)
+            if not self.is_silent:
+                return out
+        await asyncio.sleep(60)
+        raise NoAnswer
+
+
 class Store:
     """The metadata store: topics, keyed topics and groups. It loses nothing that it acknowledged but
     the history that the pages let expire."""
@@ -160,7 +180,6 @@
         self.record, self.keep_s = record, keep_s
         self.partitions = {}
         self.groups = {}
-        self.http = HttpServer(self.answer)
         # Called with the topic and the records of each append; it may wait, or raise NoAnswer.
         self.before_append = None
         self.refused_appends = []
@@ -351,7 +370,7 @@
                 "slots": 8, "state": "ready", "cold-left-ms": 0, "room": self.room,
                 "labels": ["a", "r1-1"], "clock-ms": self.clock(), "seq": self.seq, "born": self.born,
             }
-            await call(*self.control, "PUT", f"/cuminbarrow/instances/{self.name}", body, timeout=1.0)
+            await call(*self.control, "PUT", f"/cuminbarrow/instances/{self.name}", body, timeout=1.0, sender=self.host)
             await asyncio.sleep(1.5)
 
     async def work(self):
@@ -500,34 +519,39 @@
 class Fleet:
     """A small deployment: a store, `entries` entries and `agents` agents, each with a worker."""
 
-    def __init__(self, folder, entries=2, agents=2, keep_s=20, **worker_options):
+    def __init__(self, folder, entries=2, agents=2, keep_s=20, regions=("r1",), **worker_options):
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         net = f"127.{random.randrange(16, 250)}.{random.randrange(250)}"
         self.store = Store(self.record, keep_s)
-        self.store_address = (f"{net}.1", free_port(f"{net}.1"))
-        self.entries, self.agents, self.workers, self.tasks = [], [], [], []
-        store = f"{self.store_address[0]}:{self.store_address[1]}"
-        common = {"region": "r1", "zone": "z1", "platform.address": store,
-                  "bounds.max-hold-ms": BOUNDS["max-hold-ms"], "bounds.grace-s": BOUNDS["grace-s"]}
+        self.store_host = f"{net}.1"
+        self.doors, self.entries, self.agents, self.workers, self.tasks = [], [], [], [], []
+        common = {"zone": "z1", "bounds.max-hold-ms": BOUNDS["max-hold-ms"], "bounds.grace-s": BOUNDS["grace-s"]}
         for index in range(entries):
             ip = f"{net}.{10 + index}"
             ports = [free_port(ip) for _ in range(3)]
-            fields = {**common, "node": f"front-{index + 1}", "ip": ip,
+            region = regions[index % len(regions)]
+            fields = {**common, **self.open_door(), "region": region, "node": f"front-{index + 1}", "ip": ip,
                       "listen.front": f"{ip}:{ports[0]}", "listen.ready": f"{ip}:{ports[1]}",
                       "internal-ports": f"{ports[2]}", "limits.cpu-share": 0.25}
             process = Process(self, "entry", f"front-{index + 1}", fields)
             process.front, process.ready = (ip, ports[0]), (ip, ports[1])
+            process.door = self.doors[-1]
             self.entries.append(process)
         for index in range(agents):
             ip = f"{net}.{100 + index}"
             control, app = free_port(ip), free_port(f"{net}.{200 + index}")
             worker = (f"{net}.{200 + index}", app)
-            fields = {**common, "node": f"side-{index + 1}", "ip": ip,
+            fields = {**common, **self.open_door(), "region": regions[0], "node": f"side-{index + 1}", "ip": ip,
                       "listen.control": f"{ip}:{control}", "app": f"{worker[0]}:{worker[1]}"}
             self.agents.append(Process(self, "agent", f"side-{index + 1}", fields))
             self.workers.append(Worker(self.record, f"i-{index + 1}", *worker, (ip, control), **worker_options))
 
+    def open_door(self):
+        self.doors.append(Door(self.store, self.store_host))
+        host, port = self.doors[-1].address
+        return {"platform.address": f"{host}:{port}"}
+
     def configure(self, version=1):
         self.store.put_key("keyed.op", "config", {
             "version": version,
@@ -544,7 +568,8 @@
 
     async def start(self):
         self.configure()
-        await self.store.http.start(*self.store_address)
+        for door in self.doors:
+            await door.http.start(*door.address)
         for process in self.entries + self.agents:
             await process.start()
         for worker in self.workers:
