Accept a worker's report once the incarnation that it names has answered

Cause: the agent kept the report with the highest start time and sequence number, whoever had sent it. A report of x-9, a service that nobody knows, started later than the worker, and so replaced its report. All reports of the worker then counted as outdated. The agent found no registered worker for x-9: no polls, leases or orders, and no removal either, since a report was there. It went on asking x-9 for an answer. Under the worker's own name with a later start, the worker was registered anew and its runs were cut short.

Change: a report of an incarnation other than the accepted one is set aside until that incarnation has answered a call by its name, with the start time that the report claims; the worker answers 421 to any other name. Until then the agent goes by the incarnation before. The call carries the token of the agent's own registration, or an earlier incarnation would refuse it without saying when it started. What the log knows needs no call, as before. `worker_reports.rs` holds what an agent decides about reports; it was part of agent_core.rs.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -28,9 +28,10 @@
 use crate::membership::Membership;
 use crate::replica::Replica;
 use crate::replica::WRITE_RETRY_DELAY;
-use crate::worker_port::PortError;
-use crate::worker_port::RenewalOrder;
 use crate::worker_port::WorkerPort;
+use crate::worker_reports::LeftWorker;
+use crate::worker_reports::Presence;
+use crate::worker_reports::ReceivedReport;
 use crate::worker_session::WorkerSession;
 
 /// Maximum time that a worker's shutdown notice stays unanswered while its runs are stopped. The worker
@@ -38,45 +39,6 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between checks whether all runs of a worker that shuts down have ended.
 const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which reports of a worker that has shut down are ignored as delayed ones, in ms. Orders and
-/// reports may be delayed by up to 12 s.
-const LEFT_WORKER_TTL_MS: u64 = 15_000;
-
-/// A worker's report about itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerReport {
-    /// Specification of the worker.
-    pub spec: WorkerSpec,
-    /// Minimum time until the worker shuts down, in ms; `None` unless it is draining.
-    pub drain_remaining_ms: Option<u64>,
-    /// Sequence number of the report within the worker's incarnation.
-    pub sequence: u64,
-}
-
-/// A report with its time of arrival on the boot-time clock.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ReceivedReport {
-    pub(crate) report: WorkerReport,
-    pub(crate) received_ms: u64,
-}
-
-/// An incarnation of the worker that has announced its shutdown.
-#[derive(Clone, Debug)]
-pub(crate) struct LeftWorker {
-    name: SmolStr,
-    /// Start of the incarnation; 0 if unknown.
-    started_ms: u64,
-    /// Time of the announcement, on the boot-time clock.
-    left_ms: u64,
-}
-
-impl LeftWorker {
-    /// Whether a report with this spec is a delayed one from this incarnation.
-    fn is_delayed_report(&self, spec: &WorkerSpec, now_ms: u64) -> bool {
-        let is_same = spec.name == self.name && spec.started_ms == self.started_ms;
-        is_same && now_ms < self.left_ms + LEFT_WORKER_TTL_MS
-    }
-}
 
 /// An agent, which manages one worker.
 pub struct AgentCore {
@@ -84,7 +46,10 @@
     pub(crate) port: Arc<dyn WorkerPort>,
     pub(crate) membership: Arc<dyn Membership>,
     pub(crate) lease: LeaseTerms,
+    /// Latest report of the accepted incarnation of the worker.
     pub(crate) latest_report: watch::Sender<Option<ReceivedReport>>,
+    /// Latest report of another incarnation, until that has answered.
+    pub(crate) unconfirmed_report: watch::Sender<Option<ReceivedReport>>,
     pub(crate) session: Mutex<WorkerSession>,
     /// The latest incarnation that has announced its shutdown.
     pub(crate) left_worker: Mutex<Option<LeftWorker>>,
@@ -131,6 +96,7 @@
             membership,
             lease,
             latest_report: watch::Sender::new(None),
+            unconfirmed_report: watch::Sender::new(None),
             session: Mutex::default(),
             left_worker: Mutex::default(),
             removing: Mutex::default(),
@@ -145,6 +111,7 @@
     pub async fn run(self: Arc<Self>) {
         tokio::join!(
             self.maintain_membership(),
+            self.confirm_reports(),
             self.keep_registered(),
             self.follow_log(),
             self.poll_worker(),
@@ -155,49 +122,25 @@
         );
     }
 
-    /// Records a report of the worker. Drops reports that are older than the latest one, and delayed
-    /// reports of an incarnation that has announced its shutdown.
-    pub fn record_report(&self, report: WorkerReport) {
-        let received_ms = self.replica.clock.now_ms();
-        if self
-            .left_worker()
-            .as_ref()
-            .is_some_and(|left| left.is_delayed_report(&report.spec, received_ms))
-        {
-            return;
-        }
-        self.latest_report.send_if_modified(|latest| {
-            let is_newer = latest.as_ref().is_none_or(|known| {
-                let known = &known.report;
-                (report.spec.started_ms, report.sequence) > (known.spec.started_ms, known.sequence)
-            });
-            if !is_newer {
-                return false;
-            }
-            let is_changed = latest.as_ref().is_none_or(|known| {
-                known.report.spec != report.spec
-                    || known.report.drain_remaining_ms.is_some()
-                        != report.drain_remaining_ms.is_some()
-            });
-            *latest = Some(ReceivedReport { report, received_ms });
-            is_changed
-        });
-    }
-
     /// Handles the notice of the worker of this name that it shuts down now. Its runs are stopped; runs
     /// that can't be stopped any more are abandoned when its lease has expired.
     pub async fn handle_leave(&self, name: &str) {
         let latest = self.latest_report.borrow().as_ref().map(|latest| latest.report.spec.clone());
-        if latest.as_ref().is_some_and(|latest| latest.name != name) {
+        let is_accepted = latest.as_ref().is_none_or(|latest| latest.name == name);
+        let unconfirmed_ms = self.drop_unconfirmed(name);
+        if !is_accepted && unconfirmed_ms.is_none() {
             // A delayed notice of the previous worker.
             log::warn!(worker = name; "ignored the shutdown notice of a previous worker");
             return;
         }
-        self.record_left_worker(name, latest.map(|latest| latest.started_ms));
-        let Some(own) = self.own_worker() else {
+        let accepted_ms = latest.filter(|_| is_accepted).map(|latest| latest.started_ms);
+        self.record_left_worker(name, unconfirmed_ms.or(accepted_ms));
+        let Some(own) = self.own_worker().filter(|_| is_accepted) else {
             // Its registration may be in flight.
             log::info!(worker = name; "a worker left before it was registered");
-            self.latest_report.send_replace(None);
+            if is_accepted {
+                self.latest_report.send_replace(None);
+            }
             return;
         };
         if let Some(mut session) = self.session_of(own.key) {
@@ -221,17 +164,7 @@
         }
     }
 
-    /// Records an incarnation that shuts down. A repeated notice may arrive after its report was
-    /// dropped; the known start time is then kept.
-    fn record_left_worker(&self, name: &str, started_ms: Option<u64>) {
-        let mut left = self.left_worker();
-        let known_ms = left.as_ref().filter(|left| left.name == name).map(|left| left.started_ms);
-        let started_ms = started_ms.or(known_ms).unwrap_or(0);
-        let left_ms = self.replica.clock.now_ms();
-        *left = Some(LeftWorker { name: name.into(), started_ms, left_ms });
-    }
-
-    fn left_worker(&self) -> MutexGuard<'_, Option<LeftWorker>> {
+    pub(crate) fn left_worker(&self) -> MutexGuard<'_, Option<LeftWorker>> {
         self.left_worker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -334,26 +267,7 @@
     /// then knows nothing of that.
     async fn is_registrable(&self, record: &GraphRecord) -> bool {
         let GraphRecord::WorkerRegistered { spec, .. } = record else { return true };
-        let is_known = {
-            let state = self.replica.state();
-            state
-                .worker_on(&spec.instance)
-                .is_some_and(|(_, known)| known.spec.is_same_incarnation(spec))
-        };
-        if is_known {
-            return true;
-        }
-        let order = RenewalOrder {
-            worker: spec.name.clone(),
-            deadline_ms: None,
-            fencing_token: 0,
-            acked_through: 0,
-            wait_ms: 0,
-        };
-        let is_answering = match self.port.renew(order).await {
-            Ok(timed) => timed.answer.started_ms.is_none_or(|at| at == spec.started_ms),
-            Err(error) => error == PortError::Fenced,
-        };
+        let is_answering = self.presence_of(spec).await == Presence::Running;
         if !is_answering {
             log::warn!(worker = spec.name.as_str(), born_ms = spec.started_ms; "not registering a worker that does not answer");
         }
@@ -427,7 +341,7 @@
 /// The spec with which a worker is registered. It keeps the instance under which this agent, or that of
 /// an earlier version, has registered a worker here. Otherwise one worker would have two keys, and a
 /// lease that is extended under one of them would outlast the removal of the other.
-fn registered_spec(state: &GraphState, spec: &WorkerSpec, agent: u64) -> WorkerSpec {
+pub(crate) fn registered_spec(state: &GraphState, spec: &WorkerSpec, agent: u64) -> WorkerSpec {
     let mut workers = state.workers.values();
     let known = workers
         .find(|known| known.agent == agent || known.spec.is_earlier_form_of(spec))
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -23,6 +23,7 @@
 use crate::worker_port::RenewalAnswer;
 use crate::worker_port::RenewalOrder;
 use crate::worker_port::TimestampedAnswer;
+use crate::worker_reports::REPORT_TIMEOUT_MS;
 use crate::worker_session::SpeedUpdate;
 use crate::worker_session::WorkerSession;
 use crate::worker_session::expectation_of;
@@ -49,9 +50,6 @@
 const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between polls while nothing runs.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(10);
-/// Time without a report after which a worker whose lease has expired is removed, in ms. A worker
-/// sends a report about every 1.5 s.
-const REPORT_TIMEOUT_MS: u64 = 3_500;
 /// Time without an answer after which a worker's lease is no longer extended, in ms: one poll and one
 /// retry.
 const POLL_ANSWER_TIMEOUT_MS: u64 = 2_000;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod replica;
 pub mod snapshot_writer;
 pub mod worker_port;
+pub mod worker_reports;
 mod worker_session;
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use cuminbarrow_dispatch::agent_core::AgentCore;
-use cuminbarrow_dispatch::agent_core::WorkerReport;
 use cuminbarrow_dispatch::clock::BootClock;
 use cuminbarrow_dispatch::direct_path::DirectPath;
 use cuminbarrow_dispatch::peer_list::PeerList;
@@ -16,6 +15,7 @@
 use cuminbarrow_dispatch::planner_task::PlannerTask;
 use cuminbarrow_dispatch::replica::Replica;
 use cuminbarrow_dispatch::snapshot_writer;
+use cuminbarrow_dispatch::worker_reports::WorkerReport;
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_taskgraph::job_id::JobId;
@@ -559,6 +559,18 @@
         }
     }
 
+    /// Spec that the node's worker reports now.
+    pub(crate) fn worker_spec(&self) -> WorkerSpec {
+        let (name, started_ms) = self.host.identity().unwrap();
+        worker_spec(name, started_ms, self.instance(), self.host.capacity())
+    }
+
+    /// Sends a report of another writer to the agent.
+    pub(crate) fn send_foreign_report(&self, spec: WorkerSpec, sequence: u64) {
+        let report = WorkerReport { spec, drain_remaining_ms: None, sequence };
+        self.agent.lock().unwrap().as_ref().unwrap().core.record_report(report);
+    }
+
     /// Sends the worker's periodic reports to the agent.
     fn send_reports(&self) -> impl Future<Output = ()> + Send + use<> {
         let agent = Arc::clone(&self.agent);
@@ -578,16 +590,8 @@
                         *sequence += 1;
                         *sequence
                     };
-                    let spec = WorkerSpec {
-                        name,
-                        started_ms,
-                        instance: instance.lock().unwrap().clone(),
-                        service: "service".into(),
-                        data_centre: "dc".into(),
-                        rack: "rack".into(),
-                        labels: vec!["kind".into(), "rack".into()],
-                        resources: host.capacity(),
-                    };
+                    let instance = instance.lock().unwrap().clone();
+                    let spec = worker_spec(name, started_ms, instance, host.capacity());
                     let drain_remaining_ms = (stage == DrainStage::Draining).then_some(5_500);
                     let report = WorkerReport { spec, drain_remaining_ms, sequence };
                     let delay = *report_delay.lock().unwrap();
@@ -599,6 +603,25 @@
     }
 }
 
+/// Spec that a worker reports.
+fn worker_spec(
+    name: SmolStr,
+    started_ms: u64,
+    instance: SmolStr,
+    resources: ResourceAmounts,
+) -> WorkerSpec {
+    WorkerSpec {
+        name,
+        started_ms,
+        instance,
+        service: "service".into(),
+        data_centre: "dc".into(),
+        rack: "rack".into(),
+        labels: vec!["kind".into(), "rack".into()],
+        resources,
+    }
+}
+
 /// Delivers a report, after a delay, to the agent that runs then.
 async fn deliver_report(
     agent: Arc<Mutex<Option<FakeAgent>>>,
--- /dev/null
+++ b/crates/dispatch/tests/fleet/foreign_reports.rs
@@ -0,0 +1,81 @@
+//! Reports of other writers that an agent receives beside those of its worker. They may have the highest
+//! start time and sequence number, and must not keep the worker from being used.
+
+use std::time::Duration;
+
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::worker::WorkerSpec;
+use tokio::time::Instant;
+
+use crate::fake_fleet::FakeFleet;
+use crate::fake_fleet::tasks;
+
+/// By how much another writer started later than the worker, in ms.
+const START_DELAY_MS: u64 = 4_000;
+/// Time in which a foreign report may take effect: several reports of the worker.
+const REPORTS_TIME: Duration = Duration::from_secs(5);
+
+/// Checks that a job which needs the accelerators of all nodes at once runs, each task once.
+async fn check_all_workers_are_used(fleet: &mut FakeFleet) {
+    let nodes = u32::try_from(fleet.nodes.len()).unwrap();
+    let job = fleet.submit(tasks(nodes, 8), Duration::from_secs(10)).await;
+    tokio::time::sleep(Duration::from_secs(16)).await;
+    assert!(!fleet.entries[0].replica.state().active.contains(&JobId(job)), "the job is not done");
+    assert_eq!(fleet.start_count(job), fleet.nodes.len());
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Guards against a report of a writer that is no worker, started later than the worker, after which all
+/// reports of the worker counted as outdated and nothing more ran there.
+#[tokio::test(start_paused = true)]
+async fn report_under_another_name_does_not_replace_the_worker() {
+    for service in ["no-such-service", "service"] {
+        let mut fleet = FakeFleet::start(1, 2).await;
+        let own = fleet.nodes[0].worker_spec();
+        let started_ms = own.started_ms + START_DELAY_MS;
+        let foreign = WorkerSpec { name: "x-9".into(), started_ms, service: service.into(), ..own };
+        fleet.nodes[0].send_foreign_report(foreign, 1);
+        tokio::time::sleep(REPORTS_TIME).await;
+        check_all_workers_are_used(&mut fleet).await;
+    }
+}
+
+/// Guards against runs that are cut short after a foreign report: because the worker's lease isn't extended
+/// any more, or because the worker is taken for the next incarnation, which knows nothing of them.
+#[tokio::test(start_paused = true)]
+async fn foreign_report_leaves_active_runs_alone() {
+    for name in ["x-9", "i-side-0"] {
+        let mut fleet = FakeFleet::start(1, 1).await;
+        let job = fleet.submit(tasks(1, 8), Duration::from_secs(30)).await;
+        fleet.wait_for("a run", |fleet| fleet.start_count(job) == 1).await;
+        let own = fleet.nodes[0].worker_spec();
+        let started_ms = own.started_ms + START_DELAY_MS;
+        let foreign = WorkerSpec { name: name.into(), started_ms, ..own };
+        fleet.nodes[0].send_foreign_report(foreign, 1);
+        tokio::time::sleep(Duration::from_secs(35)).await;
+        let is_active = fleet.entries[0].replica.state().active.contains(&JobId(job));
+        assert!(!is_active, "the job is not done after a report of {name}");
+        assert_eq!(fleet.start_count(job), 1, "{name}");
+        assert_eq!(fleet.violations(), Vec::<String>::new(), "{name}");
+    }
+}
+
+/// Guards against a worker that isn't registered because another writer reports more often.
+#[tokio::test(start_paused = true)]
+async fn worker_is_registered_beside_frequent_foreign_reports() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    fleet.nodes[0].host.crash();
+    fleet.nodes[0].boot_renamed();
+    let own = fleet.nodes[0].worker_spec();
+    let until = Instant::now() + REPORTS_TIME;
+    while Instant::now() < until {
+        let started_ms = own.started_ms + START_DELAY_MS;
+        let foreign = WorkerSpec { name: "x-9".into(), started_ms, ..own.clone() };
+        fleet.nodes[0].send_foreign_report(foreign, 1);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let instance = fleet.nodes[0].instance();
+    let registered = fleet.entries[0].replica.state().worker_on(&instance).unwrap().1.spec.clone();
+    assert_eq!(registered.name, own.name);
+    check_all_workers_are_used(&mut fleet).await;
+}
--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod fake_fleet;
 mod fake_log;
 mod fake_worker;
+mod foreign_reports;
 mod late_orders;
 mod log_outages;
 mod observer;
