Answer that a cancelled job is missing only after a read begun since then

The states of up to 2.5 s ago that GETs may show are allowed by visible_ms; for a DELETE the answer is its acknowledgement.

Cause: the entry took its replica for current when the last confirmed read was up to 2.5 s old, so one that the store had stopped answering 2.2 s ago answered for a job that was accepted after that.

Change: for a job that the replica doesn't have, a cancellation waits until the state is that of a read begun after the call, 1.5 s at most; then 503, so that the caller asks another entry.

Test, which failed before with Err(NoJob): cancellation_at_an_entry_behind_the_log_is_not_answered_as_done

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -29,7 +29,7 @@
 const MIN_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Patience of callers that do not tell theirs, and the maximum of those that do.
 pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
-/// Maximum time that a query waits for the replica to be fresh.
+/// Maximum time that a query or a cancellation waits for the replica to be fresh.
 const FRESH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Minimum retry delay given to callers while the log accepts no records. The delay grows with the
 /// outage, because an outage that has lasted for a while lasts about as long again, and a caller that
@@ -127,7 +127,9 @@
         }
     }
 
-    /// Cancels a job of a queue. `patience` is the time that the caller waits for the answer.
+    /// Cancels a job of a queue. `patience` is the time that the caller waits for the answer. The caller
+    /// relies on a missing job to start nothing, so the job is missing only if a read begun after this
+    /// call has not shown it.
     ///
     /// # Errors
     /// [`JobServiceError`].
@@ -137,7 +139,10 @@
         job: JobId,
         patience: Duration,
     ) -> Result<(), JobServiceError> {
-        match self.status(queue, job).await? {
+        if self.known_status(queue, job).is_none() {
+            self.wait_until_read_after(self.replica.clock.now_ms()).await?;
+        }
+        match self.known_status(queue, job).ok_or(JobServiceError::NoJob)? {
             JobStatus::Cancelled => return Ok(()),
             JobStatus::Completed | JobStatus::Failed => return Err(JobServiceError::NoJob),
             JobStatus::Queued | JobStatus::Running => {}
@@ -229,9 +234,28 @@
         if is_confirmed || self.replica.is_fresh() {
             return Ok(());
         }
-        let reason = "this instance is behind the log";
-        Err(JobServiceError::NotDone { reason, retry_after: MIN_RETRY_DELAY })
+        Err(behind_the_log())
     }
+
+    /// Waits until the state is that of a read of the log begun after `since_ms`, on the boot-time clock.
+    async fn wait_until_read_after(&self, since_ms: u64) -> Result<(), JobServiceError> {
+        let mut confirmed = self.replica.log.confirmed();
+        let mut applied = self.replica.applied();
+        let wait = async {
+            while self.replica.confirmed_ms().is_none_or(|at_ms| at_ms <= since_ms) {
+                tokio::select! {
+                    _ = confirmed.changed() => {}
+                    _ = applied.changed() => {}
+                }
+            }
+        };
+        tokio::time::timeout(FRESH_TIMEOUT, wait).await.map_err(|_| behind_the_log())
+    }
+}
+
+fn behind_the_log() -> JobServiceError {
+    let reason = "this instance is behind the log";
+    JobServiceError::NotDone { reason, retry_after: MIN_RETRY_DELAY }
 }
 
 fn write_error(error: WriteError) -> JobServiceError {
