Bound what jobs that can never be done cost a planning round

Cause: a round listed the waiting tasks of all due occurrences, 288 MB for these jobs; the bound of 10,000 was on the steps of one job. Each occurrence of a step that no worker can run was also tried on all workers.

Change: a waiting step holds the number of its tasks, which are listed when they are placed; 1,000 waiting steps of a job are considered; a step that no worker can run, whatever is free, is tried once a round.

--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -5,6 +5,7 @@
 //! that rack for a limited time before it is placed elsewhere.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
 
@@ -89,6 +90,7 @@
         plan: Plan::default(),
         map: CapacityMap::new(state, input.now_ms),
         victims: VictimTable::new(state, &guaranteed, input.now_ms),
+        unfit_steps: BTreeSet::new(),
         epoch,
         now_ms: input.now_ms,
     };
@@ -104,6 +106,8 @@
     plan: Plan,
     map: CapacityMap<'a>,
     victims: VictimTable,
+    /// Steps that no worker can run, in any occurrence.
+    unfit_steps: BTreeSet<(JobId, u16)>,
     epoch: u64,
     now_ms: u64,
 }
@@ -146,6 +150,10 @@
     }
 
     fn place_step(&mut self, state: &GraphState, waiting: &WaitingStep<'_>) {
+        let step = (waiting.key.job, waiting.key.step);
+        if self.unfit_steps.contains(&step) {
+            return;
+        }
         let failed_workers = self.failed_workers(waiting);
         let request = StepRequest {
             step: waiting.key,
@@ -159,12 +167,20 @@
                 .is_advised
                 .then(|| AdviceView { advice: state.advice_for(waiting.key), now_ms: self.now_ms }),
         };
+        let is_feasible = self.map.workers.iter().any(|worker| worker.is_feasible(&request));
+        // Whether advice excludes a worker depends on the occurrence.
+        if !is_feasible && request.advice.is_none() {
+            self.unfit_steps.insert(step);
+            let reason = "no fitting worker";
+            self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            return;
+        }
         let request = if self.fits_when_empty(&request) {
             request
         } else {
             StepRequest { failed_workers: &[], ..request }
         };
-        let count = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
+        let count = waiting.count;
         let placeable_count = self.placeable_count(state, waiting, count);
         if placeable_count == 0 {
             let is_kept = self.reserved_accelerators(state, waiting) > 0
@@ -200,11 +216,7 @@
         let is_reclaiming =
             limit.is_some_and(|limit| self.reclaim(waiting, &request, unplaced_count, limit));
         if !is_reclaiming {
-            let reason = if self.map.workers.iter().any(|worker| worker.is_feasible(&request)) {
-                "no room"
-            } else {
-                "no fitting worker"
-            };
+            let reason = if is_feasible { "no room" } else { "no fitting worker" };
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
         }
     }
@@ -360,17 +372,17 @@
         allocation: &[(usize, u32)],
     ) {
         let mut tasks = Vec::new();
-        let mut indices = waiting.tasks.iter();
+        let mut indices = waiting.tasks();
         let gang_run = waiting.state().map_or(0, |state| state.last_run()) + 1;
         for (worker_index, count) in allocation {
             let Some(worker) = self.map.workers.get(*worker_index).map(|worker| worker.key) else {
                 continue;
             };
             for index in indices.by_ref().take(*count as usize) {
-                let task = waiting.state().and_then(|state| state.tasks.get(*index as usize));
+                let task = waiting.state().and_then(|state| state.tasks.get(index as usize));
                 let next_run = task.map_or(0, |task| task.last_run) + 1;
                 let run = if waiting.spec.gang { gang_run } else { next_run };
-                tasks.push(TaskPlacement { index: *index, run, worker });
+                tasks.push(TaskPlacement { index, run, worker });
             }
             self.map.allocate(*worker_index, request, *count);
         }
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -26,6 +26,9 @@
 /// Maximum number of steps of one job that a round considers, over all of its due occurrences. A
 /// caller may request billions of occurrences; the later ones wait for the earlier ones.
 const MAX_DUE_STEPS: usize = 10_000;
+/// Maximum number of waiting steps of one job in a round. It bounds the memory and time that jobs which
+/// wait for ever take from the others.
+const MAX_WAITING_STEPS: usize = 1_000;
 
 /// Whether a job can meet its latency objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,8 +50,8 @@
     pub job: &'a JobState,
     /// Specification of the step.
     pub spec: &'a StepSpec,
-    /// Indices of the tasks to place.
-    pub tasks: Vec<u32>,
+    /// Number of tasks to place.
+    pub count: u32,
     /// Whether the job is covered by its team's guarantee.
     pub is_guaranteed: bool,
     /// Whether the job can meet its latency objective.
@@ -65,6 +68,12 @@
         self.job.steps.get(&(self.key.occurrence, self.key.step))
     }
 
+    /// Indices of the tasks to place.
+    pub fn tasks(&self) -> impl Iterator<Item = u32> + '_ {
+        let state = self.state();
+        (0..self.spec.count).filter(move |index| is_waiting(state, *index))
+    }
+
     fn rank(&self) -> (bool, u64, bool, u8, Timeliness, u64, JobId) {
         let accepted_ms = if self.is_guaranteed { self.job.accepted_ms } else { 0 };
         (
@@ -114,12 +123,8 @@
     for id in &state.active {
         let Some(job) = state.jobs.get(id) else { continue };
         let is_guaranteed = guaranteed.get(id).copied().unwrap_or(false);
-        for occurrence in due_occurrences(job, now_ms) {
-            for (step, spec) in (0..).zip(&job.spec.steps) {
-                let key = StepKey { job: *id, occurrence, step };
-                waiting.extend(waiting_step(key, job, spec, is_guaranteed, now_ms));
-            }
-        }
+        let steps = waiting_steps_of(*id, job, is_guaranteed, now_ms);
+        waiting.extend(steps.take(MAX_WAITING_STEPS));
     }
     waiting.sort_by_key(WaitingStep::rank);
     waiting
@@ -132,19 +137,29 @@
     for id in state.active.iter().filter(|id| state.is_urgent(**id)) {
         let job = state.jobs.get(id).filter(|job| job.terms.service == service);
         let Some(job) = job else { continue };
-        for occurrence in due_occurrences(job, now_ms) {
-            for (step, spec) in (0..).zip(&job.spec.steps) {
-                let key = StepKey { job: *id, occurrence, step };
-                let waiting = waiting_step(key, job, spec, false, now_ms);
-                let count = waiting.map_or(0, |waiting| waiting.tasks.len());
-                let count = u32::try_from(count).unwrap_or(u32::MAX);
-                sum = sum.saturating_add(spec.resources.accelerators.saturating_mul(count));
-            }
+        for waiting in waiting_steps_of(*id, job, false, now_ms) {
+            let each = waiting.spec.resources.accelerators;
+            sum = sum.saturating_add(each.saturating_mul(waiting.count));
         }
     }
     sum
 }
 
+/// Waiting steps of a job, by occurrence.
+fn waiting_steps_of(
+    id: JobId,
+    job: &JobState,
+    is_guaranteed: bool,
+    now_ms: u64,
+) -> impl Iterator<Item = WaitingStep<'_>> {
+    due_occurrences(job, now_ms).flat_map(move |occurrence| {
+        (0..).zip(&job.spec.steps).filter_map(move |(step, spec)| {
+            let key = StepKey { job: id, occurrence, step };
+            waiting_step(key, job, spec, is_guaranteed, now_ms)
+        })
+    })
+}
+
 /// Earliest occurrences that are due and not finished, up to [`MAX_DUE_STEPS`] steps.
 fn due_occurrences(job: &JobState, now_ms: u64) -> impl Iterator<Item = u32> + '_ {
     let is_due = move |occurrence: &u32| {
@@ -175,12 +190,8 @@
     if spec.gang && state.is_some_and(StepState::has_placed_runs) {
         return None;
     }
-    let is_waiting = |index: &u32| {
-        let task = state.and_then(|state| state.tasks.get(*index as usize));
-        task.is_none_or(|task| !task.is_done && task.current.is_empty())
-    };
-    let tasks: Vec<u32> = (0..spec.count).filter(is_waiting).collect();
-    if tasks.is_empty() {
+    let count = state.map_or(spec.count, |state| waiting_count(state, spec));
+    if count == 0 {
         return None;
     }
     let objective_at_ms = job.objective_at_ms(key.occurrence);
@@ -189,7 +200,7 @@
         key,
         job,
         spec,
-        tasks,
+        count,
         is_guaranteed,
         timeliness: timeliness(job, spec, eligible_ms, now_ms),
         objective_at_ms,
@@ -197,6 +208,17 @@
     })
 }
 
+/// Whether a task waits to be placed; `state` is that of its step, `None` if it was never placed.
+fn is_waiting(state: Option<&StepState>, index: u32) -> bool {
+    let task = state.and_then(|state| state.tasks.get(index as usize));
+    task.is_none_or(|task| !task.is_done && task.current.is_empty())
+}
+
+fn waiting_count(state: &StepState, spec: &StepSpec) -> u32 {
+    let indices = (0..spec.count).filter(|index| is_waiting(Some(state), *index));
+    u32::try_from(indices.count()).unwrap_or(u32::MAX)
+}
+
 fn timeliness(job: &JobState, spec: &StepSpec, eligible_ms: u64, now_ms: u64) -> Timeliness {
     let objective_ms = job.objective_ms();
     if spec.long_running || now_ms + u64::from(spec.estimate_ms) <= eligible_ms + objective_ms {
--- a/crates/taskgraph/tests/graph/many_occurrences.rs
+++ b/crates/taskgraph/tests/graph/many_occurrences.rs
@@ -1,6 +1,7 @@
 //! Jobs with more due occurrences than one round can plan.
 
 use cuminbarrow_taskgraph::job_spec::JobSpec;
+use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::step_queue::next_due_ms;
 
@@ -35,6 +36,34 @@
     assert_eq!(occurrences.collect::<Vec<u32>>(), (15..30).collect::<Vec<u32>>());
 }
 
+/// Guards against trying each due occurrence of a step that no worker can run, in each round, before the
+/// jobs of others.
+#[test]
+fn step_that_no_worker_can_run_is_tried_once_a_round() {
+    let mut builder = GraphBuilder::new(1, 2);
+    let step = StepSpec { required_label: Some("none".into()), ..tasks(500, 1) };
+    let hopeless = JobSpec { steps: vec![step], ..spec(8_640, 0, 0) };
+    let hopeless = builder.submit_spec(1, 0, hopeless);
+    let other = builder.submit(2, 1, vec![tasks(1, 1)]);
+    let plan = builder.plan();
+    let tries = plan.unplaced.iter().filter(|unplaced| unplaced.job == hopeless);
+    let reasons: Vec<&str> = tries.map(|unplaced| unplaced.reason).collect();
+    assert_eq!(reasons, ["no fitting worker"]);
+    assert_eq!(builder.runs_of(other).len(), 1);
+}
+
+/// Guards against a step that no worker can run, which keeps the other steps of its job from being placed
+/// in later occurrences.
+#[test]
+fn step_beside_one_that_no_worker_can_run_is_placed_in_all_occurrences() {
+    let mut builder = GraphBuilder::new(1, 4);
+    let step = StepSpec { required_label: Some("none".into()), ..tasks(500, 1) };
+    let job = JobSpec { steps: vec![step, tasks(1, 1)], ..spec(30, 0, 0) };
+    let job = builder.submit_spec(1, 1, job);
+    builder.plan();
+    assert_eq!(builder.runs_of(job).len(), 30);
+}
+
 #[test]
 fn next_due_time_is_the_first_after_now() {
     let next = |occurrence_count, start_ms, interval_ms, now_ms| {
