--- a/crates/dispatch/src/snapshot_writer.rs
+++ b/crates/dispatch/src/snapshot_writer.rs
@@ -2,8 +2,10 @@
 //!
 //! The log retains a few seconds of history and may drop all of it at once. The planner writes a
 //! snapshot every few seconds while there are new records, and immediately when records have expired
-//! that the last snapshot does not cover. The other processes step in after a delay in which the
-//! planner has written none, agents last, so that some live replica always writes snapshots.
+//! that the last snapshot does not cover. It also does so when it has just started: the snapshot that
+//! it found may be old, and another power cut would let the log drop what follows that one. The other
+//! processes step in after a delay in which the planner has written none, agents last, so that some
+//! live replica always writes snapshots.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,10 +27,10 @@
 where
     P: Fn() -> bool,
 {
-    let mut schedule = SnapshotSchedule { latest_offset: 0, latest_since: Instant::now() };
+    let mut schedule = SnapshotSchedule::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let standby_delay = if is_planner() { Duration::ZERO } else { standby_delay };
+        let standby_delay = (!is_planner()).then_some(standby_delay);
         if schedule.is_due(&replica, standby_delay) {
             write(&replica).await;
         }
@@ -36,30 +38,40 @@
 }
 
 struct SnapshotSchedule {
-    /// Offset of the latest snapshot recorded in the log.
-    latest_offset: u64,
+    /// Offset of the latest snapshot recorded in the log; `None` before this process has read the log.
+    latest_offset: Option<u64>,
     /// When this process saw that it is the latest.
     latest_since: Instant,
+    /// Whether this process found it when it started, so that its age is unknown.
+    is_age_unknown: bool,
 }
 
 impl SnapshotSchedule {
-    fn is_due(&mut self, replica: &Replica, standby_delay: Duration) -> bool {
+    fn new() -> Self {
+        Self { latest_offset: None, latest_since: Instant::now(), is_age_unknown: false }
+    }
+
+    /// Whether to write a snapshot now; `standby_delay` is `None` for the planner.
+    fn is_due(&mut self, replica: &Replica, standby_delay: Option<Duration>) -> bool {
+        let is_restored = self.latest_offset.is_some() || replica.confirmed_ms().is_some();
+        if !is_restored || !replica.is_fresh() {
+            return false;
+        }
         let (offset, covered) = {
             let state = replica.state();
             (state.offset, state.snapshot_offset)
         };
-        if covered != self.latest_offset {
-            self.latest_offset = covered;
+        if self.latest_offset != Some(covered) {
+            self.is_age_unknown = self.latest_offset.is_none() && covered > 0;
+            self.latest_offset = Some(covered);
             self.latest_since = Instant::now();
         }
         // The record of a snapshot is itself one batch and needs no further snapshot.
         let is_new = offset > covered + 1;
-        let wait = if replica.oldest() > covered {
-            standby_delay
-        } else {
-            SNAPSHOT_INTERVAL + standby_delay
-        };
-        is_new && replica.is_fresh() && self.latest_since.elapsed() >= wait
+        let is_urgent =
+            replica.oldest() > covered || (self.is_age_unknown && standby_delay.is_none());
+        let interval = if is_urgent { Duration::ZERO } else { SNAPSHOT_INTERVAL };
+        is_new && self.latest_since.elapsed() >= interval + standby_delay.unwrap_or_default()
     }
 }
 
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -422,6 +422,11 @@
         self.log.set_members_flapping(is_flapping);
     }
 
+    /// Drops the records of the log that are older than `age`.
+    pub(crate) fn drop_older_than(&self, age: Duration) {
+        self.log.drop_older_than(age);
+    }
+
     /// Drops the history of the log.
     pub(crate) fn drop_history(&self) {
         self.log.drop_history();
--- a/crates/dispatch/tests/fleet/fake_log.rs
+++ b/crates/dispatch/tests/fleet/fake_log.rs
@@ -106,7 +106,12 @@
 
     /// Drops all but the newest records.
     pub(crate) fn drop_history(&self) {
-        let kept_from = Instant::now() - KEPT_HISTORY;
+        self.drop_older_than(KEPT_HISTORY);
+    }
+
+    /// Drops the records that are older than `age`.
+    pub(crate) fn drop_older_than(&self, age: Duration) {
+        let kept_from = Instant::now() - age;
         let records = self.records.lock().unwrap();
         let oldest = records.partition_point(|(at, _)| *at < kept_from);
         self.oldest.fetch_max(oldest as u64, Ordering::Relaxed);
--- a/crates/dispatch/tests/fleet/log_outages.rs
+++ b/crates/dispatch/tests/fleet/log_outages.rs
@@ -13,6 +13,9 @@
 use crate::fake_fleet::tasks;
 use crate::fake_log::LogFault;
 
+/// Time for which the log retains records.
+const LOG_RETENTION: Duration = Duration::from_secs(20);
+
 /// Guards against claims by all entries while the log answers nobody. They took effect once it was
 /// back, and until then held up the records of callers.
 #[tokio::test(start_paused = true)]
@@ -121,3 +124,28 @@
         assert_eq!(fleet.violations(), Vec::<String>::new());
     }
 }
+
+/// Guards against a state that is lost for good because the processes between two power cuts did not live
+/// long enough to write a snapshot, and the log has dropped what the one before does not cover.
+#[tokio::test(start_paused = true)]
+async fn second_power_cut_soon_after_the_first_loses_no_job() {
+    for uptime in [Duration::from_millis(2_700), Duration::from_millis(3_900)] {
+        let mut fleet = FakeFleet::start(2, 2).await;
+        let job = fleet.submit(tasks(1, 8), Duration::from_secs(120)).await;
+        fleet.wait_for("a run", |fleet| fleet.node_of(job).is_some()).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        for uptime in [uptime, Duration::from_secs(15)] {
+            fleet.kill_all();
+            tokio::time::sleep(Duration::from_millis(9_500)).await;
+            fleet.drop_older_than(LOG_RETENTION);
+            (0..2).for_each(|entry| fleet.restart_entry(entry));
+            (0..2).for_each(|node| fleet.start_agent(node));
+            tokio::time::sleep(uptime).await;
+        }
+        for entry in &fleet.entries {
+            assert!(entry.replica.is_fresh(), "{uptime:?}");
+            assert!(entry.replica.state().jobs.contains_key(&JobId(job)), "{uptime:?}");
+        }
+        assert_eq!(fleet.violations(), Vec::<String>::new());
+    }
+}
