--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,8 @@
 //! an entry ([`relayed_log`], [`relay_server`]); processes have no other links to each other. An entry
 //! appends records for its callers' requests ([`job_service`]) and, while it holds the planner role,
 //! for placement decisions ([`planner_task`]). An agent starts and stops runs on its worker as the
-//! log demands ([`agent_core`]) and appends how they ended. Traits abstract from the platform: the
+//! log demands ([`agent_core`]) and appends how they ended; it goes by the reports of the worker that
+//! runs on its instance ([`worker_reports`]). Traits abstract from the platform: the
 //! log ([`cuminbarrow_resources::log_store`]), the worker ([`worker_port`]), the service that advises
 //! on placement ([`advice_port`]), the directory of entries ([`entry_directory`]) and the group of
 //! live processes ([`membership`]).
--- a/crates/dispatch/src/worker_reports.rs
+++ b/crates/dispatch/src/worker_reports.rs
@@ -70,10 +70,12 @@
         }
         let is_later =
             (report.spec.started_ms, report.sequence) > (known.spec.started_ms, known.sequence);
-        match is_same {
-            _ if !is_later => ReportRelation::Outdated,
-            true => ReportRelation::Update,
-            false => ReportRelation::Unconfirmed,
+        if !is_later {
+            ReportRelation::Outdated
+        } else if is_same {
+            ReportRelation::Update
+        } else {
+            ReportRelation::Unconfirmed
         }
     }
 }
