Log that a worker is accepted only where its report was

Found when the change was read again. The line "accepted a worker" was written before it was known whether the report took effect: an incarnation that reported twice before it had answered had two lines, and a report that was dropped then had one, too. Two lines are read as two incarnations. Now the line follows what was done, and a dropped report is logged as ignored.

The update of the accepted report no longer compares with an accepted one that can't be missing. What takes effect is unchanged.

Test, which failed before with 2 lines for 1: incarnation_that_reports_twice_before_it_answers_is_logged_as_accepted_once

--- a/crates/dispatch/src/worker_reports.rs
+++ b/crates/dispatch/src/worker_reports.rs
@@ -121,15 +121,12 @@
         let mut relation = ReportRelation::Outdated;
         self.latest_report.send_if_modified(|accepted| {
             relation = received.relation_to(accepted.as_ref());
-            if relation != ReportRelation::Update {
-                return false;
-            }
-            let is_changed = accepted.as_ref().is_none_or(|known| {
-                known.report.spec != received.report.spec
-                    || known.report.drain_remaining_ms.is_some()
-                        != received.report.drain_remaining_ms.is_some()
-            });
-            *accepted = Some(received.clone());
+            let updated = accepted.as_mut().filter(|_| relation == ReportRelation::Update);
+            let Some(known) = updated else { return false };
+            let is_changed = known.report.spec != received.report.spec
+                || known.report.drain_remaining_ms.is_some()
+                    != received.report.drain_remaining_ms.is_some();
+            *known = received.clone();
             is_changed
         });
         match relation {
@@ -177,16 +174,23 @@
         if self.is_delayed(&received) {
             return;
         }
-        let WorkerSpec { name, started_ms, service, .. } = &received.report.spec;
-        log::info!(worker = name.as_str(), born_ms = *started_ms, service = service.as_str(); "accepted a worker");
+        let mut relation = ReportRelation::Outdated;
         self.latest_report.send_if_modified(|accepted| {
-            let relation = received.relation_to(accepted.as_ref());
+            relation = received.relation_to(accepted.as_ref());
             let is_due = matches!(relation, ReportRelation::Update | ReportRelation::Unconfirmed);
             if is_due {
-                *accepted = Some(received);
+                *accepted = Some(received.clone());
             }
             is_due
         });
+        match relation {
+            ReportRelation::Update | ReportRelation::Outdated => {}
+            ReportRelation::Contradictory => log_ignored(&received.report, "another service"),
+            ReportRelation::Unconfirmed => {
+                let WorkerSpec { name, started_ms, service, .. } = &received.report.spec;
+                log::info!(worker = name.as_str(), born_ms = *started_ms, service = service.as_str(); "accepted a worker");
+            }
+        }
     }
 
     /// Whether the reported incarnation runs on this instance. If the log knows it, it has answered
--- a/crates/dispatch/tests/fleet/foreign_reports.rs
+++ b/crates/dispatch/tests/fleet/foreign_reports.rs
@@ -11,7 +11,10 @@
 
 use crate::fake_fleet::FakeFleet;
 use crate::fake_fleet::tasks;
+use crate::test_log::line_count;
 
+/// Message of the line for an incarnation that the agent goes by from then on.
+const ACCEPTED_LINE: &str = "accepted a worker";
 /// Sequence number that the worker itself never reaches.
 const HIGH_SEQUENCE: u64 = 1_000_000;
 /// By how much another writer started later than the worker, in ms.
@@ -91,6 +94,23 @@
     check_all_workers_are_used(&mut fleet).await;
 }
 
+/// Guards against a line that says again that a worker is accepted, for a report that only updates the
+/// accepted one: two lines are two incarnations.
+#[tokio::test(start_paused = true)]
+async fn incarnation_that_reports_twice_before_it_answers_is_logged_as_accepted_once() {
+    let fleet = FakeFleet::start(1, 1).await;
+    fleet.nodes[0].set_reporting(false);
+    fleet.nodes[0].host.crash();
+    fleet.nodes[0].boot_renamed();
+    let before = line_count(ACCEPTED_LINE);
+    let own = fleet.nodes[0].worker_spec().unwrap();
+    fleet.nodes[0].send_foreign_report(own.clone(), 1);
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    fleet.nodes[0].send_foreign_report(own, 2);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(line_count(ACCEPTED_LINE) - before, 1);
+}
+
 /// Guards against a report with the worker's name and start time, but of another service, after which the
 /// worker's notice that it drains was dropped as outdated.
 #[tokio::test(start_paused = true)]
