Add review case 7: no job is placed any more beside one wide job

All placements of a round are one record of the log. With 80,000 work units it has 396,133 bytes, the store refuses it, and the same placements are planned again for ever, so that no work of any job starts.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,4 +1,4 @@
-//! Answers of the store are lost, and a caller that gives up cancels its job.
+//! A wide job comes, and no other job is placed any more.
 
 #[path = "../standins-2/mod.rs"]
 mod standins;
@@ -12,17 +12,17 @@
 use standins::deployment::has_trouble;
 use standins::record::Record;
 
-/// When the caller leaves: half the objective of its queue, 1,200 ms.
-const LEAVES: Duration = Duration::from_millis(600);
-/// Late appends are carried out after 1 to 6 s.
-const LATE: Duration = Duration::from_millis(5_500);
-/// Length and share of the lost answers: a site has up to 4.5 s and 0.35 of the writes.
-const TROUBLE_MS: u64 = 4_500;
-const MAX_LOST_PERCENT: u64 = 35;
-/// `cancel_ms`, `stop-grace-ms` and `contact-ms` of the site.
-const CANCEL_MS: u64 = 3_000;
-const STOP_GRACE_MS: u64 = 400;
-const CONTACT_MS: u64 = 4_000;
+/// Steps of the wide job and tasks of each, which is the most that the system accepts.
+const STEPS: usize = 8;
+const TASKS: usize = 10_000;
+/// Ordinary jobs, submitted after it.
+const JOBS: usize = 6;
+/// `finish_s` of the site, after the end of the traffic.
+const FINISH_MS: u64 = 14_000;
+/// A job must not wait for so long beside free capacity.
+const LONGEST_WAIT_MS: u64 = 3_000;
+/// How long the case looks on after that.
+const OBSERVED_MS: u64 = 30_000;
 const KEEP: Duration = Duration::from_secs(20);
 
 fn main() {
@@ -34,86 +34,73 @@
     ];
     let terms = Terms {
         entries: zones.to_vec(),
-        workers: zones.to_vec(),
+        workers: (0..11).map(|number| zones[number % 3]).collect(),
         special_workers: 0,
         room: (32_000, 65_536, 8),
         max_hold_ms: 6_000,
         keep: KEEP,
     };
     let mut deployment = Deployment::start(terms, record.clone());
-    // Two steps of 11 s: the second begins long after the disruption.
-    let id = "8c0e7a21d94b36f8";
-    let body = format!(
-        "{{\"spec\":\"work-ms=11000,11000;{id}\",\"steps\":[{{\"count\":1,\"cpu\":13000,\"mem-mb\":1024,\"gpu\":1,\"estimate-ms\":11000}},\
-         {{\"count\":1,\"cpu\":13000,\"mem-mb\":1024,\"gpu\":1,\"estimate-ms\":11000,\"depends-on\":[0]}}]}}"
-    );
-    let (writes_before, _) = deployment.store.write_counts();
     if has_trouble() {
-        let spec = format!("work-ms=11000,11000;{id}");
-        deployment.store.delay_appends(&spec, 2, LATE);
-    }
-    let trouble_ms = record.now_ms();
-    let (status, _) = deployment.consumer_call(0, "POST", id, &body, LEAVES);
-    record
-        .line(format!("POST {id} at entry 0 -> {status} (0: the caller leaves without an answer)"));
-    if has_trouble() && status != 0 {
-        deployment.finish(2, "the case could not run: the submission was answered");
+        let id = "a0aa7a21d94b36f8";
+        let step = format!("{{\"count\":{TASKS},\"cpu\":1,\"estimate-ms\":1000}}");
+        let body =
+            format!("{{\"spec\":\"work-ms=1000;\",\"steps\":[{}]}}", vec![step; STEPS].join(","));
+        let (status, _) = deployment.consumer_call(0, "POST", id, &body, Duration::from_secs(3));
+        record
+            .line(format!("POST {id}, {STEPS} steps of {TASKS} tasks of 0.001 cores -> {status}"));
+        if status != 200 {
+            deployment.finish(2, "the case could not run: the wide job was not accepted");
+        }
+        thread::sleep(Duration::from_secs(2));
     }
-    let mut cancelled_ms = None;
-    for entry in [1, 2, 0, 1, 2, 0] {
-        let (status, _) = deployment.consumer_call(entry, "DELETE", id, "", Duration::from_secs(3));
-        record.line(format!("DELETE {id} at entry {entry} -> {status}"));
-        if (200..300).contains(&status) || status == 410 {
-            cancelled_ms = Some(record.now_ms());
+    let body = "{\"spec\":\"work-ms=2500;\",\"steps\":[{\"count\":1,\"cpu\":3700,\"mem-mb\":1024,\"gpu\":2,\"estimate-ms\":2500}]}";
+    let mut accepted: Vec<String> = Vec::new();
+    for number in 0..JOBS * 5 {
+        let id = format!("a0bb7a21d9{number:06x}");
+        let (status, _) =
+            deployment.consumer_call(number % 3, "POST", &id, body, Duration::from_secs(3));
+        record.line(format!("POST {id} -> {status}"));
+        if status == 200 {
+            accepted.push(id);
+        }
+        if accepted.len() == JOBS {
             break;
         }
     }
-    let Some(cancelled_ms) = cancelled_ms else {
-        deployment.finish(2, "the case could not run: no cancel was acknowledged");
-    };
-    // The last late append is carried out within 6 s of its call, which precedes the acknowledgement.
-    let calm_ms = cancelled_ms.max(trouble_ms) + LATE.as_millis() as u64 + 500;
-    let mut runs_on = 0;
-    let mut is_counted = false;
-    while record.now_ms() < cancelled_ms + 30_000 {
-        thread::sleep(Duration::from_millis(200));
-        let now_ms = record.now_ms();
-        if !is_counted && now_ms >= trouble_ms + TROUBLE_MS {
-            is_counted = true;
-            let (writes, unanswered) = deployment.store.write_counts();
-            let writes = writes - writes_before;
-            record
-                .line(format!("{unanswered} of {writes} appends in {TROUBLE_MS} ms got no answer"));
-            if unanswered * 100 > writes * MAX_LOST_PERCENT {
-                deployment.finish(2, "the case could not run: too many answers were lost");
-            }
-        }
-        let is_due =
-            now_ms > cancelled_ms + CANCEL_MS + STOP_GRACE_MS && now_ms > calm_ms + CONTACT_MS;
-        let is_running = deployment
+    if accepted.len() < JOBS {
+        deployment.finish(2, "the case could not run: too few jobs were accepted");
+    }
+    let accepted_ms = record.now_ms();
+    let waiting = |deployment: &Deployment| {
+        let begun: Vec<String> = deployment
             .workers
             .iter()
-            .any(|worker| worker.running().iter().any(|task| task.starts_with(id)));
-        runs_on += u64::from(is_due && is_running) * 200;
+            .flat_map(|worker| worker.starts())
+            .map(|start| start.task)
+            .collect();
+        let is_waiting = |id: &&String| !begun.iter().any(|task| task.starts_with(id.as_str()));
+        accepted.iter().filter(is_waiting).count()
+    };
+    // Less than half of the capacity is in use as long as no task runs.
+    let mut waited_ms = 0;
+    while record.now_ms() < accepted_ms + FINISH_MS + OBSERVED_MS && waiting(&deployment) > 0 {
+        thread::sleep(Duration::from_millis(100));
+        let is_idle = deployment.workers.iter().all(|worker| worker.running_count() == 0);
+        if is_idle && record.now_ms() > accepted_ms + FINISH_MS {
+            waited_ms += 100;
+        }
         deployment.check_time();
     }
-    let starts = deployment.workers.iter().flat_map(|worker| worker.starts());
-    let late: Vec<String> = starts
-        .filter(|start| start.task.starts_with(id))
-        .filter(|start| {
-            start.at_ms > cancelled_ms + CANCEL_MS && start.at_ms > calm_ms + CONTACT_MS
-        })
-        .map(|start| {
-            format!("{} {} ms after the acknowledgement", start.task, start.at_ms - cancelled_ms)
-        })
-        .collect();
-    for entry in 0..3 {
-        let (status, body) = deployment.consumer_call(entry, "GET", id, "", Duration::from_secs(3));
+    for id in &accepted {
+        let (status, body) = deployment.consumer_call(1, "GET", id, "", Duration::from_secs(3));
         let state = body.as_ref().and_then(|body| body.text("state")).unwrap_or("none").to_owned();
-        record.line(format!("GET {id} at entry {entry} -> {status} {state}"));
+        record.line(format!("GET {id} at entry 1 -> {status} {state}"));
     }
-    let is_broken = !late.is_empty() || runs_on > 0;
-    let text =
-        format!("starts of the cancelled job in calm: {late:?}; it ran for {runs_on} ms in calm");
-    deployment.finish(i32::from(is_broken), &text);
+    let text = format!(
+        "{} of {JOBS} ordinary jobs have not begun; they waited for {waited_ms} ms beside idle workers, counted from \
+         finish_s after the last submission",
+        waiting(&deployment)
+    );
+    deployment.finish(i32::from(waited_ms > LONGEST_WAIT_MS), &text);
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -217,19 +217,13 @@
             return Reply::json(403, "{}");
         }
         if request.body.len() > CALL_BYTES {
-            let mut state = self.state();
-            state.oversized += 1;
-            if state.oversized % 100 == 1 {
-                self.record.line(format!(
-                    "store: refuses an append of {} bytes to {topic}, the {}th that is too large",
-                    request.body.len(),
-                    state.oversized
-                ));
-            }
+            self.record_oversized(&topic, request.body.len());
             return Reply::json(413, "{\"reason\":\"call-bytes\"}");
         }
         let Some(bodies) = split_records(&request.body) else { return Reply::json(400, "{}") };
-        if bodies.iter().any(|body| body.len() > RECORD_BYTES) {
+        if let Some(body) = bodies.iter().find(|body| body.len() > RECORD_BYTES) {
+            self.record
+                .line(format!("store: refuses a record of {} bytes for {topic}", body.len()));
             return Reply::json(413, "{\"reason\":\"record-bytes\"}");
         }
         let mut state = self.state();
@@ -260,6 +254,16 @@
         Reply::json(200, format!("{{\"offset\":{offset},\"end\":{end}}}"))
     }
 
+    /// Records a call that is too large, one in 100.
+    fn record_oversized(&self, topic: &str, bytes: usize) {
+        let mut state = self.state();
+        state.oversized += 1;
+        if state.oversized % 100 == 1 {
+            let count = state.oversized;
+            self.record.line(format!("store: refuses {bytes} bytes for {topic}, the {count}th call or record that is too large"));
+        }
+    }
+
     fn answer_read(&self, request: &Request) -> Reply {
         let number = |name: &str| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
         let name = request.parameter("topic").unwrap_or_default();
