--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -222,8 +222,7 @@
         }
         let Some(bodies) = split_records(&request.body) else { return Reply::json(400, "{}") };
         if let Some(body) = bodies.iter().find(|body| body.len() > RECORD_BYTES) {
-            self.record
-                .line(format!("store: refuses a record of {} bytes for {topic}", body.len()));
+            self.record_oversized(&topic, body.len());
             return Reply::json(413, "{\"reason\":\"record-bytes\"}");
         }
         let mut state = self.state();
