--- a/crates/dispatch/src/caching_log.rs
+++ b/crates/dispatch/src/caching_log.rs
@@ -20,6 +20,7 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_resources::log_store::RetainedLog;
 use tokio::sync::Notify;
 
 /// Maximum number of cached batches. The target load is about 100 batches a second, and readers lag
@@ -160,11 +161,19 @@
         }
     }
 
-    async fn save_snapshot(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
-        self.inner.save_snapshot(chunks).await
+    async fn save_snapshot(&self, offset: u64, chunks: Vec<Bytes>) -> Result<(), LogError> {
+        self.inner.save_snapshot(offset, chunks).await
     }
 
     async fn load_snapshot_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
         self.inner.load_snapshot_chunks().await
     }
+
+    async fn load_retained(&self) -> Result<Option<RetainedLog>, LogError> {
+        self.inner.load_retained().await
+    }
+
+    fn release_before(&self, offset: u64) {
+        self.inner.release_before(offset);
+    }
 }
--- a/crates/dispatch/src/group_commit_log.rs
+++ b/crates/dispatch/src/group_commit_log.rs
@@ -12,6 +12,7 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_resources::log_store::RetainedLog;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -106,11 +107,19 @@
         self.inner.read(stream, from, limit, wait_ms).await
     }
 
-    async fn save_snapshot(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
-        self.inner.save_snapshot(chunks).await
+    async fn save_snapshot(&self, offset: u64, chunks: Vec<Bytes>) -> Result<(), LogError> {
+        self.inner.save_snapshot(offset, chunks).await
     }
 
     async fn load_snapshot_chunks(&self) -> Result<Vec<Vec<u8>>, LogError> {
         self.inner.load_snapshot_chunks().await
     }
+
+    async fn load_retained(&self) -> Result<Option<RetainedLog>, LogError> {
+        self.inner.load_retained().await
+    }
+
+    fn release_before(&self, offset: u64) {
+        self.inner.release_before(offset);
+    }
 }
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -103,9 +103,9 @@
                     Some(page) => to_records(page, Duration::ZERO),
                 }
             }
-            RelayRequest::SaveSnapshot { chunks } => {
+            RelayRequest::SaveSnapshot { chunks, offset } => {
                 let chunks = chunks.into_iter().map(Bytes::from).collect();
-                match self.direct.log.save_snapshot(chunks).await {
+                match self.direct.log.save_snapshot(offset, chunks).await {
                     Err(error) => failure_response(error),
                     Ok(()) => RelayResponse::Done,
                 }
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -21,6 +21,7 @@
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
+use cuminbarrow_resources::log_store::RetainedLog;
 use cuminbarrow_taskgraph::record::ProcessRole;
 use tokio::time::Instant;
 
@@ -238,13 +239,14 @@
         Ok(LogPage { waited_ms, ..page })
     }
 
-    async fn save_snapshot(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
-        let error = match self.direct.log.save_snapshot(chunks.clone()).await {
+    async fn save_snapshot(&self, offset: u64, chunks: Vec<Bytes>) -> Result<(), LogError> {
+        let error = match self.direct.log.save_snapshot(offset, chunks.clone()).await {
             Err(error) => error,
             Ok(()) => return Ok(()),
         };
         let chunks = chunks.iter().map(|chunk| chunk.to_vec()).collect();
-        match self.call_fallbacks(&self.snapshots, RelayRequest::SaveSnapshot { chunks }).await {
+        let request = RelayRequest::SaveSnapshot { chunks, offset };
+        match self.call_fallbacks(&self.snapshots, request).await {
             Some(RelayResponse::Done) => Ok(()),
             _ => Err(error),
         }
@@ -269,6 +271,15 @@
             _ => Err(error),
         }
     }
+
+    /// Never relayed: the entries and the snapshots must be read in one order by one process.
+    async fn load_retained(&self) -> Result<Option<RetainedLog>, LogError> {
+        self.direct.log.load_retained().await
+    }
+
+    fn release_before(&self, offset: u64) {
+        self.direct.log.release_before(offset);
+    }
 }
 
 /// The result of an append according to an entry's answer; `None` if the answer shows no result.
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -194,11 +194,13 @@
         if state.processes_changed_offset == state.offset {
             self.choose_peers(state);
         }
+        self.log.release_before(state.snapshot_offset);
         self.applied.send_replace(state.offset);
     }
 
     fn state_replaced(&self, state: &GraphState) {
         self.choose_peers(state);
+        self.log.release_before(state.snapshot_offset);
         self.applied.send_replace(state.offset);
     }
 }
--- a/crates/dispatch/tests/relayed_log.rs
+++ b/crates/dispatch/tests/relayed_log.rs
@@ -104,7 +104,7 @@
     let dialer = LinkDialer::new(key, Arc::default());
     let log = Arc::new(RelayedLog::new(direct, peers, &dialer, ProcessRole::Entry));
     let saver = Arc::clone(&log);
-    tokio::spawn(async move { saver.save_snapshot(vec![Bytes::from_static(b"chunk")]).await });
+    tokio::spawn(async move { saver.save_snapshot(7, vec![Bytes::from_static(b"chunk")]).await });
     let request = requests.recv().await.unwrap();
     assert!(matches!(request, RelayRequest::SaveSnapshot { .. }), "{request:?}");
     let append = log.append(LogStream::Records, Bytes::from_static(b"batch"));
--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -201,7 +201,7 @@
     }
 
     /// Restores the latest snapshot, if it is newer than the current state and leaves no gap before
-    /// the oldest batch of the log.
+    /// the oldest batch of the log, and otherwise what the log retains beyond its history.
     async fn restore(
         &self,
         store: &dyn LogStore,
@@ -221,8 +221,57 @@
                 observer.state_replaced(&self.state());
                 Ok(())
             }
-            Err(SnapshotError::Codec { .. }) | Ok(_) => GapSnafu { needed, oldest }.fail(),
+            Err(SnapshotError::Codec { .. } | SnapshotError::Unreadable { .. }) | Ok(_) => {
+                self.restore_retained(store, observer, needed, oldest).await
+            }
+        }
+    }
+
+    /// Applies the batches that the log retains beyond its history, after the latest snapshot if that is
+    /// newer than the current state.
+    async fn restore_retained(
+        &self,
+        store: &dyn LogStore,
+        observer: &dyn BatchObserver<F>,
+        needed: u64,
+        oldest: u64,
+    ) -> Result<(), TailError> {
+        let retained = match store.load_retained().await {
+            Err(error) => {
+                self.record_read_failure(&error);
+                tokio::time::sleep(RETRY_DELAY).await;
+                return Ok(());
+            }
+            Ok(None) => return GapSnafu { needed, oldest }.fail(),
+            Ok(Some(retained)) => retained,
+        };
+        let snapshot = match snapshot::decode_latest::<F>(&retained.snapshot_chunks) {
+            Err(error) => {
+                log::error!(needed, oldest; "the retained batches can't be used: {error}");
+                return GapSnafu { needed, oldest }.fail();
+            }
+            Ok(snapshot) => snapshot,
+        };
+        // Without a snapshot, the log may not have dropped any batch.
+        let is_complete = snapshot.is_some() || retained.entries.len() as u64 == retained.end;
+        let snapshot_offset = snapshot.as_ref().map_or(0, F::offset);
+        if !is_complete || retained.end <= needed {
+            return GapSnafu { needed, oldest }.fail();
         }
+        self.is_current.store(false, Ordering::Release);
+        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.offset() > needed) {
+            self.replace(snapshot);
+            observer.state_replaced(&self.state());
+        }
+        let from = self.state().offset();
+        for offset in from..retained.end {
+            // A missing entry has no effect: it was dropped together with a later one, or drops others.
+            let body = retained.entries.get(&offset).map_or(&[][..], Vec::as_slice);
+            self.apply_batch(offset, &decode_batch(offset, body)?, observer);
+        }
+        let batches = retained.entries.range(from..).count();
+        log::info!(from, snapshot_offset, end = retained.end, batches; "restored the batches that outlast the log's history");
+        Ok(())
     }
 
     /// Replaces the state with one from a snapshot or a peer, if that is newer.
@@ -235,12 +284,15 @@
     }
 }
 
-/// Decodes the batch at an offset. Bytes that no release of this program wrote yield an empty
-/// batch, on every replica alike.
+/// Decodes the batch at an offset. An entry without bytes and bytes that no release of this program
+/// wrote yield an empty batch, on every replica alike.
 fn decode_batch<R>(offset: u64, body: &[u8]) -> Result<Batch<R>, TailError>
 where
     R: DeserializeOwned,
 {
+    if body.is_empty() {
+        return Ok(Batch::empty());
+    }
     match codec::decode(body) {
         Ok(batch) => Ok(batch),
         Err(source) if is_from_newer_release(body) => Err(TailError::Unreadable { offset, source }),
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -30,6 +30,12 @@
         /// Underlying error.
         source: LogError,
     },
+    /// The latest complete snapshot can't be decoded.
+    #[snafu(display("the snapshot at offset {offset} can't be read"))]
+    Unreadable {
+        /// Offset of the first batch that the snapshot does not cover.
+        offset: u64,
+    },
 }
 
 /// One chunk of a snapshot.
@@ -62,13 +68,15 @@
             && chunk.index as usize == self.bodies.len()
     }
 
-    fn decode_if_complete<F>(&self) -> Option<F>
+    fn is_complete(&self) -> bool {
+        self.bodies.len() == self.first.count as usize
+    }
+
+    /// The state; `None` if the chunks are corrupt or of a release that this one can't read.
+    fn decode<F>(&self) -> Option<F>
     where
         F: ReplicatedState,
     {
-        if self.bodies.len() != self.first.count as usize {
-            return None;
-        }
         let bytes = self.bodies.concat();
         if crc32fast::hash(&bytes) != self.first.checksum {
             log::error!(
@@ -101,7 +109,7 @@
 {
     let chunks = encode_chunks(writer, state)?;
     let bytes = chunks.iter().map(Bytes::len).sum();
-    store.save_snapshot(chunks).await.context(LogSnafu)?;
+    store.save_snapshot(state.offset(), chunks).await.context(LogSnafu)?;
     Ok(bytes)
 }
 
@@ -135,10 +143,43 @@
 where
     F: ReplicatedState,
 {
-    let mut latest: Option<F> = None;
+    let chunks = store.load_snapshot_chunks().await.context(LogSnafu)?;
+    Ok(decode_snapshots(&chunks).latest)
+}
+
+/// Decodes the latest complete snapshot among the chunks.
+///
+/// # Errors
+/// [`SnapshotError::Unreadable`] when a later one is complete but can't be decoded.
+pub fn decode_latest<F>(chunks: &[Vec<u8>]) -> Result<Option<F>, SnapshotError>
+where
+    F: ReplicatedState,
+{
+    let DecodedSnapshots { latest, unreadable_offset } = decode_snapshots::<F>(chunks);
+    match unreadable_offset {
+        Some(offset) if latest.as_ref().is_none_or(|latest| latest.offset() < offset) => {
+            UnreadableSnafu { offset }.fail()
+        }
+        _ => Ok(latest),
+    }
+}
+
+/// The complete snapshots on the stream.
+struct DecodedSnapshots<F> {
+    /// The latest that was decoded.
+    latest: Option<F>,
+    /// Offset of the latest that could not be decoded.
+    unreadable_offset: Option<u64>,
+}
+
+fn decode_snapshots<F>(chunks: &[Vec<u8>]) -> DecodedSnapshots<F>
+where
+    F: ReplicatedState,
+{
+    let mut decoded = DecodedSnapshots { latest: None, unreadable_offset: None };
     let mut partial: Option<PartialSnapshot> = None;
-    for body in store.load_snapshot_chunks().await.context(LogSnafu)? {
-        let Ok(chunk) = codec::decode::<SnapshotChunk>(&body) else {
+    for body in chunks {
+        let Ok(chunk) = codec::decode::<SnapshotChunk>(body) else {
             log::warn!(
                 "skipping a chunk of {} bytes on the snapshot stream that can't be decoded",
                 body.len()
@@ -146,14 +187,23 @@
             continue;
         };
         partial = add_chunk(partial, chunk);
-        let state = partial.as_ref().and_then(PartialSnapshot::decode_if_complete::<F>);
-        let is_newer =
-            |state: &F| latest.as_ref().is_none_or(|known| state.offset() >= known.offset());
-        if let Some(state) = state.filter(is_newer) {
-            latest = Some(state);
+        let Some(complete) = partial.as_ref().filter(|partial| partial.is_complete()) else {
+            continue;
+        };
+        match complete.decode::<F>() {
+            None => {
+                decoded.unreadable_offset =
+                    decoded.unreadable_offset.max(Some(complete.first.offset));
+            }
+            Some(state) => {
+                let latest_offset = decoded.latest.as_ref().map_or(0, F::offset);
+                if state.offset() >= latest_offset {
+                    decoded.latest = Some(state);
+                }
+            }
         }
     }
-    Ok(latest)
+    decoded
 }
 
 fn add_chunk(partial: Option<PartialSnapshot>, chunk: SnapshotChunk) -> Option<PartialSnapshot> {
--- a/crates/protocol/src/relay_message.rs
+++ b/crates/protocol/src/relay_message.rs
@@ -35,6 +35,8 @@
     SaveSnapshot {
         /// Chunks of the snapshot, in order.
         chunks: Vec<Vec<u8>>,
+        /// Offset of the first record that the snapshot does not cover.
+        offset: u64,
     },
     /// Reads records that the log has dropped, from the cache of the entry that appended them.
     ReadAppended {
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -1,5 +1,7 @@
 //! The platform's append-only log service.
 
+use std::collections::BTreeMap;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use serde::Deserialize;
@@ -52,6 +54,19 @@
     }
 }
 
+/// What the service retains of the record stream beyond its history.
+///
+/// Entries may be missing, but only those that the latest complete snapshot covers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RetainedLog {
+    /// Retained entries by offset, up to `end`.
+    pub entries: BTreeMap<u64, Vec<u8>>,
+    /// Offset after the last entry of the stream when the entries were listed.
+    pub end: u64,
+    /// Chunks of the snapshots, loaded after the entries were listed.
+    pub snapshot_chunks: Vec<Vec<u8>>,
+}
+
 /// Why a call to the log service failed.
 #[derive(Clone, Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -124,18 +139,31 @@
         wait_ms: u32,
     ) -> Result<LogPage, LogError>;
 
-    /// Saves the chunks of a snapshot, in order. By default they are appended to the snapshot
-    /// stream; a service that supports it replaces the previous snapshot instead.
+    /// Saves the chunks of a snapshot, in order. It covers the records before `offset`. By default the
+    /// chunks are appended to the snapshot stream; a service that supports it replaces the snapshots
+    /// that cover less instead.
     ///
     /// # Errors
     /// As [`LogStore::append`]; readers ignore an incomplete snapshot.
-    async fn save_snapshot(&self, chunks: Vec<Bytes>) -> Result<(), LogError> {
+    async fn save_snapshot(&self, _offset: u64, chunks: Vec<Bytes>) -> Result<(), LogError> {
         for chunk in chunks {
             self.append(LogStream::Snapshots, chunk).await?;
         }
         Ok(())
     }
 
+    /// Loads the entries that the service retains after it has dropped its history; `None` if it
+    /// retains none.
+    ///
+    /// # Errors
+    /// As [`LogStore::read`].
+    async fn load_retained(&self) -> Result<Option<RetainedLog>, LogError> {
+        Ok(None)
+    }
+
+    /// Allows the service to drop the entries before `offset`, which a saved snapshot covers.
+    fn release_before(&self, _offset: u64) {}
+
     /// Loads all retained snapshot chunks, oldest first.
     ///
     /// # Errors
