Count a job as pending until a worker has started a task of it

Cause: has_started was set when a task was placed, and nothing took it back when the worker had refused the start. The same holds for a start that hangs, and for a run that goes with its worker before it began.

Change: has_started says that a worker has started a task. Its agent records that for the first such task of a job (RunsStarted), by the answer to the start or the worker's list, and an end that only a started run can have shows it as well. The agent asks its replica first, so there is one small record for each job and worker that starts a task of it at that moment. pending and the state shown to callers are all that read the mark.

--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -231,7 +231,13 @@
         session.throttle.observe(&throttle_classes, now_ms);
         let speed_update =
             session.speed.observe(&answer.running, now_ms, |run| typical_duration_of(&state, run));
+        for entry in &answer.running {
+            session.record_start(&state, entry.run);
+        }
         drop(state);
+        if !session.started.is_empty() {
+            self.wake_reports.notify_one();
+        }
         if let Some(is_slow) = speed_update {
             session.speed_update = Some(SpeedUpdate::new(is_slow, &answer.running));
             self.wake_reports.notify_one();
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -1,4 +1,5 @@
-//! The records that an agent appends about the runs on its worker: ends, checkpoints, stalls and speed.
+//! The records that an agent appends about the runs on its worker: starts, ends, checkpoints, stalls and
+//! speed.
 
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
     pub(crate) async fn report_ends(&self) {
         loop {
             self.wake_reports.notified().await;
+            self.report_started().await;
             self.report_stalled().await;
             self.report_speed().await;
             loop {
@@ -38,6 +40,20 @@
         }
     }
 
+    /// Records in the log the jobs whose first task has started. A lost record needs no retry: a run
+    /// that goes on is reported again after the next poll, and the end of another one shows that it
+    /// started.
+    async fn report_started(&self) {
+        let started = std::mem::take(&mut self.session().started);
+        if started.is_empty() {
+            return;
+        }
+        let runs: Vec<RunKey> = started.into_values().collect();
+        if let Err(error) = self.replica.write(GraphRecord::RunsStarted { runs }).await {
+            log::warn!("failed to record started runs: {error}");
+        }
+    }
+
     /// Records stalled runs in the log. A run that remains stalled is reported again later.
     pub(crate) async fn report_stalled(&self) {
         let (worker, runs) = {
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -69,9 +69,9 @@
 /// Status of a job as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobStatus {
-    /// No task has been placed yet.
+    /// No worker has started a task yet.
     Queued,
-    /// At least one task has been placed.
+    /// A worker has started at least one task.
     Running,
     /// All tasks are done.
     Completed,
@@ -182,7 +182,7 @@
         self.known_status(queue, job).ok_or(JobServiceError::NoJob)
     }
 
-    /// Number of active jobs of a queue that have no task placed yet.
+    /// Number of active jobs of a queue of which no worker has started any task.
     ///
     /// # Errors
     /// [`JobServiceError::NotDone`] if the replica is stale.
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use cuminbarrow_taskgraph::graph_state::GraphState;
+use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
 use cuminbarrow_taskgraph::lease_terms::LEASE_EXPIRY_MARGIN_MS;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
@@ -81,6 +82,8 @@
     pub(crate) throttle: ThrottleControl,
     /// Stalled runs to be recorded in the log.
     pub(crate) stalled: Vec<RunKey>,
+    /// Started runs to be recorded in the log, one for each job that has not started so far.
+    pub(crate) started: BTreeMap<JobId, RunKey>,
     /// Set when the worker has rejected this agent's fencing token as outdated; the agent then
     /// registers the worker again.
     pub(crate) is_fenced: bool,
@@ -191,6 +194,14 @@
         }
     }
 
+    /// Queues a started run to be recorded in the log, unless its job has started before.
+    pub(crate) fn record_start(&mut self, state: &GraphState, run: RunKey) {
+        let job = run.task.step.job;
+        if state.jobs.get(&job).is_some_and(|known| known.is_active() && !known.has_started) {
+            self.started.insert(job, run);
+        }
+    }
+
     /// Processes the worker's lists of runs, and queues the ends that have to be recorded in the log.
     pub(crate) fn apply_renewal_answer(&mut self, poll: PollNumber, answer: &RenewalAnswer) {
         self.is_answering = true;
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -51,7 +51,6 @@
             }
         }
         let Some(job) = self.jobs.get_mut(&step.job) else { return Ok(GraphEffect::Done) };
-        job.has_started = true;
         let Some(state) = job.step_state_mut(step.occurrence, step.step) else {
             return Ok(GraphEffect::Done);
         };
@@ -90,6 +89,18 @@
         Ok(())
     }
 
+    /// Records that workers have started runs, which the log has placed at some time.
+    pub(crate) fn runs_started(&mut self, runs: &[RunKey]) -> GraphEffect {
+        for run in runs {
+            let step = run.task.step;
+            let Some(job) = self.jobs.get_mut(&step.job) else { continue };
+            let state = job.steps.get(&(step.occurrence, step.step));
+            let task = state.and_then(|state| state.tasks.get(run.task.index as usize));
+            job.has_started |= task.is_some_and(|task| task.last_run >= run.run);
+        }
+        GraphEffect::Done
+    }
+
     /// Requests runs to stop. If one is a member of a gang, the whole gang is stopped.
     pub(crate) fn runs_stopped(&mut self, cause: StopCause, runs: &[RunKey]) -> GraphEffect {
         let mut reclaimed_services = BTreeSet::new();
@@ -203,6 +214,7 @@
         let Some(job) = self.jobs.get_mut(&step.job).filter(|job| job.is_active()) else { return };
         let spec = job.spec.clone();
         let Some(spec) = spec.steps.get(usize::from(step.step)) else { return };
+        job.has_started |= end.kind.implies_start();
         if job.finished.contains(&step.occurrence) {
             return;
         }
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -311,6 +311,7 @@
             GraphRecord::WorkerSpeedReported { worker, is_slow, progress } => {
                 self.worker_speed_reported(*worker, *is_slow, progress)
             }
+            GraphRecord::RunsStarted { runs } => Ok(self.runs_started(runs)),
             GraphRecord::PlannerRenewed { epoch } => {
                 self.check_epoch(*epoch).map(|()| GraphEffect::Done)
             }
@@ -419,7 +420,7 @@
         workers.find(|(_, worker)| worker.spec.instance == instance)
     }
 
-    /// Number of active jobs of a queue that have no task placed yet.
+    /// Number of active jobs of a queue of which no worker has started any task.
     pub fn pending_jobs(&self, queue: &str) -> usize {
         let jobs = self.active.iter().filter_map(|job| self.jobs.get(job));
         jobs.filter(|job| job.terms.queue == queue && !job.has_started).count()
--- a/crates/taskgraph/src/job_state.rs
+++ b/crates/taskgraph/src/job_state.rs
@@ -139,7 +139,7 @@
     pub steps: BTreeMap<(u32, u16), StepState>,
     /// Occurrences all of whose steps are done.
     pub finished: BTreeSet<u32>,
-    /// Whether any task was ever placed.
+    /// Whether a worker has started any task. A task that is only placed may be refused there.
     pub has_started: bool,
 }
 
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -40,6 +40,16 @@
     Refused,
 }
 
+impl EndKind {
+    /// Whether the run certainly started. One that was stopped or has vanished may not have.
+    pub(crate) fn implies_start(self) -> bool {
+        match self {
+            Self::Done | Self::Failed | Self::Lapsed | Self::Broken | Self::Alone => true,
+            Self::Stopped | Self::Vanished | Self::Refused => false,
+        }
+    }
+}
+
 /// End of one run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunEnd {
@@ -246,4 +256,9 @@
         /// Runs on the worker, with their progress in percent.
         progress: Vec<(RunKey, u8)>,
     },
+    /// An agent reported runs that its worker has started, one for each job that had none so far.
+    RunsStarted {
+        /// Keys of the runs.
+        runs: Vec<RunKey>,
+    },
 }
--- a/crates/taskgraph/tests/graph/record_effects.rs
+++ b/crates/taskgraph/tests/graph/record_effects.rs
@@ -251,6 +251,53 @@
     assert_eq!(graph.runs_of(job), runs, "it is placed again only after all members have ended");
 }
 
+/// Guards against counting a job as started that was only placed: no run of it may ever begin.
+#[test]
+fn placed_job_is_pending_until_a_task_has_started() {
+    for kind in [EndKind::Refused, EndKind::Stopped, EndKind::Vanished] {
+        let mut graph = GraphBuilder::new(1, 1);
+        let job = graph.submit(1, 1, vec![tasks(2, 1)]);
+        let queue = graph.state.jobs[&job].terms.queue.clone();
+        graph.plan();
+        assert_eq!(graph.state.pending_jobs(&queue), 1, "the tasks are placed");
+        graph.end_all(job, kind);
+        assert_eq!(graph.state.pending_jobs(&queue), 1, "no task has started: {kind:?}");
+        graph.plan();
+        let (run, worker) = graph.runs_of(job)[0];
+        graph.apply(GraphRecord::RunsStarted { runs: vec![run] }).unwrap();
+        assert_eq!(graph.state.pending_jobs(&queue), 0, "a task has started");
+        graph.end(run, worker, kind).unwrap();
+        assert_eq!(graph.state.pending_jobs(&queue), 0, "it had started");
+    }
+}
+
+/// Guards against a job that is pending although one of its tasks ended before its start was recorded.
+#[test]
+fn job_with_a_task_that_ran_is_not_pending() {
+    let ran = [EndKind::Done, EndKind::Failed, EndKind::Lapsed, EndKind::Broken, EndKind::Alone];
+    for kind in ran {
+        let mut graph = GraphBuilder::new(1, 1);
+        let job = graph.submit(1, 1, vec![tasks(2, 1)]);
+        let queue = graph.state.jobs[&job].terms.queue.clone();
+        graph.plan();
+        let (run, worker) = graph.runs_of(job)[0];
+        graph.end(run, worker, kind).unwrap();
+        assert_eq!(graph.state.pending_jobs(&queue), 0, "{kind:?}");
+    }
+}
+
+/// Guards against reports of runs that were never placed.
+#[test]
+fn start_of_a_run_that_was_not_placed_is_ignored() {
+    let mut graph = GraphBuilder::new(1, 1);
+    let job = graph.submit(1, 1, vec![tasks(1, 1)]);
+    graph.plan();
+    let (run, _) = graph.runs_of(job)[0];
+    let later = RunKey { run: run.run + 1, ..run };
+    graph.apply(GraphRecord::RunsStarted { runs: vec![later] }).unwrap();
+    assert!(!graph.state.jobs[&job].has_started);
+}
+
 /// Guards against records of a replaced agent that reach the log after its successor has
 /// registered: they would release resources of runs that are still running.
 #[test]
