Write reports of starts beside an agent's other records

Cause: the record of a start is appended just as the log falls silent. Its append gets no answer and is repeated for as long as the log is silent, and the agent's registration, which takes a suspicion back, waits behind the last attempt. It came after the lease had lapsed, and the run began anew elsewhere.

Change: these records have a writer and a loop of their own. One that is late or lost delays no other record; a run that goes on is reported again after the next poll.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -61,6 +61,8 @@
     pub(crate) retry_orders: Notify,
     pub(crate) wake_polls: Notify,
     pub(crate) wake_reports: Notify,
+    /// Notified when started runs are to be recorded in the log.
+    pub(crate) wake_start_reports: Notify,
 }
 
 /// The worker as registered in the log by this agent.
@@ -104,6 +106,7 @@
             retry_orders: Notify::new(),
             wake_polls: Notify::new(),
             wake_reports: Notify::new(),
+            wake_start_reports: Notify::new(),
         })
     }
 
@@ -118,6 +121,7 @@
             Arc::clone(&self).send_orders(),
             self.wake_order_retries(),
             self.report_ends(),
+            self.report_starts(),
             self.save_checkpoints(),
         );
     }
--- a/crates/dispatch/src/agent_polls.rs
+++ b/crates/dispatch/src/agent_polls.rs
@@ -236,7 +236,7 @@
         }
         drop(state);
         if !session.started.is_empty() {
-            self.wake_reports.notify_one();
+            self.wake_start_reports.notify_one();
         }
         if let Some(is_slow) = speed_update {
             session.speed_update = Some(SpeedUpdate::new(is_slow, &answer.running));
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -26,7 +26,6 @@
     pub(crate) async fn report_ends(&self) {
         loop {
             self.wake_reports.notified().await;
-            self.report_started().await;
             self.report_stalled().await;
             self.report_speed().await;
             loop {
@@ -43,14 +42,17 @@
     /// Records in the log the jobs whose first task has started. A lost record needs no retry: a run
     /// that goes on is reported again after the next poll, and the end of another one shows that it
     /// started.
-    async fn report_started(&self) {
-        let started = std::mem::take(&mut self.session().started);
-        if started.is_empty() {
-            return;
-        }
-        let runs: Vec<RunKey> = started.into_values().collect();
-        if let Err(error) = self.replica.write(GraphRecord::RunsStarted { runs }).await {
-            log::warn!("failed to record started runs: {error}");
+    pub(crate) async fn report_starts(&self) {
+        loop {
+            self.wake_start_reports.notified().await;
+            let started = std::mem::take(&mut self.session().started);
+            if started.is_empty() {
+                continue;
+            }
+            let runs: Vec<RunKey> = started.into_values().collect();
+            if let Err(error) = self.replica.write_report(GraphRecord::RunsStarted { runs }).await {
+                log::warn!("failed to record started runs: {error}");
+            }
         }
     }
 
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -58,6 +58,8 @@
     peers: Arc<PeerList>,
     tail: LogTail<GraphState>,
     writer: LogWriter<GraphState>,
+    /// Writer of records that are of use only if they are soon in the log.
+    report_writer: LogWriter<GraphState>,
     applied: watch::Sender<u64>,
 }
 
@@ -79,10 +81,25 @@
             location.role,
         ));
         let log = Arc::new(ConfirmedLog::new(store, Arc::clone(&clock)));
-        let writer = LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms);
+        let spawn_writer = |incarnation| {
+            LogWriter::spawn(Arc::clone(&log) as Arc<dyn LogStore>, incarnation, wall_ms)
+        };
+        let writer = spawn_writer(incarnation);
+        let report_writer = spawn_writer(rand::random());
         let applied = watch::Sender::new(0);
         let tail = LogTail::default();
-        Arc::new(Self { incarnation, clock, log, location, direct, peers, tail, writer, applied })
+        Arc::new(Self {
+            incarnation,
+            clock,
+            log,
+            location,
+            direct,
+            peers,
+            tail,
+            writer,
+            report_writer,
+            applied,
+        })
     }
 
     /// Follows the log; never returns.
@@ -157,6 +174,15 @@
         self.writer.write(record, WRITE_TIMEOUT).await.map(|applied| applied.result)
     }
 
+    /// Like [`Replica::write`], for a record that may be lost. An append of it that gets no answer delays
+    /// no other record of this process.
+    ///
+    /// # Errors
+    /// [`WriteError`], which shows whether the record was certainly not written.
+    pub async fn write_report(&self, record: GraphRecord) -> Result<GraphOutcome, WriteError> {
+        self.report_writer.write(record, WRITE_TIMEOUT).await.map(|applied| applied.result)
+    }
+
     /// Like [`Replica::write`], with a result after `limit` at the latest.
     ///
     /// # Errors
@@ -191,6 +217,7 @@
         report: &GraphReport,
     ) {
         self.writer.complete_writes(offset, batch, report);
+        self.report_writer.complete_writes(offset, batch, report);
         if state.processes_changed_offset == state.offset {
             self.choose_peers(state);
         }
