Bound what is appended by its size, and drop what the log rejects

Cause: the log takes 262,144 bytes in one entry, and the writer bounded a batch by its number of records only. The placements of a round made one batch of 396,133 bytes. The log's 413 counted as an outage, so the batch was sent until its records had timed out, and the next round planned the same. Concurrent submissions share this cause, and by reading so do ends that pile up in an outage, checkpoints, and stops.

Change: a batch is bounded by its encoded size. A refusal for good is told apart from an outage: the batch is halved until the record in question is known, which is dropped with an error in the log; a submission is answered 413. Records name 1,000 runs at most, except a gang. A round places up to 1,000 tasks of a step. Applying a placement or an end no longer takes quadratic time.

--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
+use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::record::MAX_RUNS_PER_RECORD;
 use cuminbarrow_taskgraph::record::RunEnd;
 use cuminbarrow_taskgraph::task_key::RunKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
@@ -22,7 +24,7 @@
 const CHECKPOINT_INTERVAL_FACTOR: u32 = 20;
 
 impl AgentCore {
-    /// Records run ends in the log, all pending ones in one record.
+    /// Records run ends in the log, pending ones together.
     pub(crate) async fn report_ends(&self) {
         loop {
             self.wake_reports.notified().await;
@@ -31,7 +33,8 @@
             loop {
                 let (worker, outgoing) = {
                     let mut session = self.session();
-                    (session.worker, std::mem::take(&mut session.outgoing_ends))
+                    let count = session.outgoing_ends.len().min(MAX_RUNS_PER_RECORD);
+                    (session.worker, session.outgoing_ends.drain(..count).collect::<Vec<_>>())
                 };
                 let Some(worker) = worker.filter(|_| !outgoing.is_empty()) else { break };
                 self.report(worker, outgoing).await;
@@ -46,12 +49,12 @@
         loop {
             self.wake_start_reports.notified().await;
             let started = std::mem::take(&mut self.session().started);
-            if started.is_empty() {
-                continue;
-            }
             let runs: Vec<RunKey> = started.into_values().collect();
-            if let Err(error) = self.replica.write_report(GraphRecord::RunsStarted { runs }).await {
-                log::warn!("failed to record started runs: {error}");
+            for runs in runs.chunks(MAX_RUNS_PER_RECORD) {
+                let record = GraphRecord::RunsStarted { runs: runs.to_vec() };
+                if let Err(error) = self.replica.write_report(record).await {
+                    log::warn!("failed to record started runs: {error}");
+                }
             }
         }
     }
@@ -66,9 +69,11 @@
         for run in &runs {
             log::warn!(run:% = run, worker:% = worker; "run makes no progress");
         }
-        let record = GraphRecord::RunsStalled { worker, runs };
-        if let Err(error) = self.replica.write(record).await {
-            log::warn!(worker:% = worker; "failed to record stalled runs: {error}");
+        for runs in runs.chunks(MAX_RUNS_PER_RECORD) {
+            let record = GraphRecord::RunsStalled { worker, runs: runs.to_vec() };
+            if let Err(error) = self.replica.write(record).await {
+                log::warn!(worker:% = worker; "failed to record stalled runs: {error}");
+            }
         }
     }
 
@@ -93,10 +98,12 @@
         for end in &ends {
             log::info!(run:% = end.run, worker:% = worker, how:? = end.kind; "run ended");
         }
-        let record = GraphRecord::RunsEnded { worker, ends };
+        let mut record = GraphRecord::RunsEnded { worker, ends };
         let outcome = loop {
             match self.replica.write(record.clone()).await {
                 Ok(outcome) => break outcome,
+                // Only checkpoints can make a record that large. That a run has ended matters more.
+                Err(WriteError::Rejected) => drop_checkpoints(&mut record),
                 Err(error) => log::warn!(worker:% = worker; "failed to record run ends: {error}"),
             }
             tokio::time::sleep(WRITE_RETRY_DELAY).await;
@@ -153,12 +160,21 @@
                 (session.worker, saved)
             };
             let Some(worker) = worker.filter(|_| !saved.is_empty()) else { continue };
-            let record = GraphRecord::CheckpointsSaved { worker, saved };
-            if let Err(error) = self.replica.write(record).await {
-                log::warn!(worker:% = worker; "failed to record checkpoints: {error}");
+            for saved in saved.chunks(MAX_RUNS_PER_RECORD) {
+                let record = GraphRecord::CheckpointsSaved { worker, saved: saved.to_vec() };
+                if let Err(error) = self.replica.write(record).await {
+                    log::warn!(worker:% = worker; "failed to record checkpoints: {error}");
+                }
             }
             // A slow log is not loaded with frequent checkpoints.
             interval = CHECKPOINT_INTERVAL.max(began.elapsed() * CHECKPOINT_INTERVAL_FACTOR);
         }
     }
 }
+
+/// Drops the checkpoints from a record of ends.
+fn drop_checkpoints(record: &mut GraphRecord) {
+    let GraphRecord::RunsEnded { worker, ends } = record else { return };
+    log::error!(worker:% = worker, ends = ends.len(); "dropping the checkpoints of run ends: the log rejects them");
+    ends.iter_mut().for_each(|end| end.checkpoint = SmolStr::default());
+}
--- a/crates/dispatch/src/direct_path.rs
+++ b/crates/dispatch/src/direct_path.rs
@@ -46,8 +46,10 @@
             return Err(broken_path());
         }
         let result = self.log.append(LogStream::Records, body).await;
-        if let Err(error) = &result {
-            self.record_failure(error);
+        match &result {
+            // The log has answered; another entry may be taken.
+            Ok(_) | Err(LogError::Rejected { .. }) => {}
+            Err(error) => self.record_failure(error),
         }
         result
     }
@@ -123,7 +125,9 @@
 async fn is_answered(log: &dyn LogStore, from: u64) -> bool {
     match log.read(LogStream::Records, from, 1, 0).await {
         Ok(_) | Err(LogError::Expired { .. }) => true,
-        Err(LogError::Unavailable { .. } | LogError::Uncertain { .. }) => false,
+        Err(
+            LogError::Unavailable { .. } | LogError::Rejected { .. } | LogError::Uncertain { .. },
+        ) => false,
     }
 }
 
--- a/crates/dispatch/src/group_commit_log.rs
+++ b/crates/dispatch/src/group_commit_log.rs
@@ -59,6 +59,10 @@
         }
         let bodies = group.iter().map(|append| append.body.clone()).collect();
         let result = log.append_all(LogStream::Records, bodies).await;
+        if matches!(result, Err(LogError::Rejected { .. })) && group.len() > 1 {
+            append_each(&*log, group).await;
+            continue;
+        }
         let is_unanswered = matches!(result, Err(LogError::Uncertain { .. }));
         for (index, append) in (0..).zip(group) {
             let result = result.clone().map(|offset| offset + index);
@@ -71,6 +75,14 @@
     }
 }
 
+/// Appends each of a group that the log rejects by itself, so that only those which it can't take fail.
+async fn append_each(log: &dyn LogStore, group: Vec<QueuedAppend>) {
+    for append in group {
+        let result = log.append(LogStream::Records, append.body).await;
+        let _ = append.answer.send(result);
+    }
+}
+
 /// Refuses the queued appends, which were not sent: their callers then use another path instead of
 /// waiting for another call that may stay unanswered.
 fn refuse_queued(receiver: &mut mpsc::Receiver<QueuedAppend>) {
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -61,6 +61,9 @@
     /// The operation may have taken effect, or may do so later.
     #[snafu(display("the log's answer is outstanding; ask again with the same id"))]
     Unknown,
+    /// The log does not take the job, now or later.
+    #[snafu(display("the job is larger than the log takes"))]
+    TooLarge,
     /// The queue has no such job, or the job can no longer be cancelled.
     #[snafu(display("there is no such job"))]
     NoJob,
@@ -264,6 +267,7 @@
             reason: "the log takes no records now",
             retry_after: MIN_RETRY_DELAY,
         },
+        WriteError::Rejected => JobServiceError::TooLarge,
         WriteError::QueueFull => JobServiceError::NotDone {
             reason: "too many records wait for the log",
             retry_after: MIN_RETRY_DELAY,
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -178,5 +178,6 @@
         LogError::Expired { oldest } => RelayResponse::Expired { oldest },
         LogError::Unavailable { reason } => RelayResponse::Refused { reason },
         LogError::Uncertain { reason } => RelayResponse::Uncertain { reason },
+        LogError::Rejected { reason } => RelayResponse::Rejected { reason },
     }
 }
--- a/crates/dispatch/src/relayed_log.rs
+++ b/crates/dispatch/src/relayed_log.rs
@@ -215,10 +215,8 @@
         let mut error = broken_path();
         if is_direct && !self.direct.is_broken() {
             match self.read_direct(from, limit, wait_ms).await {
-                Err(failure @ (LogError::Unavailable { .. } | LogError::Uncertain { .. })) => {
-                    error = failure;
-                }
-                result => return result,
+                result @ (Ok(_) | Err(LogError::Expired { .. })) => return result,
+                Err(failure) => error = failure,
             }
         }
         if !is_direct {
@@ -287,6 +285,7 @@
     match answer? {
         RelayResponse::Appended { offset } => Some(Ok(offset)),
         RelayResponse::Uncertain { reason } => Some(Err(LogError::Uncertain { reason })),
+        RelayResponse::Rejected { reason } => Some(Err(LogError::Rejected { reason })),
         _ => None,
     }
 }
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -11,6 +11,7 @@
 use cuminbarrow_taskgraph::progress_watch::ProgressWatch;
 use cuminbarrow_taskgraph::progress_watch::RunExpectation;
 use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::MAX_RUNS_PER_RECORD;
 use cuminbarrow_taskgraph::record::RunEnd;
 use cuminbarrow_taskgraph::run_table::PollNumber;
 use cuminbarrow_taskgraph::run_table::ReportedEnd;
@@ -33,14 +34,14 @@
 pub(crate) struct SpeedUpdate {
     /// Whether the worker is slow.
     pub(crate) is_slow: bool,
-    /// Progress of its runs in percent; empty unless the worker is slow.
+    /// Progress of runs in percent, up to what one record holds; empty unless the worker is slow.
     pub(crate) progress: Vec<(RunKey, u8)>,
 }
 
 impl SpeedUpdate {
     pub(crate) fn new(is_slow: bool, running: &[ReportedRun]) -> Self {
         let percent = |entry: &ReportedRun| u8::try_from(entry.percent).unwrap_or(u8::MAX);
-        let runs = running.iter().filter(|_| is_slow);
+        let runs = running.iter().filter(|_| is_slow).take(MAX_RUNS_PER_RECORD);
         Self { is_slow, progress: runs.map(|entry| (entry.run, percent(entry))).collect() }
     }
 }
--- a/crates/dispatch/tests/malformed_messages.rs
+++ b/crates/dispatch/tests/malformed_messages.rs
@@ -59,7 +59,7 @@
 
 #[tokio::test]
 async fn an_answer_of_an_unknown_variant_is_a_decoding_error() {
-    for kind in [7, 100, 251, 253, 255] {
+    for kind in [8, 100, 251, 253, 255] {
         let result = receive_answer([kind; LENGTH]).await;
         assert!(matches!(result, Err(LinkError::Decode { .. })), "{kind}: {result:?}");
     }
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -65,14 +65,18 @@
 
 impl From<WriteError> for ApiError {
     fn from(error: WriteError) -> Self {
-        let (kind, outcome) = match error {
-            WriteError::NotWritten => ("log_unavailable", ErrorOutcome::NotRun),
-            WriteError::QueueFull => ("overloaded", ErrorOutcome::NotRun),
-            WriteError::Unknown => ("answer_outstanding", ErrorOutcome::Unknown),
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        let (status, kind, outcome) = match error {
+            WriteError::NotWritten => (unavailable, "log_unavailable", ErrorOutcome::NotRun),
+            WriteError::Rejected => {
+                (StatusCode::PAYLOAD_TOO_LARGE, "record_rejected", ErrorOutcome::NotRun)
+            }
+            WriteError::QueueFull => (unavailable, "overloaded", ErrorOutcome::NotRun),
+            WriteError::Unknown => (unavailable, "answer_outstanding", ErrorOutcome::Unknown),
         };
         Self {
             kind: SmolStr::new(kind),
-            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            status: status.as_u16(),
             detail: error.to_string(),
             outcome,
         }
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -3,9 +3,11 @@
 //! A batch keeps its identity over all retries, so that a duplicate in the log is applied once. A
 //! caller gets [`WriteError::NotWritten`] only if its record was never sent, or if the log service
 //! definitely refused it. After a lost response it gets [`WriteError::Unknown`], and the batch is
-//! retried until it is in the log.
+//! retried until it is in the log. A record that the log does not take at all is dropped, so that it
+//! stops no other, and its caller gets [`WriteError::Rejected`].
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -50,6 +52,7 @@
 const QUEUED: u8 = 0;
 const SENT: u8 = 1;
 const ABANDONED: u8 = 2;
+const REJECTED: u8 = 3;
 
 /// Reason for which a write returned no outcome of its record.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -57,6 +60,9 @@
     /// The record is certainly not in the log and never will be.
     #[snafu(display("the log takes no records now; nothing was done"))]
     NotWritten,
+    /// The log takes no such record, for example because it is too large; it was not written.
+    #[snafu(display("the log does not take the record; nothing was done"))]
+    Rejected,
     /// Too many records wait to be appended; the record was not written.
     #[snafu(display("too many records wait for the log; nothing was done"))]
     QueueFull,
@@ -91,6 +97,21 @@
     fn transition(&self, from: u8, to: u8) -> bool {
         self.stage.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
+
+    /// Ends the request: the log does not take its record.
+    fn reject(self) {
+        self.stage.store(REJECTED, Ordering::Release);
+    }
+}
+
+/// A batch with its encoding and the requests that it carries out.
+struct EncodedBatch<F>
+where
+    F: ReplicatedState,
+{
+    batch: Batch<F::Record>,
+    body: Bytes,
+    requests: Vec<WriteRequest<F>>,
 }
 
 type PendingWrites<O> = BTreeMap<RecordId, oneshot::Sender<AppliedRecord<O>>>;
@@ -144,6 +165,7 @@
             applied_sequence: applied_sequence.subscribe(),
             incarnation,
             sequence: 0,
+            held_back: VecDeque::new(),
             wall_clock: Box::new(wall_clock),
         };
         tokio::spawn(task.run());
@@ -242,10 +264,19 @@
         deadline: Instant,
         grace: Duration,
     ) -> Result<AppliedRecord<O>, WriteError> {
-        if let Ok(Ok(applied)) = tokio::time::timeout_at(deadline, &mut self.receiver).await {
-            return Ok(applied);
+        match tokio::time::timeout_at(deadline, &mut self.receiver).await {
+            Ok(Ok(applied)) => Ok(applied),
+            Ok(Err(_)) => Err(self.dropped_error()),
+            Err(_) => self.abandon(deadline + grace).await,
+        }
+    }
+
+    /// Why the writer dropped the record without an outcome.
+    fn dropped_error(&self) -> WriteError {
+        match self.stage.load(Ordering::Acquire) {
+            REJECTED => WriteError::Rejected,
+            _ => WriteError::Unknown,
         }
-        self.abandon(deadline + grace).await
     }
 
     /// Withdraws the record once it is certainly not in flight. An append in flight at the deadline
@@ -261,7 +292,8 @@
             }
             match tokio::time::timeout(OUTCOME_CHECK_INTERVAL, &mut self.receiver).await {
                 Err(_) if Instant::now() < until => {}
-                Err(_) | Ok(Err(_)) => return Err(WriteError::Unknown),
+                Err(_) => return Err(WriteError::Unknown),
+                Ok(Err(_)) => return Err(self.dropped_error()),
                 Ok(Ok(applied)) => return Ok(applied),
             }
         }
@@ -280,6 +312,8 @@
     applied_sequence: watch::Receiver<u64>,
     incarnation: u64,
     sequence: u64,
+    /// Queued requests that did not fit into the last batch; they precede those of the receiver.
+    held_back: VecDeque<WriteRequest<F>>,
     wall_clock: Box<dyn Fn() -> u64 + Send>,
 }
 
@@ -302,34 +336,96 @@
     ) -> Option<Vec<WriteRequest<F>>> {
         let mut requests = retried;
         while requests.is_empty() {
-            requests.push(self.receiver.recv().await?);
+            let held_back = self.held_back.pop_front();
+            requests.push(match held_back {
+                Some(request) => request,
+                None => self.receiver.recv().await?,
+            });
             while requests.len() < F::MAX_BATCH_RECORDS {
-                let Ok(request) = self.receiver.try_recv() else { break };
+                let held_back = self.held_back.pop_front();
+                let Some(request) = held_back.or_else(|| self.receiver.try_recv().ok()) else {
+                    break;
+                };
                 requests.push(request);
             }
-            requests.retain(|request| request.transition(QUEUED, SENT));
+            requests = mark_sent(requests);
         }
         Some(requests)
     }
 
+    /// Queues requests that are marked as sent again, in front of the others.
+    fn hold_back(&mut self, requests: Vec<WriteRequest<F>>) {
+        for request in requests.into_iter().rev() {
+            request.transition(SENT, QUEUED);
+            self.held_back.push_front(request);
+        }
+    }
+
+    /// Encodes the first of the requests as a batch, as many as it can hold, and holds back the others.
+    /// `None` if the log can't take the first one.
+    fn encode_batch(&mut self, mut requests: Vec<WriteRequest<F>>) -> Option<EncodedBatch<F>> {
+        loop {
+            let batch = Batch {
+                writer: self.incarnation,
+                sequence: self.sequence + 1,
+                at_ms: (self.wall_clock)(),
+                records: requests.iter().map(|request| request.record.clone()).collect(),
+            };
+            match codec::encode(&batch) {
+                Err(error) => {
+                    log::error!("dropping {} records: {error}", requests.len());
+                    requests.into_iter().for_each(WriteRequest::reject);
+                    return None;
+                }
+                Ok(body) if body.len() <= F::MAX_BATCH_BYTES => {
+                    return Some(EncodedBatch { batch, body: Bytes::from(body), requests });
+                }
+                Ok(body) if requests.len() == 1 => {
+                    let (bytes, limit) = (body.len(), F::MAX_BATCH_BYTES);
+                    log::error!(bytes, limit; "dropping a record that is too large for the log");
+                    requests.into_iter().for_each(WriteRequest::reject);
+                    return None;
+                }
+                Ok(_) => {
+                    let rest = requests.split_off(requests.len().div_ceil(2));
+                    self.hold_back(rest);
+                }
+            }
+        }
+    }
+
+    /// Settles a batch that the log rejects. Its records are retried in smaller batches, so that only
+    /// those that the log can't take are dropped. Returns those for the next batch.
+    fn settle_rejected(
+        &mut self,
+        batch: Batch<F::Record>,
+        stages: Vec<Arc<AtomicU8>>,
+        is_certainly_absent: bool,
+    ) -> Vec<WriteRequest<F>> {
+        if !is_certainly_absent {
+            // An earlier attempt may yet be carried out, so the number of the batch is used up.
+            self.sequence = batch.sequence;
+            lock(&self.pending).retain(|id, _| id.sequence != batch.sequence);
+            return Vec::new();
+        }
+        let mut requests = mark_sent(self.unregister(batch, stages));
+        if requests.len() <= 1 {
+            requests.into_iter().for_each(WriteRequest::reject);
+            return Vec::new();
+        }
+        let rest = requests.split_off(requests.len().div_ceil(2));
+        self.hold_back(rest);
+        requests
+    }
+
     /// Appends one batch and returns the requests that are to be retried in another one.
     async fn append(
         &mut self,
         requests: Vec<WriteRequest<F>>,
         backoff: &mut Backoff,
     ) -> Vec<WriteRequest<F>> {
-        let batch = Batch {
-            writer: self.incarnation,
-            sequence: self.sequence + 1,
-            at_ms: (self.wall_clock)(),
-            records: requests.iter().map(|request| request.record.clone()).collect(),
-        };
-        let body = match codec::encode(&batch) {
-            Err(error) => {
-                log::error!("dropping {} records: {error}", requests.len());
-                return Vec::new();
-            }
-            Ok(body) => Bytes::from(body),
+        let Some(EncodedBatch { batch, body, requests }) = self.encode_batch(requests) else {
+            return Vec::new();
         };
         let stages = self.register(batch.sequence, requests);
         let mut is_certainly_absent = true;
@@ -348,6 +444,11 @@
                     log::warn!("the outcome of append {} is unknown: {reason}", batch.sequence);
                     is_certainly_absent = false;
                 }
+                Err(LogError::Rejected { reason }) => {
+                    let (sequence, records) = (batch.sequence, batch.records.len());
+                    log::error!(sequence, records, bytes = body.len(); "the log rejects an append: {reason}");
+                    return self.settle_rejected(batch, stages, is_certainly_absent);
+                }
                 Err(error) => {
                     log::warn!("append {} was refused: {error}", batch.sequence);
                     if is_certainly_absent {
--- a/crates/ledger/src/replicated_state.rs
+++ b/crates/ledger/src/replicated_state.rs
@@ -29,6 +29,8 @@
 
     /// Maximum number of records in one append.
     const MAX_BATCH_RECORDS: usize;
+    /// Maximum size of an encoded batch, in bytes: what the log takes in one entry.
+    const MAX_BATCH_BYTES: usize = 240 * 1024;
 
     /// Offset of the next batch.
     fn offset(&self) -> u64;
--- a/crates/protocol/src/relay_message.rs
+++ b/crates/protocol/src/relay_message.rs
@@ -90,4 +90,9 @@
         /// Description of the cause.
         reason: String,
     },
+    /// The log does not take the entry, now or later.
+    Rejected {
+        /// Description of the cause.
+        reason: String,
+    },
 }
--- a/crates/resources/src/http_log.rs
+++ b/crates/resources/src/http_log.rs
@@ -84,9 +84,9 @@
 
 fn failed_status(response: &CallResponse) -> LogError {
     let reason = format!("status {}", response.status);
-    if response.status == StatusCode::GATEWAY_TIMEOUT {
-        LogError::Uncertain { reason }
-    } else {
-        LogError::Unavailable { reason }
+    match response.status {
+        StatusCode::GATEWAY_TIMEOUT => LogError::Uncertain { reason },
+        StatusCode::PAYLOAD_TOO_LARGE => LogError::Rejected { reason },
+        _ => LogError::Unavailable { reason },
     }
 }
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -83,6 +83,12 @@
         /// Description of the cause.
         reason: String,
     },
+    /// The service does not take the entry, now or later; nothing was appended.
+    #[snafu(display("the log rejects the entry: {reason}"))]
+    Rejected {
+        /// Description of the cause.
+        reason: String,
+    },
     /// There was no answer, or an unclear one; an append may have taken effect.
     #[snafu(display("no answer from the log: {reason}"))]
     Uncertain {
@@ -100,8 +106,8 @@
     /// Appends one entry and returns its offset.
     ///
     /// # Errors
-    /// [`LogError::Unavailable`] when nothing was appended, [`LogError::Uncertain`] when the entry
-    /// may have been appended.
+    /// [`LogError::Unavailable`] or [`LogError::Rejected`] when nothing was appended,
+    /// [`LogError::Uncertain`] when the entry may have been appended.
     async fn append(&self, stream: LogStream, body: Bytes) -> Result<u64, LogError>;
 
     /// Appends consecutive entries, atomically where the service supports it, and returns the
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -117,6 +117,9 @@
         LogError::Unavailable { reason } => {
             (StatusCode::SERVICE_UNAVAILABLE, reason.clone()).into_response()
         }
+        LogError::Rejected { reason } => {
+            (StatusCode::PAYLOAD_TOO_LARGE, reason.clone()).into_response()
+        }
         LogError::Uncertain { reason } => {
             (StatusCode::GATEWAY_TIMEOUT, reason.clone()).into_response()
         }
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -1,5 +1,6 @@
 //! Effects of records about runs.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use smol_str::SmolStr;
@@ -70,20 +71,21 @@
         spec: &StepSpec,
         tasks: &[TaskPlacement],
     ) -> Result<(), GraphRefusal> {
+        let mut counts: BTreeMap<WorkerKey, u32> = BTreeMap::new();
         for task in tasks {
-            let worker = task.worker;
+            *counts.entry(task.worker).or_default() += 1;
+        }
+        for (worker, count) in counts {
             let state = self.workers.get(&worker).context(UnknownWorkerSnafu { worker })?;
             ensure!(state.is_ready(), WorkerNotReadySnafu { worker });
             let is_feasible = state.spec.service == job.terms.service
                 && state.has_label(spec.required_label.as_ref());
             ensure!(is_feasible, WorkerUnfitSnafu { worker, step });
-            let count = tasks.iter().filter(|other| other.worker == worker).count();
-            let count = u32::try_from(count).unwrap_or(u32::MAX);
             let has_capacity = state.free().covers(&spec.held_resources().scaled(count));
             ensure!(has_capacity, NoRoomSnafu { worker, step });
             let limit = spec.max_per_worker;
-            let held = state.runs.keys().filter(|run| run.task.step == step).count();
-            let is_within_limit = limit == 0 || held + count as usize <= limit as usize;
+            let held = || state.runs.keys().filter(|run| run.task.step == step).count();
+            let is_within_limit = limit == 0 || held() + count as usize <= limit as usize;
             ensure!(is_within_limit, WorkerUnfitSnafu { worker, step });
         }
         Ok(())
@@ -283,10 +285,11 @@
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(state) = job.step_state_mut(step.occurrence, step.step) else { return };
         if spec.gang {
-            state.tasks.iter_mut().for_each(|task| task.is_done = true);
-        } else if let Some(task) = state.tasks.get_mut(index as usize) {
-            task.is_done = true;
-            let copies = task.current.clone();
+            (0..spec.count).for_each(|member| state.complete(member));
+        } else {
+            state.complete(index);
+            let task = state.tasks.get(index as usize);
+            let copies = task.map(|task| task.current.clone()).unwrap_or_default();
             for copy in copies {
                 let run = RunKey { task: step.task(index), run: copy.run };
                 self.stop_run(copy.worker, run, StopCause::Superseded);
--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -1,8 +1,11 @@
 //! Free capacity of all workers during one planning round, after the round's own allocations.
 
+use std::collections::BTreeSet;
+
 use smol_str::SmolStr;
 
 use crate::graph_state::GraphState;
+use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_terms::JobTerms;
 use crate::job_terms::URGENT_PRIORITY;
@@ -21,6 +24,11 @@
 /// whole fleet out of use.
 const MAX_QUARANTINED_DIVISOR: usize = 3;
 
+/// Number of runs on a worker beyond which tasks are placed there only if their job has no run at all.
+/// An agent starts and lists each run by itself, on a small share of a processor; workers that are full
+/// of ordinary tasks have far fewer.
+const MAX_RUNS_PER_WORKER: usize = 256;
+
 /// Requirements that a step has of workers.
 #[derive(Clone, Copy, Debug)]
 pub struct StepRequest<'a> {
@@ -34,6 +42,8 @@
     pub failed_workers: &'a [WorkerKey],
     /// Whether slow workers are excluded.
     pub avoids_slow_workers: bool,
+    /// Whether no task of the step's job is placed.
+    pub is_first: bool,
     /// Advice on the workers that may run the step; `None` if all may.
     pub advice: Option<AdviceView<'a>>,
 }
@@ -113,7 +123,16 @@
 
     /// How many of the step's tasks fit into the free capacity.
     pub fn fit_count(&self, request: &StepRequest<'_>) -> u32 {
-        self.fit_count_in(self.free, request)
+        let count = self.fit_count_in(self.free, request);
+        let StepSpec { gang, long_running, resources, .. } = request.spec;
+        // Accelerators limit the number of tasks that use them.
+        if *gang || *long_running || resources.accelerators > 0 {
+            return count;
+        }
+        let placed: u32 = self.placed.iter().map(|(_, count)| count).sum();
+        let runs = self.state.runs.len().saturating_add(placed as usize);
+        let remaining = MAX_RUNS_PER_WORKER.saturating_sub(runs).max(usize::from(request.is_first));
+        count.min(u32::try_from(remaining).unwrap_or(u32::MAX))
     }
 
     fn tasks_of(&self, step: StepKey) -> u32 {
@@ -129,6 +148,8 @@
 pub struct CapacityMap<'a> {
     /// Workers, ordered by key.
     pub workers: Vec<WorkerCapacity<'a>>,
+    /// Jobs with a placed task.
+    placed_jobs: BTreeSet<JobId>,
 }
 
 impl<'a> CapacityMap<'a> {
@@ -149,7 +170,14 @@
                 quarantine_budget -= 1;
             }
         }
-        Self { workers }
+        let runs = state.workers.values().flat_map(|worker| worker.runs.keys());
+        let placed_jobs = runs.map(|run| run.task.step.job).collect();
+        Self { workers, placed_jobs }
+    }
+
+    /// Whether no task of a job is placed, not even by this round.
+    pub fn is_unplaced(&self, job: JobId) -> bool {
+        !self.placed_jobs.contains(&job)
     }
 
     /// Names of all racks, sorted and without duplicates.
@@ -234,6 +262,7 @@
             worker.urgent_accelerators += taken.accelerators;
         }
         worker.placed.push((request.step, count));
+        self.placed_jobs.insert(request.step.job);
     }
 
     /// Counts the resources of a run as releasing, because this round stops the run.
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -432,7 +432,6 @@
     type Outcome = GraphOutcome;
     type Report = GraphReport;
 
-    /// Records of 4 KB each stay well below the 256 KiB that the log accepts in one append.
     const MAX_BATCH_RECORDS: usize = 48;
 
     fn offset(&self) -> u64 {
--- a/crates/taskgraph/src/job_state.rs
+++ b/crates/taskgraph/src/job_state.rs
@@ -87,16 +87,26 @@
     pub tasks: Vec<TaskState>,
     /// Last run of a gang that was counted as failed.
     pub last_failed_run: u32,
+    /// Number of tasks that are done.
+    done_count: u32,
 }
 
 impl StepState {
     pub(crate) fn new(count: u32) -> Self {
-        Self { tasks: vec![TaskState::default(); count as usize], last_failed_run: 0 }
+        Self { tasks: vec![TaskState::default(); count as usize], ..Self::default() }
     }
 
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.is_done)
+        self.done_count as usize >= self.tasks.len()
+    }
+
+    /// Marks a task as done.
+    pub(crate) fn complete(&mut self, index: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize).filter(|task| !task.is_done) {
+            task.is_done = true;
+            self.done_count += 1;
+        }
     }
 
     /// Whether any task has a current run.
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -25,6 +25,7 @@
 use crate::reclaim::VictimTable;
 use crate::reclaim::plan_reclaim;
 use crate::record::GraphRecord;
+use crate::record::MAX_RUNS_PER_RECORD;
 use crate::record::TaskPlacement;
 use crate::slow_worker_migration::slow_worker_migrations;
 use crate::step_queue::Timeliness;
@@ -133,19 +134,21 @@
                 }
             }
         }
-        if !runs.is_empty() {
-            let cause = StopCause::Draining;
-            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
-        }
+        self.stop_runs(StopCause::Draining, &runs);
     }
 
     /// Stops runs on slow workers that finish sooner elsewhere, using capacity that no waiting step
     /// needs.
     fn stop_on_slow_workers(&mut self, state: &GraphState) {
         let runs = slow_worker_migrations(state, &mut self.map, self.now_ms);
-        if !runs.is_empty() {
-            let cause = StopCause::Slow;
-            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
+        self.stop_runs(StopCause::Slow, &runs);
+    }
+
+    /// Adds the records that stop runs to the plan.
+    fn stop_runs(&mut self, cause: StopCause, runs: &[RunKey]) {
+        for runs in runs.chunks(MAX_RUNS_PER_RECORD) {
+            let (epoch, runs) = (self.epoch, runs.to_vec());
+            self.plan.records.push(GraphRecord::RunsStopped { epoch, cause, runs });
         }
     }
 
@@ -161,6 +164,7 @@
             terms: &waiting.job.terms,
             failed_workers: &failed_workers,
             avoids_slow_workers: false,
+            is_first: self.map.is_unplaced(waiting.key.job),
             advice: waiting
                 .job
                 .terms
@@ -180,7 +184,7 @@
         } else {
             StepRequest { failed_workers: &[], ..request }
         };
-        let count = waiting.count;
+        let count = round_count(waiting);
         let placeable_count = self.placeable_count(state, waiting, count);
         if placeable_count == 0 {
             let is_kept = self.reserved_accelerators(state, waiting) > 0
@@ -419,8 +423,7 @@
         let runs: Vec<RunKey> = found.victims.into_iter().collect();
         if !runs.is_empty() {
             self.victims.remove(&runs);
-            let cause = StopCause::Reclaimed;
-            self.plan.records.push(GraphRecord::RunsStopped { epoch: self.epoch, cause, runs });
+            self.stop_runs(StopCause::Reclaimed, &runs);
         }
         self.plan
             .unplaced
@@ -429,6 +432,14 @@
     }
 }
 
+/// Number of the step's waiting tasks that one round considers. The next round follows at once.
+fn round_count(waiting: &WaitingStep<'_>) -> u32 {
+    if waiting.spec.gang {
+        return waiting.count;
+    }
+    waiting.count.min(u32::try_from(MAX_RUNS_PER_RECORD).unwrap_or(u32::MAX))
+}
+
 /// Whether an allocation lets a step begin: all members of a gang, or any of its independent tasks.
 fn is_enough(waiting: &WaitingStep<'_>, allocation: &[(usize, u32)], count: u32) -> bool {
     let found: u32 = allocation.iter().map(|(_, count)| count).sum();
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -18,6 +18,10 @@
 use crate::worker::WorkerKey;
 use crate::worker::WorkerSpec;
 
+/// Maximum number of runs that one record names, except for a gang, which is placed as a whole. With
+/// the longest keys and checkpoints of 200 bytes each, such a record fits into one batch.
+pub const MAX_RUNS_PER_RECORD: usize = 1_000;
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/taskgraph/src/slow_worker_migration.rs
+++ b/crates/taskgraph/src/slow_worker_migration.rs
@@ -106,6 +106,7 @@
         spec: slow.spec,
         terms: &slow.job.terms,
         failed_workers: &failed_workers,
+        is_first: false,
         avoids_slow_workers: true,
         advice: None,
     };
--- a/crates/taskgraph/tests/graph/planning.rs
+++ b/crates/taskgraph/tests/graph/planning.rs
@@ -1,9 +1,15 @@
 //! Decisions of planning rounds.
 
+use cuminbarrow_ledger::batch::Batch;
+use cuminbarrow_ledger::codec;
+use cuminbarrow_ledger::replicated_state::ReplicatedState;
+use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_spec::MAX_STEP_TASKS;
 use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::resource_amounts::ResourceAmounts;
 use cuminbarrow_taskgraph::worker::StopCause;
 use cuminbarrow_taskgraph::worker::WorkerKey;
 
@@ -209,3 +215,49 @@
     assert_eq!(graph.plan().records, []);
     assert_eq!(graph.runs_of(long_running).len(), 4);
 }
+
+/// Guards against placements that no log takes: those of one wide job exceeded a record, and nothing of
+/// any job was placed any more.
+#[test]
+fn placements_of_wide_jobs_fit_into_batches() {
+    let mut graph = GraphBuilder::new(1, 4);
+    let mut step = tasks(MAX_STEP_TASKS, 0);
+    step.resources = ResourceAmounts { cpu_millis: 1, ..ResourceAmounts::default() };
+    let wide = graph.submit(1, 1, vec![step; 8]);
+    let other = graph.submit(2, 1, vec![tasks(1, 1)]);
+    let plan = graph.plan();
+    for record in &plan.records {
+        let batch =
+            Batch { writer: u64::MAX, sequence: u64::MAX, at_ms: u64::MAX, records: vec![record] };
+        let bytes = codec::encode(&batch).unwrap().len();
+        assert!(bytes <= GraphState::MAX_BATCH_BYTES, "a record of {bytes} bytes");
+    }
+    assert_eq!(graph.runs_of(other).len(), 1, "the other job is placed in the first round");
+    let placed = graph.runs_of(wide);
+    for (run, worker) in &placed[..placed.len() / 2] {
+        graph.end(*run, *worker, EndKind::Done).unwrap();
+    }
+    graph.plan();
+    assert!(graph.runs_of(wide).len() > placed.len() / 2, "the next round goes on");
+}
+
+/// Guards against agents that are flooded with orders, and against jobs that wait for their end: beside
+/// the tasks of a wide job, another job begins.
+#[test]
+fn workers_are_not_flooded_with_small_tasks() {
+    let mut graph = GraphBuilder::new(1, 2);
+    let small = |count| {
+        let resources = ResourceAmounts { cpu_millis: 1, ..ResourceAmounts::default() };
+        StepSpec { resources, ..tasks(count, 0) }
+    };
+    let wide = graph.submit(1, 1, vec![small(MAX_STEP_TASKS)]);
+    (0..4).for_each(|_| _ = graph.plan());
+    let runs = graph.runs_of(wide).len();
+    assert!((100..=1_000).contains(&runs), "{runs} runs on two workers");
+    let other = graph.submit(2, 1, vec![small(100)]);
+    graph.plan();
+    assert!(!graph.runs_of(other).is_empty(), "the other job begins");
+    let accelerated = graph.submit(3, 1, vec![tasks(4, 1)]);
+    graph.plan();
+    assert_eq!(graph.runs_of(accelerated).len(), 4, "accelerators bound the number of tasks");
+}
