Write the cancel of an unknown job to the log before it is answered

Cause: the 410 rested on a read of the log that did not show the job, and left no trace. Two appends of the submission were carried out after that, one late by the store and one repeated by the first entry, and the job was accepted as usual. No read helps, since what comes later is not in it.

Change: the cancel of a job that the entry does not have is a record with the caller's team and queue, and is answered 410 once it is applied. The answer no longer waits for a read of the log.

Changed: a cancel at an entry that the log does not answer now ends as unknown (504) or not done (503), by when the entry notices; both acknowledge nothing, and the job must still be there, as before.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -29,7 +29,7 @@
 const MIN_WRITE_TIME: Duration = Duration::from_millis(300);
 /// Patience of callers that do not tell theirs, and the maximum of those that do.
 pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
-/// Maximum time that a query or a cancellation waits for the replica to be fresh.
+/// Maximum time that a query waits for the replica to be fresh.
 const FRESH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Minimum retry delay given to callers while the log accepts no records. The delay grows with the
 /// outage, because an outage that has lasted for a while lasts about as long again, and a caller that
@@ -130,39 +130,55 @@
         }
     }
 
-    /// Cancels a job of a queue. `patience` is the time that the caller waits for the answer. The caller
-    /// relies on a missing job to start nothing, so the job is missing only if a read begun after this
-    /// call has not shown it.
+    /// Cancels a job of a queue for a team. `patience` is the time that the caller waits for the answer.
+    /// The caller relies on a missing job to start nothing, but its submission may still be on its way
+    /// to the log. The job is therefore missing only once the log has the cancellation.
     ///
     /// # Errors
     /// [`JobServiceError`].
     pub async fn cancel(
         &self,
         queue: &str,
+        team: &SmolStr,
         job: JobId,
         patience: Duration,
     ) -> Result<(), JobServiceError> {
-        if self.known_status(queue, job).is_none() {
-            self.wait_until_read_after(self.replica.clock.now_ms()).await?;
-        }
-        match self.known_status(queue, job).ok_or(JobServiceError::NoJob)? {
-            JobStatus::Cancelled => return Ok(()),
-            JobStatus::Completed | JobStatus::Failed => return Err(JobServiceError::NoJob),
-            JobStatus::Queued | JobStatus::Running => {}
-        }
+        let record = match self.known_status(queue, job) {
+            Some(JobStatus::Cancelled) => return Ok(()),
+            Some(JobStatus::Completed | JobStatus::Failed) => return Err(JobServiceError::NoJob),
+            Some(JobStatus::Queued | JobStatus::Running) => GraphRecord::JobCancelled { job },
+            None => {
+                self.check_unknown(queue, team, job)?;
+                let (queue, team) = (queue.into(), team.clone());
+                GraphRecord::UnknownJobCancelled { job, queue, team }
+            }
+        };
         self.check_writable()?;
-        let record = GraphRecord::JobCancelled { job };
         let outcome = self.write(record, patience).await?;
         match outcome {
+            Ok(GraphEffect::CancelledEarly) => Err(JobServiceError::NoJob),
             Ok(_) => Ok(()),
             Err(GraphRefusal::JobEnded { .. }) => match self.known_status(queue, job) {
                 Some(JobStatus::Cancelled) => Ok(()),
                 _ => Err(JobServiceError::NoJob),
             },
+            Err(GraphRefusal::TooManyCancellations { .. }) => Err(too_many_cancellations()),
             Err(_) => Err(JobServiceError::NoJob),
         }
     }
 
+    /// Fails if the cancellation of an unknown job needs no record, or would be refused.
+    fn check_unknown(&self, queue: &str, team: &str, job: JobId) -> Result<(), JobServiceError> {
+        let state = self.replica.state();
+        if state.early_cancellations.contains(team, queue, job) {
+            return Err(JobServiceError::NoJob);
+        }
+        if state.early_cancellations.is_full(team) {
+            return Err(too_many_cancellations());
+        }
+        Ok(())
+    }
+
     /// Writes a caller's record, and leaves the caller time for a second attempt.
     async fn write(
         &self,
@@ -239,21 +255,11 @@
         }
         Err(behind_the_log())
     }
+}
 
-    /// Waits until the state is that of a read of the log begun after `since_ms`, on the boot-time clock.
-    async fn wait_until_read_after(&self, since_ms: u64) -> Result<(), JobServiceError> {
-        let mut confirmed = self.replica.log.confirmed();
-        let mut applied = self.replica.applied();
-        let wait = async {
-            while self.replica.confirmed_ms().is_none_or(|at_ms| at_ms <= since_ms) {
-                tokio::select! {
-                    _ = confirmed.changed() => {}
-                    _ = applied.changed() => {}
-                }
-            }
-        };
-        tokio::time::timeout(FRESH_TIMEOUT, wait).await.map_err(|_| behind_the_log())
-    }
+fn too_many_cancellations() -> JobServiceError {
+    let reason = "too many cancellations of unknown jobs are kept";
+    JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
 }
 
 fn behind_the_log() -> JobServiceError {
--- a/crates/taskgraph/src/apply_jobs.rs
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use smol_str::SmolStr;
 use snafu::OptionExt;
 use snafu::ensure;
 
@@ -14,6 +15,7 @@
 use crate::job_state::JobState;
 use crate::job_terms::JobTerms;
 use crate::refusal::JobEndedSnafu;
+use crate::refusal::TooManyCancellationsSnafu;
 use crate::refusal::UnknownJobSnafu;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
@@ -42,9 +44,34 @@
         };
         self.jobs.insert(job, state);
         self.active.insert(job);
+        if self.early_cancellations.take(&terms.team, &terms.queue, job) {
+            self.end_job(job, JobPhase::Cancelled { at_ms: self.clock_ms });
+        }
         GraphEffect::Job { queue: terms.queue.clone() }
     }
 
+    /// Cancels a job that its caller's entry did not have, or keeps the cancellation for a submission
+    /// that comes to the log later.
+    pub(crate) fn unknown_job_cancelled(
+        &mut self,
+        job: JobId,
+        queue: &SmolStr,
+        team: &SmolStr,
+    ) -> GraphOutcome {
+        if let Some(known) = self.jobs.get(&job) {
+            let is_visible =
+                known.terms.queue == *queue && (team.is_empty() || known.terms.team == *team);
+            ensure!(is_visible, UnknownJobSnafu { job });
+            return self.job_cancelled(job);
+        }
+        if !self.early_cancellations.contains(team, queue, job) {
+            let is_full = self.early_cancellations.is_full(team);
+            ensure!(!is_full, TooManyCancellationsSnafu { team: team.clone() });
+            self.early_cancellations.insert(team.clone(), queue.clone(), job, self.clock_ms);
+        }
+        Ok(GraphEffect::CancelledEarly)
+    }
+
     pub(crate) fn job_cancelled(&mut self, job: JobId) -> GraphOutcome {
         let state = self.jobs.get(&job).context(UnknownJobSnafu { job })?;
         ensure!(state.is_active(), JobEndedSnafu { job });
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 use snafu::ensure;
 
+use crate::early_cancellations::EarlyCancellations;
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
@@ -113,6 +114,8 @@
         /// Queue that accepted the job.
         queue: SmolStr,
     },
+    /// There is no such job. If it is submitted later, it counts as cancelled.
+    CancelledEarly,
     /// The ends of runs were processed.
     Ended {
         /// Runs that finished, but whose tasks had already been restarted. Their ends must not be
@@ -169,6 +172,8 @@
     pub(crate) advice: BTreeMap<StepKey, StepAdvice>,
     /// Workers that were slow according to the latest report.
     pub(crate) slow_workers: BTreeMap<WorkerKey, SlowWorker>,
+    /// Cancellations of jobs that are not known, kept as long as ended jobs.
+    pub early_cancellations: EarlyCancellations,
 }
 
 impl GraphState {
@@ -211,10 +216,12 @@
         let jump_ms = advance_ms.saturating_sub(MAX_RETENTION_ADVANCE_MS);
         if jump_ms > 0 {
             self.ended.iter_mut().for_each(|(kept_from_ms, _)| *kept_from_ms += jump_ms);
+            self.early_cancellations.prolong(jump_ms);
         }
     }
 
     fn remove_expired_jobs(&mut self) {
+        self.early_cancellations.expire(self.clock_ms.saturating_sub(ENDED_JOB_RETENTION_MS));
         while let Some(&(kept_from_ms, job)) = self.ended.front() {
             if kept_from_ms + ENDED_JOB_RETENTION_MS > self.clock_ms {
                 return;
@@ -311,6 +318,9 @@
             GraphRecord::WorkerSpeedReported { worker, is_slow, progress } => {
                 self.worker_speed_reported(*worker, *is_slow, progress)
             }
+            GraphRecord::UnknownJobCancelled { job, queue, team } => {
+                self.unknown_job_cancelled(*job, queue, team)
+            }
             GraphRecord::RunsStarted { runs } => Ok(self.runs_started(runs)),
             GraphRecord::PlannerRenewed { epoch } => {
                 self.check_epoch(*epoch).map(|()| GraphEffect::Done)
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -265,4 +265,13 @@
         /// Keys of the runs.
         runs: Vec<RunKey>,
     },
+    /// A caller cancelled a job that the entry did not have.
+    UnknownJobCancelled {
+        /// Identity of the job.
+        job: JobId,
+        /// Queue of the caller.
+        queue: SmolStr,
+        /// Team of the caller; empty if it has none.
+        team: SmolStr,
+    },
 }
--- a/crates/taskgraph/src/refusal.rs
+++ b/crates/taskgraph/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Reasons why a record was refused.
 
+use smol_str::SmolStr;
 use snafu::Snafu;
 
 use crate::job_id::JobId;
@@ -11,6 +12,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum GraphRefusal {
+    /// Too many cancellations of unknown jobs are kept for the team.
+    #[snafu(display("too many cancellations of unknown jobs are kept for team {team:?}"))]
+    TooManyCancellations {
+        /// Name of the team.
+        team: SmolStr,
+    },
     /// The batch was already applied.
     #[snafu(display("the batch was already applied"))]
     Duplicate,
--- a/crates/taskgraph/tests/graph/record_effects.rs
+++ b/crates/taskgraph/tests/graph/record_effects.rs
@@ -298,6 +298,30 @@
     assert!(!graph.state.jobs[&job].has_started);
 }
 
+/// Guards against cancellations of unknown jobs that are kept without bounds.
+#[test]
+fn cancellations_of_unknown_jobs_are_bounded_in_number_and_time() {
+    let mut graph = GraphBuilder::new(1, 1);
+    let cancel = |job: u64, team: &str| GraphRecord::UnknownJobCancelled {
+        job: JobId(job),
+        queue: "queue".into(),
+        team: team.into(),
+    };
+    let mut kept = 0;
+    while graph.apply(cancel(1_000 + kept, "team")).is_ok() {
+        kept += 1;
+        assert!(kept <= 10_000, "no bound");
+    }
+    let refusal = GraphRefusal::TooManyCancellations { team: "team".into() };
+    assert_eq!(graph.apply(cancel(1, "team")), Err(refusal));
+    assert_eq!(graph.apply(cancel(1, "other")), Ok(GraphEffect::CancelledEarly));
+    assert_eq!(graph.apply(cancel(1_000, "team")), Ok(GraphEffect::CancelledEarly), "again");
+    graph.renew_for(200_000);
+    assert_eq!(graph.state.early_cancellations, Default::default());
+    let job = graph.submit(1_000, 1, vec![tasks(1, 1)]);
+    assert_eq!(graph.state.jobs[&job].phase, JobPhase::Active);
+}
+
 /// Guards against records of a replaced agent that reach the log after its successor has
 /// registered: they would release resources of runs that are still running.
 #[test]
