--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -227,8 +227,8 @@
         }
     }
 
-    /// Applies the batches that the log retains beyond its history, after the latest snapshot if that is
-    /// newer than the current state.
+    /// Applies the batches that the log retains beyond its history. If the latest snapshot is newer than
+    /// the current state, the state is replaced with it first.
     async fn restore_retained(
         &self,
         store: &dyn LogStore,
@@ -265,7 +265,8 @@
         }
         let from = self.state().offset();
         for offset in from..retained.end {
-            // A missing entry has no effect: it was dropped together with a later one, or drops others.
+            // The snapshot covers every batch that was dropped. An offset that is missing after it is
+            // that of a record which only drops keys.
             let body = retained.entries.get(&offset).map_or(&[][..], Vec::as_slice);
             self.apply_batch(offset, &decode_batch(offset, body)?, observer);
         }
--- a/crates/resources/src/log_store.rs
+++ b/crates/resources/src/log_store.rs
@@ -56,7 +56,7 @@
 
 /// What the service retains of the record stream beyond its history.
 ///
-/// Entries may be missing, but only those that the latest complete snapshot covers.
+/// All entries are there that the latest complete snapshot does not cover, except those without content.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RetainedLog {
     /// Retained entries by offset, up to `end`.
