Record the start of a job a moment later, unless another agent has done so

Each record reaches some 300 agents, and the tasks of a job often start on several workers at once, each of whose agents appended one.

Change: an agent waits for 0.2 to 1 s and writes only what its replica doesn't know by then. A count of jobs that have not started may be 2 s old.

--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -1,15 +1,18 @@
 //! The records that an agent appends about the runs on its worker: starts, ends, checkpoints, stalls and
 //! speed.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
+use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::MAX_RUNS_PER_RECORD;
 use cuminbarrow_taskgraph::record::RunEnd;
 use cuminbarrow_taskgraph::task_key::RunKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
+use rand::RngExt;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -23,6 +26,11 @@
 /// one.
 const CHECKPOINT_INTERVAL_FACTOR: u32 = 20;
 
+/// Delay after which the start of a job's first task is recorded, in ms. Each record reaches all agents,
+/// and the tasks of a job often start on several workers at once. Counts of jobs that have not started
+/// may be 2 s old.
+const START_REPORT_DELAY_MS: RangeInclusive<u64> = 200..=1_000;
+
 impl AgentCore {
     /// Records run ends in the log, pending ones together.
     pub(crate) async fn report_ends(&self) {
@@ -42,14 +50,22 @@
         }
     }
 
-    /// Records in the log the jobs whose first task has started. A lost record needs no retry: a run
-    /// that goes on is reported again after the next poll, and the end of another one shows that it
-    /// started.
+    /// Records in the log the jobs whose first task has started, after a delay in which another agent
+    /// may do so. A lost record needs no retry: a run that goes on is reported again after the next
+    /// poll, and the end of another one shows that it started.
     pub(crate) async fn report_starts(&self) {
         loop {
             self.wake_start_reports.notified().await;
+            let delay_ms = rand::rng().random_range(START_REPORT_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             let started = std::mem::take(&mut self.session().started);
-            let runs: Vec<RunKey> = started.into_values().collect();
+            let runs: Vec<RunKey> = {
+                let state = self.replica.state();
+                let is_news =
+                    |job: &JobId| state.jobs.get(job).is_some_and(|known| !known.has_started);
+                let news = started.into_iter().filter(|(job, _)| is_news(job));
+                news.map(|(_, run)| run).collect()
+            };
             for runs in runs.chunks(MAX_RUNS_PER_RECORD) {
                 let record = GraphRecord::RunsStarted { runs: runs.to_vec() };
                 if let Err(error) = self.replica.write_report(record).await {
