--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -146,7 +146,9 @@
             let now_ms = self.replica.clock.now_ms();
             session.leases.record(self.lease.latest_expiry_ms(now_ms));
             session.record_start(&self.replica.state(), run);
-            self.wake_start_reports.notify_one();
+            if !session.started.is_empty() {
+                self.wake_start_reports.notify_one();
+            }
         }
         if let Some(end) = session.table.start_answered(run, answer) {
             session.outgoing_ends.push((None, end));
--- a/crates/dispatch/src/agent_reports.rs
+++ b/crates/dispatch/src/agent_reports.rs
@@ -7,6 +7,7 @@
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_state::JobState;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::MAX_RUNS_PER_RECORD;
 use cuminbarrow_taskgraph::record::RunEnd;
@@ -61,8 +62,7 @@
             let started = std::mem::take(&mut self.session().started);
             let runs: Vec<RunKey> = {
                 let state = self.replica.state();
-                let is_news =
-                    |job: &JobId| state.jobs.get(job).is_some_and(|known| !known.has_started);
+                let is_news = |job: &JobId| state.jobs.get(job).is_some_and(JobState::is_pending);
                 let news = started.into_iter().filter(|(job, _)| is_news(job));
                 news.map(|(_, run)| run).collect()
             };
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -226,8 +226,8 @@
         let state = self.replica.state();
         let known = state.jobs.get(&job).filter(|known| known.terms.queue == queue)?;
         Some(match known.phase {
-            JobPhase::Active if known.has_started => JobStatus::Running,
-            JobPhase::Active => JobStatus::Queued,
+            JobPhase::Active if known.is_pending() => JobStatus::Queued,
+            JobPhase::Active => JobStatus::Running,
             JobPhase::Completed { .. } => JobStatus::Completed,
             JobPhase::Failed { .. } => JobStatus::Failed,
             JobPhase::Cancelled { .. } => JobStatus::Cancelled,
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -5,6 +5,7 @@
 
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_state::JobState;
 use cuminbarrow_taskgraph::lease_terms::ClockSample;
 use cuminbarrow_taskgraph::lease_terms::LEASE_EXPIRY_MARGIN_MS;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
@@ -198,7 +199,7 @@
     /// Queues a started run to be recorded in the log, unless its job has started before.
     pub(crate) fn record_start(&mut self, state: &GraphState, run: RunKey) {
         let job = run.task.step.job;
-        if state.jobs.get(&job).is_some_and(|known| known.is_active() && !known.has_started) {
+        if state.jobs.get(&job).is_some_and(JobState::is_pending) {
             self.started.insert(job, run);
         }
     }
--- a/crates/ledger/src/log_tail.rs
+++ b/crates/ledger/src/log_tail.rs
@@ -147,8 +147,7 @@
                     self.restore(&*store, &*observer, from, oldest).await
                 }
                 Err(error) => {
-                    self.record_read_failure(&error);
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    self.wait_after_failure(&error).await;
                     Ok(())
                 }
                 Ok(page) => self.apply_page(&page, &*observer),
@@ -160,11 +159,13 @@
         }
     }
 
-    /// Marks the replica as not current, and logs the first of several failed reads.
-    fn record_read_failure(&self, error: &LogError) {
+    /// Marks the replica as not current, logs the first of several failed reads, and waits before the
+    /// next one.
+    async fn wait_after_failure(&self, error: &LogError) {
         if self.is_current.swap(false, Ordering::AcqRel) {
             log::warn!("the log can't be read: {error}");
         }
+        tokio::time::sleep(RETRY_DELAY).await;
     }
 
     fn apply_page(&self, page: &LogPage, observer: &dyn BatchObserver<F>) -> Result<(), TailError> {
@@ -194,8 +195,7 @@
             Ok(None) => {}
             Ok(Some(state)) => {
                 log::info!("starting from the snapshot at offset {}", state.offset());
-                self.replace(state);
-                observer.state_replaced(&self.state());
+                self.restore_state(state, observer);
             }
         }
     }
@@ -211,14 +211,12 @@
     ) -> Result<(), TailError> {
         match snapshot::read_latest::<F>(store).await {
             Err(SnapshotError::Log { source }) => {
-                self.record_read_failure(&source);
-                tokio::time::sleep(RETRY_DELAY).await;
+                self.wait_after_failure(&source).await;
                 Ok(())
             }
             Ok(Some(state)) if state.offset() >= oldest && state.offset() > needed => {
                 log::info!("restored the snapshot at offset {}", state.offset());
-                self.replace(state);
-                observer.state_replaced(&self.state());
+                self.restore_state(state, observer);
                 Ok(())
             }
             Err(SnapshotError::Codec { .. } | SnapshotError::Unreadable { .. }) | Ok(_) => {
@@ -238,8 +236,7 @@
     ) -> Result<(), TailError> {
         let retained = match store.load_retained().await {
             Err(error) => {
-                self.record_read_failure(&error);
-                tokio::time::sleep(RETRY_DELAY).await;
+                self.wait_after_failure(&error).await;
                 return Ok(());
             }
             Ok(None) => return GapSnafu { needed, oldest }.fail(),
@@ -260,8 +257,7 @@
         }
         self.is_current.store(false, Ordering::Release);
         if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.offset() > needed) {
-            self.replace(snapshot);
-            observer.state_replaced(&self.state());
+            self.restore_state(snapshot, observer);
         }
         let from = self.state().offset();
         for offset in from..retained.end {
@@ -275,6 +271,12 @@
         Ok(())
     }
 
+    /// Replaces the state with one from a snapshot and informs the observer.
+    fn restore_state(&self, state: F, observer: &dyn BatchObserver<F>) {
+        self.replace(state);
+        observer.state_replaced(&self.state());
+    }
+
     /// Replaces the state with one from a snapshot or a peer, if that is newer.
     pub fn replace(&self, state: F) {
         let mut current = self.state.write().unwrap_or_else(PoisonError::into_inner);
--- a/crates/ledger/src/log_writer.rs
+++ b/crates/ledger/src/log_writer.rs
@@ -336,11 +336,9 @@
     ) -> Option<Vec<WriteRequest<F>>> {
         let mut requests = retried;
         while requests.is_empty() {
-            let held_back = self.held_back.pop_front();
-            requests.push(match held_back {
-                Some(request) => request,
-                None => self.receiver.recv().await?,
-            });
+            if self.held_back.is_empty() {
+                requests.push(self.receiver.recv().await?);
+            }
             while requests.len() < F::MAX_BATCH_RECORDS {
                 let held_back = self.held_back.pop_front();
                 let Some(request) = held_back.or_else(|| self.receiver.try_recv().ok()) else {
@@ -353,18 +351,24 @@
         Some(requests)
     }
 
-    /// Queues requests that are marked as sent again, in front of the others.
-    fn hold_back(&mut self, requests: Vec<WriteRequest<F>>) {
-        for request in requests.into_iter().rev() {
+    /// Narrows down requests whose batch the log does not take: returns the first half, and queues the
+    /// others again in front of the rest. A single request is dropped.
+    fn halve(&mut self, mut requests: Vec<WriteRequest<F>>) -> Vec<WriteRequest<F>> {
+        if requests.len() <= 1 {
+            requests.into_iter().for_each(WriteRequest::reject);
+            return Vec::new();
+        }
+        for request in requests.split_off(requests.len().div_ceil(2)).into_iter().rev() {
             request.transition(SENT, QUEUED);
             self.held_back.push_front(request);
         }
+        requests
     }
 
     /// Encodes the first of the requests as a batch, as many as it can hold, and holds back the others.
     /// `None` if the log can't take the first one.
     fn encode_batch(&mut self, mut requests: Vec<WriteRequest<F>>) -> Option<EncodedBatch<F>> {
-        loop {
+        while !requests.is_empty() {
             let batch = Batch {
                 writer: self.incarnation,
                 sequence: self.sequence + 1,
@@ -380,18 +384,16 @@
                 Ok(body) if body.len() <= F::MAX_BATCH_BYTES => {
                     return Some(EncodedBatch { batch, body: Bytes::from(body), requests });
                 }
-                Ok(body) if requests.len() == 1 => {
-                    let (bytes, limit) = (body.len(), F::MAX_BATCH_BYTES);
-                    log::error!(bytes, limit; "dropping a record that is too large for the log");
-                    requests.into_iter().for_each(WriteRequest::reject);
-                    return None;
-                }
-                Ok(_) => {
-                    let rest = requests.split_off(requests.len().div_ceil(2));
-                    self.hold_back(rest);
+                Ok(body) => {
+                    if requests.len() == 1 {
+                        let (bytes, limit) = (body.len(), F::MAX_BATCH_BYTES);
+                        log::error!(bytes, limit; "dropping a record that is too large for the log");
+                    }
+                    requests = self.halve(requests);
                 }
             }
         }
+        None
     }
 
     /// Settles a batch that the log rejects. Its records are retried in smaller batches, so that only
@@ -408,14 +410,8 @@
             lock(&self.pending).retain(|id, _| id.sequence != batch.sequence);
             return Vec::new();
         }
-        let mut requests = mark_sent(self.unregister(batch, stages));
-        if requests.len() <= 1 {
-            requests.into_iter().for_each(WriteRequest::reject);
-            return Vec::new();
-        }
-        let rest = requests.split_off(requests.len().div_ceil(2));
-        self.hold_back(rest);
-        requests
+        let requests = mark_sent(self.unregister(batch, stages));
+        self.halve(requests)
     }
 
     /// Appends one batch and returns the requests that are to be retried in another one.
--- a/crates/ledger/tests/log_recovery.rs
+++ b/crates/ledger/tests/log_recovery.rs
@@ -3,6 +3,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod write_completer;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -11,16 +13,12 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminbarrow_ledger::apply::BatchReport;
-use cuminbarrow_ledger::batch::Batch;
-use cuminbarrow_ledger::log_tail::BatchObserver;
 use cuminbarrow_ledger::log_tail::LogTail;
 use cuminbarrow_ledger::log_tail::TailError;
 use cuminbarrow_ledger::log_writer::LogWriter;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_ledger::record::Record;
 use cuminbarrow_ledger::snapshot::write_snapshot;
-use cuminbarrow_ledger::state::State;
 use cuminbarrow_resources::log_store::LogError;
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
@@ -29,17 +27,9 @@
 use cuminbarrow_standin::log_service::LogService;
 use smol_str::SmolStr;
 
-const TIMEOUT: Duration = Duration::from_secs(5);
-
-struct WriteCompleter(LogWriter);
+use crate::write_completer::WriteCompleter;
 
-impl BatchObserver for WriteCompleter {
-    fn batch_applied(&self, _: &State, offset: u64, batch: &Batch, report: &BatchReport) {
-        self.0.complete_writes(offset, batch, report);
-    }
-
-    fn state_replaced(&self, _: &State) {}
-}
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A log that counts the batches that were read.
 struct CountingLog {
--- a/crates/ledger/tests/lost_responses.rs
+++ b/crates/ledger/tests/lost_responses.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod write_completer;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,19 +13,17 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminbarrow_ledger::apply::BatchReport;
-use cuminbarrow_ledger::batch::Batch;
-use cuminbarrow_ledger::log_tail::BatchObserver;
 use cuminbarrow_ledger::log_tail::LogTail;
 use cuminbarrow_ledger::log_writer::LogWriter;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_ledger::record::Record;
-use cuminbarrow_ledger::state::State;
 use cuminbarrow_resources::log_store::LogError;
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
 
+use crate::write_completer::WriteCompleter;
+
 /// A log that appends and never responds.
 #[derive(Default)]
 struct UnresponsiveLog {
@@ -123,16 +123,6 @@
     }
 }
 
-struct WriteCompleter(LogWriter);
-
-impl BatchObserver for WriteCompleter {
-    fn batch_applied(&self, _state: &State, offset: u64, batch: &Batch, report: &BatchReport) {
-        self.0.complete_writes(offset, batch, report);
-    }
-
-    fn state_replaced(&self, _state: &State) {}
-}
-
 #[tokio::test]
 async fn next_batch_does_not_wait_for_lost_response_of_applied_batch() {
     let store: Arc<dyn LogStore> = Arc::new(UnresponsiveLog::default());
--- a/crates/ledger/tests/oversized_records.rs
+++ b/crates/ledger/tests/oversized_records.rs
@@ -2,26 +2,27 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod write_completer;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cuminbarrow_ledger::apply::BatchReport;
 use cuminbarrow_ledger::batch::Batch;
-use cuminbarrow_ledger::log_tail::BatchObserver;
 use cuminbarrow_ledger::log_tail::LogTail;
 use cuminbarrow_ledger::log_writer::LogWriter;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_ledger::record::Record;
-use cuminbarrow_ledger::state::State;
 use cuminbarrow_resources::log_store::LogError;
 use cuminbarrow_resources::log_store::LogPage;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_resources::log_store::LogStream;
 use smol_str::SmolStr;
 
+use crate::write_completer::WriteCompleter;
+
 /// Size of the largest entry that the users' log takes, in bytes.
 const LARGEST_ENTRY: usize = 262_144;
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -68,16 +69,6 @@
     }
 }
 
-struct WriteCompleter(LogWriter);
-
-impl BatchObserver for WriteCompleter {
-    fn batch_applied(&self, _: &State, offset: u64, batch: &Batch, report: &BatchReport) {
-        self.0.complete_writes(offset, batch, report);
-    }
-
-    fn state_replaced(&self, _: &State) {}
-}
-
 /// A writer to the log, with the replica that completes its writes.
 fn start_writer(log: &Arc<LimitedLog>) -> LogWriter {
     let store = Arc::clone(log) as Arc<dyn LogStore>;
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -433,7 +433,7 @@
     /// Number of active jobs of a queue of which no worker has started any task.
     pub fn pending_jobs(&self, queue: &str) -> usize {
         let jobs = self.active.iter().filter_map(|job| self.jobs.get(job));
-        jobs.filter(|job| job.terms.queue == queue && !job.has_started).count()
+        jobs.filter(|job| job.terms.queue == queue && job.is_pending()).count()
     }
 }
 
--- a/crates/taskgraph/src/job_state.rs
+++ b/crates/taskgraph/src/job_state.rs
@@ -159,6 +159,11 @@
         self.phase == JobPhase::Active
     }
 
+    /// Whether the job is active and no worker has started a task of it.
+    pub fn is_pending(&self) -> bool {
+        self.is_active() && !self.has_started
+    }
+
     /// Specification of a step.
     pub fn step_spec(&self, step: u16) -> Option<&StepSpec> {
         self.spec.steps.get(usize::from(step))
