--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -14,6 +14,7 @@
 use cuminbarrow_taskgraph::plan_round::PlannerInput;
 use cuminbarrow_taskgraph::plan_round::UnplacedStep;
 use cuminbarrow_taskgraph::plan_round::plan_round;
+use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::ProcessRole;
 use cuminbarrow_taskgraph::step_queue::next_due_ms;
@@ -66,6 +67,8 @@
     pub advice: Option<Arc<dyn AdvicePort>>,
     /// Size of this entry.
     pub size: EntrySize,
+    /// Decisions under load that are switched on.
+    pub options: PlanningOptions,
 }
 
 impl PlannerTask {
@@ -223,7 +226,11 @@
 
     async fn plan(&mut self, epoch: u64) {
         let guarantees = self.task.configuration.borrow().as_ref().map(|known| known.guarantees());
-        let input = PlannerInput { now_ms: wall_ms(), guarantees: guarantees.unwrap_or_default() };
+        let input = PlannerInput {
+            now_ms: wall_ms(),
+            guarantees: guarantees.unwrap_or_default(),
+            options: self.task.options,
+        };
         let plan = plan_round(&self.task.replica.state(), &input);
         self.log_waiting_jobs(&plan.unplaced);
         self.advice.request(epoch, plan.advice_requests);
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -23,6 +23,7 @@
 use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::job_terms::JobTerms;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
+use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::ProcessRole;
@@ -214,6 +215,7 @@
             lease: LEASE_TERMS,
             advice: None,
             size: EntrySize::Regular,
+            options: PlanningOptions::default(),
         };
         let (shutdown, receiver) = watch::channel(false);
         let tasks = vec![
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod job_terms;
 pub mod lease_terms;
 pub mod plan_round;
+pub mod planning_options;
 pub mod progress_watch;
 pub mod reclaim;
 pub mod record;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -21,6 +21,7 @@
 use crate::job_state::TaskState;
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::planning_options::PlanningOptions;
 use crate::reclaim::PreemptionScope;
 use crate::reclaim::VictimTable;
 use crate::reclaim::plan_reclaim;
@@ -61,6 +62,8 @@
     pub now_ms: u64,
     /// Accelerators guaranteed to each team for its urgent jobs.
     pub guarantees: BTreeMap<SmolStr, u32>,
+    /// Decisions under load that are switched on.
+    pub options: PlanningOptions,
 }
 
 /// A step that was left waiting, with all or some of its tasks.
--- /dev/null
+++ b/crates/taskgraph/src/planning_options.rs
@@ -0,0 +1,20 @@
+//! Switches of the planner's decisions under load. Each is off by default.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Which decisions under load a deployment uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlanningOptions {
+    /// Whether earlier preemptions count in the choice of runs to preempt.
+    pub preemption_history: bool,
+    /// Whether waiting steps of one priority are ordered by what their waiting costs callers.
+    pub cost_order: bool,
+    /// Whether teams below their share of a service precede those above it.
+    pub team_shares: bool,
+    /// Whether tasks are packed so that room for the shapes of other active jobs is kept.
+    pub shape_packing: bool,
+    /// Whether jobs that can't be done in useful time are rejected on submission.
+    pub admission: bool,
+}
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -12,6 +12,7 @@
 use cuminbarrow_taskgraph::plan_round::Plan;
 use cuminbarrow_taskgraph::plan_round::PlannerInput;
 use cuminbarrow_taskgraph::plan_round::plan_round;
+use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::RunEnd;
@@ -30,6 +31,7 @@
     pub(crate) state: GraphState,
     pub(crate) now_ms: u64,
     pub(crate) guarantees: BTreeMap<SmolStr, u32>,
+    pub(crate) options: PlanningOptions,
     sequence: u64,
 }
 
@@ -40,6 +42,7 @@
             state: GraphState::default(),
             now_ms: START_MS,
             guarantees: BTreeMap::new(),
+            options: PlanningOptions::default(),
             sequence: 0,
         };
         builder.apply(GraphRecord::PlannerClaimed { epoch: 1, instance: 1 }).unwrap();
@@ -96,7 +99,11 @@
 
     /// Plans a round and applies its records, all of which must be accepted.
     pub(crate) fn plan(&mut self) -> Plan {
-        let input = PlannerInput { now_ms: self.now_ms, guarantees: self.guarantees.clone() };
+        let input = PlannerInput {
+            now_ms: self.now_ms,
+            guarantees: self.guarantees.clone(),
+            options: self.options,
+        };
         let plan = plan_round(&self.state, &input);
         for record in plan.records.clone() {
             self.apply(record.clone()).unwrap_or_else(|refusal| panic!("{record:?}: {refusal}"));
--- a/crates/taskgraph/tests/planner_memory.rs
+++ b/crates/taskgraph/tests/planner_memory.rs
@@ -2,8 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use std::collections::BTreeMap;
-
 use cuminbarrow_ledger::batch::Batch;
 use cuminbarrow_taskgraph::graph_state::GraphState;
 use cuminbarrow_taskgraph::job_id::JobId;
@@ -67,7 +65,7 @@
     let records = (1..=16).map(accepted).collect();
     state.apply(0, &Batch { writer: 1, sequence: 1, at_ms: NOW_MS, records });
     let before_kb = peak_memory_kb();
-    plan_round(&state, &PlannerInput { now_ms: NOW_MS, guarantees: BTreeMap::new() });
+    plan_round(&state, &PlannerInput { now_ms: NOW_MS, ..PlannerInput::default() });
     let used_kb = peak_memory_kb() - before_kb;
     assert!(used_kb < MEMORY_LIMIT_KB, "{used_kb} KB for one round");
 }
