--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -15,6 +15,8 @@
     pub team_shares: bool,
     /// Whether tasks are packed so that room for the shapes of other active jobs is kept.
     pub shape_packing: bool,
+    /// Whether learned speeds of instances count in the choice of workers.
+    pub speed_profiles: bool,
     /// Whether jobs that can't be done in useful time are rejected on submission.
     pub admission: bool,
 }
