Evacuate data centres at the operator's request

Change: each entry reads the requests beside the configuration and records them in the log as EvacuationsRead, the planner's entry at once, the others 500 ms later if they are still missing. Placements on workers there are refused when they are applied and not planned, agents there hold back starts as a draining worker does, and runs in progress continue.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -225,8 +225,13 @@
         })
     }
 
+    /// Whether no run may be started on the worker: it is draining, or its data centre is evacuated.
+    pub(crate) fn holds_back_starts(&self, own: &OwnWorker) -> bool {
+        self.is_draining() || self.replica.state().is_worker_evacuated(own.key)
+    }
+
     /// Whether the worker reports that it is draining.
-    pub(crate) fn is_draining(&self) -> bool {
+    fn is_draining(&self) -> bool {
         let latest = self.latest_report.borrow();
         latest.as_ref().is_some_and(|latest| latest.report.drain_remaining_ms.is_some())
     }
@@ -321,13 +326,17 @@
 
     pub(crate) fn sync_table(&self) {
         let Some(own) = self.own_worker() else { return };
-        let wanted = {
+        let (wanted, is_evacuated) = {
             let state = self.replica.state();
-            state.workers.get(&own.key).map(|worker| worker.runs.clone()).unwrap_or_default()
+            let worker = state.workers.get(&own.key);
+            let is_evacuated = worker.is_some_and(|worker| state.is_evacuated(worker));
+            (worker.map(|worker| worker.runs.clone()).unwrap_or_default(), is_evacuated)
         };
+        let holds_back_starts = self.is_draining() || is_evacuated;
         let Some(mut session) = self.session_of(own.key) else { return };
         session.table.sync(&wanted);
-        session.table.set_draining(self.is_draining());
+        session.table.set_draining(holds_back_starts);
+        session.log_evacuation(is_evacuated);
         session.saved_checkpoints.retain(|run, _| wanted.contains_key(run));
         drop(session);
         self.wake_orders.notify_one();
--- a/crates/dispatch/src/agent_orders.rs
+++ b/crates/dispatch/src/agent_orders.rs
@@ -28,12 +28,13 @@
         loop {
             self.wake_orders.notified().await;
             let Some(own) = self.own_worker() else { continue };
+            let holds_back_starts = self.holds_back_starts(&own);
             let (orders, throttles) = {
                 let mut session = self.session();
                 if session.worker != Some(own.key) {
                     continue;
                 }
-                session.table.set_draining(self.is_draining());
+                session.table.set_draining(holds_back_starts);
                 (session.table.next_orders(), session.throttle.next_orders())
             };
             for (run, percent) in throttles {
@@ -189,7 +190,11 @@
     /// Grants a lease for the order to start a run; `None` if no lease may be granted now, or if the log
     /// no longer places the run there.
     fn grant_lease(&self, own: &OwnWorker, run: RunKey) -> Option<(GrantNumber, u64)> {
-        let is_due = |state: &GraphState| own.is_current(state) && is_wanted(state, own.key, run);
+        let is_due = |state: &GraphState| {
+            own.is_current(state)
+                && is_wanted(state, own.key, run)
+                && !state.is_worker_evacuated(own.key)
+        };
         let mut session = self.session();
         if session.worker != Some(own.key) {
             return None;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod direct_path;
 pub mod entry_announcer;
 pub mod entry_directory;
+pub mod evacuation_recorder;
+pub mod evacuation_view;
 pub mod failure_detector;
 pub mod group_commit_log;
 pub mod job_service;
--- a/crates/dispatch/src/worker_session.rs
+++ b/crates/dispatch/src/worker_session.rs
@@ -58,6 +58,8 @@
     pub(crate) leases: LeaseGrants,
     /// What the starts that wait for a lease were last logged to wait for; `None` if none waits.
     pub(crate) logged_obstacle: Option<LeaseObstacle>,
+    /// Whether the worker's data centre was evacuated when that was last logged.
+    logged_evacuation: bool,
     /// Set once the worker has announced its shutdown. It gets no more leases.
     pub(crate) has_left: bool,
     /// Set while another incarnation answers at the worker's address.
@@ -177,6 +179,20 @@
         self.table.stop_all();
     }
 
+    /// Logs when starts begin or cease to be held back because the worker's data centre is evacuated.
+    pub(crate) fn log_evacuation(&mut self, is_evacuated: bool) {
+        if self.logged_evacuation == is_evacuated {
+            return;
+        }
+        self.logged_evacuation = is_evacuated;
+        let worker = self.worker.unwrap_or_default();
+        if is_evacuated {
+            log::info!(worker:% = worker; "starts are held back: the data centre is evacuated");
+        } else {
+            log::info!(worker:% = worker; "starts are held back no longer: the evacuation is withdrawn");
+        }
+    }
+
     /// Whether the worker has announced its shutdown and runs nothing any more.
     pub(crate) fn has_left_idle(&self) -> bool {
         self.has_left && self.table.is_idle()
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -18,6 +18,7 @@
 use crate::record::EndKind;
 use crate::record::RunEnd;
 use crate::record::TaskPlacement;
+use crate::refusal::DataCentreEvacuatedSnafu;
 use crate::refusal::GraphRefusal;
 use crate::refusal::JobEndedSnafu;
 use crate::refusal::NoRoomSnafu;
@@ -78,6 +79,7 @@
         for (worker, count) in counts {
             let state = self.workers.get(&worker).context(UnknownWorkerSnafu { worker })?;
             ensure!(state.is_ready(), WorkerNotReadySnafu { worker });
+            ensure!(!self.is_evacuated(state), DataCentreEvacuatedSnafu { worker });
             let is_feasible = state.spec.service == job.terms.service
                 && state.has_label(spec.required_label.as_ref());
             ensure!(is_feasible, WorkerUnfitSnafu { worker, step });
--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -85,6 +85,8 @@
     pub is_quarantined: bool,
     /// Whether the worker was recently reported as slow.
     pub is_slow: bool,
+    /// Whether the worker's data centre is evacuated.
+    pub is_evacuated: bool,
     /// Accelerators that urgent work holds, or that this round has allocated to it.
     pub urgent_accelerators: u32,
     /// Tasks that this round has placed on the worker, by step.
@@ -92,17 +94,27 @@
 }
 
 impl WorkerCapacity<'_> {
+    /// Whether new tasks may be placed on the worker as far as the log is concerned.
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready() && !self.is_evacuated
+    }
+
     /// Whether new tasks may be placed on the worker.
     pub fn is_usable(&self) -> bool {
-        self.state.is_ready() && !self.is_quarantined
+        self.is_ready() && !self.is_quarantined
     }
 
     /// Whether the worker may run the step at all, however much of it is in use.
     pub fn is_feasible(&self, request: &StepRequest<'_>) -> bool {
         self.is_usable()
-            && self.state.spec.service == request.terms.service
-            && self.state.has_label(request.spec.required_label.as_ref())
+            && self.is_suitable(request)
             && request.advice.is_none_or(|advice| advice.is_usable(self.key))
+    }
+
+    /// Whether the worker has what the step requires, whether it takes tasks now or not.
+    fn is_suitable(&self, request: &StepRequest<'_>) -> bool {
+        self.state.spec.service == request.terms.service
+            && self.state.has_label(request.spec.required_label.as_ref())
             && self.state.spec.resources.covers(&request.spec.held_resources())
     }
 
@@ -157,7 +169,11 @@
     pub fn new(state: &'a GraphState, now_ms: u64) -> Self {
         let mut workers: Vec<WorkerCapacity<'a>> =
             state.workers.iter().map(|(key, worker)| capacity_of(*key, worker)).collect();
-        let mut quarantine_budget = workers.len() / MAX_QUARANTINED_DIVISOR;
+        workers
+            .iter_mut()
+            .for_each(|worker| worker.is_evacuated = state.is_evacuated(worker.state));
+        let remaining = workers.iter().filter(|worker| !worker.is_evacuated).count();
+        let mut quarantine_budget = remaining / MAX_QUARANTINED_DIVISOR;
         for worker in &mut workers {
             let runs = worker.state.runs.iter();
             let urgent = runs.filter(|(run, _)| state.is_urgent(run.task.step.job));
@@ -165,7 +181,7 @@
             worker.is_slow = state.is_slow(worker.key, now_ms);
             let has_failed_recently = worker.state.consecutive_failures >= QUARANTINE_FAILURES
                 && now_ms < worker.state.last_failure_ms + QUARANTINE_DURATION_MS;
-            if has_failed_recently && quarantine_budget > 0 {
+            if has_failed_recently && !worker.is_evacuated && quarantine_budget > 0 {
                 worker.is_quarantined = true;
                 quarantine_budget -= 1;
             }
@@ -180,6 +196,23 @@
         !self.placed_jobs.contains(&job)
     }
 
+    /// Why no worker can run a step.
+    pub fn unfit_reason(&self, request: &StepRequest<'_>) -> &'static str {
+        let service = &request.terms.service;
+        let of_service = self.workers.iter().filter(|worker| worker.state.spec.service == *service);
+        let (evacuated, others): (Vec<_>, Vec<_>) =
+            of_service.partition(|worker| worker.is_evacuated);
+        if others.is_empty() && !evacuated.is_empty() {
+            "all data centres are evacuated"
+        } else if evacuated.iter().any(|worker| worker.is_suitable(request))
+            && !others.iter().any(|worker| worker.is_suitable(request))
+        {
+            "the fitting workers are in an evacuated data centre"
+        } else {
+            "no fitting worker"
+        }
+    }
+
     /// Names of all racks, sorted and without duplicates.
     pub fn racks(&self) -> Vec<&'a SmolStr> {
         let mut racks: Vec<&'a SmolStr> = self
@@ -283,6 +316,7 @@
         releasing,
         is_quarantined: false,
         is_slow: false,
+        is_evacuated: false,
         urgent_accelerators: 0,
         placed: Vec::new(),
     }
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -15,6 +15,8 @@
 use snafu::ensure;
 
 use crate::early_cancellations::EarlyCancellations;
+use crate::evacuations;
+use crate::evacuations::Evacuations;
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
@@ -174,6 +176,9 @@
     pub(crate) slow_workers: BTreeMap<WorkerKey, SlowWorker>,
     /// Cancellations of jobs that are not known, kept as long as ended jobs.
     pub early_cancellations: EarlyCancellations,
+    /// Data centres on whose workers no task is started.
+    #[serde(deserialize_with = "evacuations::none_if_missing")]
+    pub evacuations: Evacuations,
 }
 
 impl GraphState {
@@ -325,6 +330,9 @@
             GraphRecord::PlannerRenewed { epoch } => {
                 self.check_epoch(*epoch).map(|()| GraphEffect::Done)
             }
+            GraphRecord::EvacuationsRead { as_of, data_centres } => {
+                self.evacuations_read(*as_of, data_centres)
+            }
         }
     }
 
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod capacity_map;
 mod disruption_budget;
 pub mod early_cancellations;
+pub mod evacuations;
 pub mod graph_state;
 pub mod job_id;
 pub mod job_spec;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -178,7 +178,7 @@
         // Whether advice excludes a worker depends on the occurrence.
         if !is_feasible && request.advice.is_none() {
             self.unfit_steps.insert(step);
-            let reason = "no fitting worker";
+            let reason = self.map.unfit_reason(&request);
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
         }
@@ -223,7 +223,7 @@
         let is_reclaiming =
             limit.is_some_and(|limit| self.reclaim(waiting, &request, unplaced_count, limit));
         if !is_reclaiming {
-            let reason = if is_feasible { "no room" } else { "no fitting worker" };
+            let reason = if is_feasible { "no room" } else { self.map.unfit_reason(&request) };
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
         }
     }
@@ -313,14 +313,14 @@
             tasks.iter().flat_map(|task: &TaskState| task.failed_workers.iter().copied()).collect();
         failed_workers.sort();
         failed_workers.dedup();
-        let ready = self.map.workers.iter().filter(|worker| worker.state.is_ready()).count();
+        let ready = self.map.workers.iter().filter(|worker| worker.is_ready()).count();
         if failed_workers.len() * 2 > ready { Vec::new() } else { failed_workers }
     }
 
     /// Whether the workers that the request allows could hold one task, or the whole gang, if they
     /// were empty.
     fn fits_when_empty(&self, request: &StepRequest<'_>) -> bool {
-        let workers = self.map.workers.iter().filter(|worker| worker.state.is_ready());
+        let workers = self.map.workers.iter().filter(|worker| worker.is_ready());
         let fits = workers.map(|worker| worker.fit_count_in(worker.state.spec.resources, request));
         let needed = if request.spec.gang { request.spec.count } else { 1 };
         fits.fold(0_u32, u32::saturating_add) >= needed
@@ -337,7 +337,8 @@
         if let Some(rack) = &spec.preferred_rack {
             let on_rack = |worker: &WorkerCapacity<'_>| worker.state.spec.rack == *rack;
             let allocation = self.map.pack(request, count, on_rack);
-            let is_known = self.map.workers.iter().any(on_rack);
+            let is_open = |worker: &WorkerCapacity<'_>| on_rack(worker) && !worker.is_evacuated;
+            let is_known = self.map.workers.iter().any(is_open);
             if !allocation.is_empty() || (is_known && self.waits_for_rack(waiting)) {
                 return if is_complete(&allocation, count) || !spec.gang {
                     allocation
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -3,6 +3,7 @@
 //! Records are encoded by position, so the order of variants and fields is the format. New variants
 //! and fields must be added at the end.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -274,4 +275,11 @@
         /// Team of the caller; empty if it has none.
         team: SmolStr,
     },
+    /// An entry read which data centres the operator has asked to evacuate.
+    EvacuationsRead {
+        /// Position in the operator's topic as of which they are known.
+        as_of: u64,
+        /// Names of all evacuated data centres.
+        data_centres: BTreeSet<SmolStr>,
+    },
 }
--- a/crates/taskgraph/src/refusal.rs
+++ b/crates/taskgraph/src/refusal.rs
@@ -89,6 +89,23 @@
         /// Key of the worker.
         worker: WorkerKey,
     },
+    /// The worker's data centre is evacuated.
+    #[snafu(display("the data centre of worker {worker} is evacuated"))]
+    DataCentreEvacuated {
+        /// Key of the worker.
+        worker: WorkerKey,
+    },
+    /// The evacuated data centres are recorded as of the same position or a later one.
+    #[snafu(display("evacuations as of {as_of} are not later than those as of {current}"))]
+    StaleEvacuations {
+        /// Position of the record.
+        as_of: u64,
+        /// Recorded position.
+        current: u64,
+    },
+    /// There are too many evacuated data centres, or one has no valid name.
+    #[snafu(display("the evacuated data centres are too many or have no valid names"))]
+    InvalidEvacuations,
     /// A later agent or incarnation of the worker has registered.
     #[snafu(display("worker {worker} was registered by a later agent or incarnation"))]
     Superseded {
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod advice;
+mod evacuation;
 mod graph_builder;
 mod leases;
 mod load_patterns;
