Test evacuations beside random faults in virtual time

Cause: the tests with whole processes bring about one failure each; what an evacuation does to unanswered starts, gangs and cut-off agents under overlapping faults was not covered.

Change: the fake fleet has two data centres and a recorder in each entry. Random histories get evacuations with random numbers of their own, so the histories of other tests stay as they are.

--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -9,6 +9,8 @@
 use cuminbarrow_dispatch::agent_core::AgentCore;
 use cuminbarrow_dispatch::clock::BootClock;
 use cuminbarrow_dispatch::direct_path::DirectPath;
+use cuminbarrow_dispatch::evacuation_recorder;
+use cuminbarrow_dispatch::evacuation_view::EvacuationView;
 use cuminbarrow_dispatch::peer_list::PeerList;
 use cuminbarrow_dispatch::peer_list::ProcessLocation;
 use cuminbarrow_dispatch::planner_role::EntrySize;
@@ -31,6 +33,7 @@
 use cuminbarrow_taskgraph::worker::WorkerSpec;
 use cuminbarrow_taskgraph::worker::instance_at;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -67,6 +70,8 @@
 const AGENT_SNAPSHOT_DELAY: Duration = Duration::from_secs(4);
 /// Time in which every agent polls its worker at least once.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Number of data centres.
+pub(crate) const DATA_CENTRES: usize = 2;
 const LEASE_TERMS: LeaseTerms = LeaseTerms { duration_ms: MAX_LEASE_MS };
 
 /// Boot clock in virtual time, shared by all processes.
@@ -115,6 +120,7 @@
 pub(crate) struct FakeNode {
     pub(crate) host: Arc<WorkerHost>,
     name: SmolStr,
+    data_centre: SmolStr,
     /// Instance by which the present agent identifies the node.
     instance: Arc<Mutex<SmolStr>>,
     address: SocketAddr,
@@ -140,6 +146,8 @@
     observer: Arc<Mutex<Observer>>,
     hosts: Arc<Mutex<Vec<Arc<WorkerHost>>>>,
     behaviours: Vec<(u64, TaskBehaviour)>,
+    /// What all entries have read of the operator's evacuation requests.
+    evacuations: watch::Sender<EvacuationView>,
     boot_count: Arc<Mutex<u64>>,
     jobs: u64,
 }
@@ -156,6 +164,7 @@
             observer: Arc::default(),
             hosts: Arc::default(),
             behaviours: Vec::new(),
+            evacuations: watch::Sender::default(),
             boot_count: Arc::default(),
             jobs: 0,
         };
@@ -221,6 +230,11 @@
         let tasks = vec![
             tokio::spawn(Arc::clone(&replica).run()).abort_handle(),
             tokio::spawn(planner.run(receiver)).abort_handle(),
+            tokio::spawn(evacuation_recorder::run(
+                Arc::clone(&replica),
+                self.evacuations.subscribe(),
+            ))
+            .abort_handle(),
             tokio::spawn(write_snapshots(Arc::clone(&replica), ENTRY_SNAPSHOT_DELAY))
                 .abort_handle(),
             tokio::spawn(register_entry(Arc::clone(&replica), log_client.clone(), instance))
@@ -248,6 +262,7 @@
         let node = FakeNode {
             host,
             name: name.into(),
+            data_centre: data_centre_of(index),
             instance: Arc::new(Mutex::new(instance_at(name, address))),
             address,
             agent: Arc::default(),
@@ -306,6 +321,26 @@
         self.start_agent(index);
     }
 
+    /// Requests or withdraws the evacuation of the data centre with a number.
+    pub(crate) fn set_evacuated(&self, data_centre: usize, is_evacuated: bool) {
+        self.evacuations.send_modify(|view| {
+            if is_evacuated {
+                view.request(data_centre_of(data_centre));
+            } else {
+                view.withdraw(data_centre_of(data_centre));
+            }
+            view.advance(view.end() + 1);
+        });
+    }
+
+    /// Waits until an entry knows that so many data centres are evacuated.
+    pub(crate) async fn wait_evacuated(&self, count: usize) {
+        self.wait_for("the evacuation", |fleet| {
+            fleet.entries[0].replica.state().evacuations.data_centres.len() == count
+        })
+        .await;
+    }
+
     /// Submits a job of one step and returns its number.
     pub(crate) async fn submit(&mut self, step: StepSpec, duration: Duration) -> u64 {
         self.submit_ending(step, duration, EndKind::Done).await
@@ -569,7 +604,8 @@
     /// Spec that the node's worker reports now; `None` while it is down.
     pub(crate) fn worker_spec(&self) -> Option<WorkerSpec> {
         let (name, started_ms) = self.host.identity()?;
-        Some(worker_spec(name, started_ms, self.instance(), self.host.capacity()))
+        let data_centre = self.data_centre.clone();
+        Some(worker_spec(name, started_ms, self.instance(), data_centre, self.host.capacity()))
     }
 
     /// Sends a report of another writer to the agent.
@@ -583,6 +619,7 @@
         let agent = Arc::clone(&self.agent);
         let host = Arc::clone(&self.host);
         let instance = Arc::clone(&self.instance);
+        let data_centre = self.data_centre.clone();
         let is_reporting = Arc::clone(&self.is_reporting);
         let drain_stage = Arc::clone(&self.drain_stage);
         let sequence = Arc::clone(&self.sequence);
@@ -598,7 +635,9 @@
                         *sequence
                     };
                     let instance = instance.lock().unwrap().clone();
-                    let spec = worker_spec(name, started_ms, instance, host.capacity());
+                    let data_centre = data_centre.clone();
+                    let capacity = host.capacity();
+                    let spec = worker_spec(name, started_ms, instance, data_centre, capacity);
                     let drain_remaining_ms = (stage == DrainStage::Draining).then_some(5_500);
                     let report = WorkerReport { spec, drain_remaining_ms, sequence };
                     let delay = *report_delay.lock().unwrap();
@@ -610,11 +649,17 @@
     }
 }
 
+/// Name of the data centre of a node; there are [`DATA_CENTRES`], which take turns.
+fn data_centre_of(index: usize) -> SmolStr {
+    format_smolstr!("dc-{}", index % DATA_CENTRES)
+}
+
 /// Spec that a worker reports.
 fn worker_spec(
     name: SmolStr,
     started_ms: u64,
     instance: SmolStr,
+    data_centre: SmolStr,
     resources: ResourceAmounts,
 ) -> WorkerSpec {
     WorkerSpec {
@@ -622,7 +667,7 @@
         started_ms,
         instance,
         service: "service".into(),
-        data_centre: "dc".into(),
+        data_centre,
         rack: "rack".into(),
         labels: vec!["kind".into(), "rack".into()],
         resources,
--- a/crates/dispatch/tests/fleet/main.rs
+++ b/crates/dispatch/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod cancellations;
+mod evacuations;
 mod fake_fleet;
 mod fake_log;
 mod fake_worker;
--- a/crates/dispatch/tests/fleet/random_faults.rs
+++ b/crates/dispatch/tests/fleet/random_faults.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::fake_fleet::DATA_CENTRES;
 use crate::fake_fleet::gang;
 use crate::fake_fleet::tasks;
 use crate::fake_log::LogFault;
@@ -27,6 +28,8 @@
 const POWER_CUT_SEED: u64 = 0x706f_7765_725f_6375;
 /// Distinguishes the random numbers of foreign reports from those of the other events of a seed.
 const FOREIGN_REPORT_SEED: u64 = 0x666f_7265_6967_6e72;
+/// Distinguishes the random numbers of evacuations from those of the other events of a seed.
+const EVACUATION_SEED: u64 = 0x6576_6163_7561_7465;
 /// Time after which a snapshot covers all batches that the log has dropped, in ms: the next check, the
 /// write, and the time for which entries that stand by wait.
 const SNAPSHOT_TIME_MS: u64 = 2_500;
@@ -135,6 +138,11 @@
     AddNamesake {
         node: usize,
     },
+    /// Requests or withdraws the evacuation of a data centre.
+    Evacuate {
+        data_centre: usize,
+        is_evacuated: bool,
+    },
 }
 
 /// Events with their times in ms.
@@ -245,6 +253,19 @@
     (shape, generator.history)
 }
 
+/// Generates a fleet and the history of the same seed with evacuations of its data centres, at times of
+/// all of them. The evacuations have their own random numbers.
+pub(crate) fn generate_with_evacuations(seed: u64) -> (FleetShape, History) {
+    let (shape, history) = generate(seed);
+    let rng = ChaCha8Rng::seed_from_u64(seed ^ EVACUATION_SEED);
+    let mut generator = HistoryGenerator { rng, history };
+    for data_centre in 0..DATA_CENTRES {
+        generator.fault_series(1.0, |generator, at_ms| generator.evacuation(data_centre, at_ms));
+    }
+    generator.history.sort_by_key(|(at_ms, _)| *at_ms);
+    (shape, generator.history)
+}
+
 struct HistoryGenerator {
     rng: ChaCha8Rng,
     history: History,
@@ -421,6 +442,14 @@
         end_ms
     }
 
+    /// Evacuates a data centre for a while.
+    fn evacuation(&mut self, data_centre: usize, at_ms: u64) -> u64 {
+        let end_ms = at_ms + self.rng.random_range(20..12_000);
+        self.add(at_ms, Event::Evacuate { data_centre, is_evacuated: true });
+        self.add(end_ms, Event::Evacuate { data_centre, is_evacuated: false });
+        end_ms
+    }
+
     /// Reports another incarnation to an agent, or the same one with another service.
     fn foreign_report(&mut self, node: usize, at_ms: u64) -> u64 {
         let start_delay_ms = self.rng.random_range(1..60_000);
--- a/crates/dispatch/tests/fleet/random_histories.rs
+++ b/crates/dispatch/tests/fleet/random_histories.rs
@@ -21,6 +21,7 @@
 use crate::random_faults::History;
 use crate::random_faults::generate;
 use crate::random_faults::generate_large;
+use crate::random_faults::generate_with_evacuations;
 use crate::random_faults::generate_with_foreign_reports;
 use crate::random_faults::generate_with_power_cuts;
 
@@ -150,6 +151,26 @@
     assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
 }
 
+/// Guards against tasks that run twice, and jobs that never end, after starts that were held back or
+/// stopped for an evacuation.
+#[test]
+fn random_histories_with_evacuations_violate_no_invariant() {
+    let failed_seeds = run_histories(generate_with_evacuations, DEFAULT_SEEDS, LateOrders::Dropped);
+    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+}
+
+/// The same check for a range of seeds given in the environment.
+#[test]
+#[ignore = "takes its seeds from CUMINBARROW_SEEDS"]
+fn many_random_histories_with_evacuations_violate_no_invariant() {
+    let failed_seeds = run_histories(
+        generate_with_evacuations,
+        seeds_from_environment(),
+        LateOrders::from_environment(),
+    );
+    assert!(failed_seeds.is_empty(), "seeds {failed_seeds:?} violate an invariant");
+}
+
 fn seeds_from_environment() -> Range<u64> {
     let seeds = std::env::var(SEEDS_VARIABLE).unwrap();
     let (from, to) = seeds.split_once("..").unwrap();
@@ -244,6 +265,9 @@
         Event::AddNamesake { node } => {
             fleet.add_namesake(node);
         }
+        Event::Evacuate { data_centre, is_evacuated } => {
+            fleet.set_evacuated(data_centre, is_evacuated);
+        }
     }
 }
 
