Reject jobs that a full service can't do in useful time

Cause: every submission that parses is accepted, however full the service; then it is done too late to be of use.

Change: with planning.admission, an entry forecasts when a submitted job could be done, with errors in the caller's favour, and answers 429 with Retry-After if that is beyond three times its objective. Nothing of a rejected job is written. Urgent work within a guarantee, scheduled and long-running jobs, jobs that could never fit and ids that may be in the log are exempt, and nothing is rejected while half of the service is unused or the first step has room. Returns are spread by the job's id, by which every entry recognizes them.

A burst that fills 16 accelerators three times over leaves at most 2 accepted jobs useless, at least 30 without the rule.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -8,6 +8,10 @@
 use std::time::Duration;
 
 use cuminbarrow_ledger::log_writer::WriteError;
+use cuminbarrow_taskgraph::admission::AdmissionDecision;
+use cuminbarrow_taskgraph::admission::RejectReason;
+use cuminbarrow_taskgraph::admission::Rejection;
+use cuminbarrow_taskgraph::admission::Submission;
 use cuminbarrow_taskgraph::graph_state::GraphEffect;
 use cuminbarrow_taskgraph::graph_state::GraphOutcome;
 use cuminbarrow_taskgraph::job_id::JobId;
@@ -20,6 +24,7 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 
+use crate::admission_gate::AdmissionGate;
 use crate::replica::Replica;
 
 /// Share of a caller's patience after which a submission or cancellation is answered in any case, in
@@ -58,6 +63,14 @@
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// The service is full, and the job certainly will not run.
+    #[snafu(display("the service is full: the job can't be done in useful time"))]
+    Full {
+        /// Why the job is rejected.
+        reason: RejectReason,
+        /// Delay after which the caller should submit the job again.
+        retry_after: Duration,
+    },
     /// The operation may have taken effect, or may do so later.
     #[snafu(display("the log's answer is outstanding; ask again with the same id"))]
     Unknown,
@@ -88,12 +101,19 @@
 #[derive(Clone)]
 pub struct JobService {
     replica: Arc<Replica>,
+    gate: Option<Arc<AdmissionGate>>,
 }
 
 impl JobService {
-    /// Creates a service that reads from and writes through `replica`.
+    /// Creates a service that reads from and writes through `replica`, and accepts every job.
     pub fn new(replica: Arc<Replica>) -> Self {
-        Self { replica }
+        Self { replica, gate: None }
+    }
+
+    /// Adds admission control.
+    #[must_use]
+    pub fn with_admission(self, gate: AdmissionGate) -> Self {
+        Self { gate: Some(Arc::new(gate)), ..self }
     }
 
     /// Accepts a job. Idempotent: a job that is submitted again is not accepted twice. `patience` is
@@ -118,9 +138,14 @@
             };
         }
         self.check_writable()?;
+        self.check_admission(&Submission { job, spec: &spec, terms: &terms })?;
         let record = GraphRecord::JobAccepted { job, spec, terms };
-        let outcome = self.write(record, patience).await?;
-        match outcome {
+        let outcome = self.write(record, patience).await;
+        let is_open = matches!(outcome, Err(JobServiceError::Unknown) | Ok(Err(_)));
+        if let Some(gate) = self.gate.as_ref().filter(|_| !is_open) {
+            gate.settle(job);
+        }
+        match outcome? {
             Ok(GraphEffect::Job { queue: held_by }) if held_by == queue => Ok(()),
             Ok(_) => Err(JobServiceError::Conflict),
             Err(refusal) => {
@@ -130,6 +155,39 @@
         }
     }
 
+    /// Fails if the job is rejected. Otherwise its record must be handed to the log.
+    fn check_admission(&self, submission: &Submission<'_>) -> Result<(), JobServiceError> {
+        let Some(gate) = &self.gate else { return Ok(()) };
+        match gate.decide(&self.replica, submission) {
+            AdmissionDecision::Admit => Ok(()),
+            AdmissionDecision::Reject(rejection) => {
+                self.log_rejection(submission, &rejection);
+                let retry_after = Duration::from_secs(rejection.retry_after_s);
+                Err(JobServiceError::Full { reason: rejection.reason, retry_after })
+            }
+        }
+    }
+
+    fn log_rejection(&self, submission: &Submission<'_>, rejection: &Rejection) {
+        let (offset, age_ms) = self.freshness();
+        let forecast = rejection.forecast;
+        log::info!(
+            job:% = submission.job,
+            queue = submission.terms.queue.as_str(),
+            team = submission.terms.team.as_str(),
+            reason = rejection.reason.name(),
+            retry_after_s = rejection.retry_after_s,
+            finish_ms = forecast.finish_ms,
+            limit_ms = forecast.limit_ms,
+            own_ms = forecast.own_ms,
+            steps_ahead = forecast.steps_ahead,
+            accelerators = forecast.accelerators,
+            offset,
+            age_ms;
+            "job rejected"
+        );
+    }
+
     /// Cancels a job of a queue for a team. `patience` is the time that the caller waits for the answer.
     /// The caller relies on a missing job to start nothing, but its submission may still be on its way
     /// to the log. The job is therefore missing only once the log has the cancellation.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! on placement ([`advice_port`]), the directory of entries ([`entry_directory`]) and the group of
 //! live processes ([`membership`]).
 
+pub mod admission_gate;
 pub mod advice_port;
 mod advice_requester;
 pub mod agent_core;
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -408,9 +408,15 @@
     /// Expected run time of one of a step's tasks, in ms: the mean of the queue once enough runs
     /// have been measured, otherwise the estimate.
     pub fn typical_run_ms(&self, job: &JobState, spec: &StepSpec) -> u64 {
-        let known = self.durations.get(&job.terms.queue);
+        let mean_ms = self.measured_run_ms(&job.terms.queue);
+        mean_ms.unwrap_or_else(|| u64::from(spec.estimate_ms))
+    }
+
+    /// Mean run time of a queue's tasks, in ms; `None` until enough runs have been measured.
+    pub(crate) fn measured_run_ms(&self, queue: &str) -> Option<u64> {
+        let known = self.durations.get(queue);
         let known = known.filter(|known| known.count >= MIN_DURATION_SAMPLES);
-        u64::from(known.map_or(spec.estimate_ms, |known| known.mean_ms))
+        known.map(|known| u64::from(known.mean_ms))
     }
 
     /// Worker on which a run holds resources.
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -10,6 +10,9 @@
 //! lease arithmetic ([`lease_terms`]) are pure as well: they compute decisions from a state and a
 //! time.
 
+pub mod admission;
+pub mod admission_forecast;
+pub mod admission_memory;
 pub mod advice_request;
 mod apply_jobs;
 mod apply_runs;
@@ -18,6 +21,7 @@
 mod disruption_budget;
 pub mod early_cancellations;
 pub mod graph_state;
+pub mod job_claim;
 pub mod job_id;
 pub mod job_spec;
 pub mod job_state;
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -18,7 +18,7 @@
 use crate::task_key::StepKey;
 
 /// A result is worth something until this many times the latency objective has passed.
-const TOO_LATE_FACTOR: u64 = 3;
+pub const TOO_LATE_FACTOR: u64 = 3;
 /// How long before its due time an occurrence may be placed, in ms. Orders take a while to reach
 /// the worker, but none may start more than 250 ms early.
 const EARLY_PLACEMENT_MS: u64 = 0;
--- /dev/null
+++ b/crates/taskgraph/tests/graph/admission.rs
@@ -0,0 +1,311 @@
+//! Admission control under loads that a service can't do in useful time.
+
+use std::collections::BTreeMap;
+
+use cuminbarrow_taskgraph::admission::AdmissionDecision;
+use cuminbarrow_taskgraph::admission::AdmissionView;
+use cuminbarrow_taskgraph::admission::Submission;
+use cuminbarrow_taskgraph::admission::decide_admission;
+use cuminbarrow_taskgraph::admission_memory::AdmissionMemory;
+use cuminbarrow_taskgraph::job_claim::JobClaim;
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_spec::JobSpec;
+use cuminbarrow_taskgraph::job_spec::StepSpec;
+use cuminbarrow_taskgraph::job_state::JobPhase;
+use cuminbarrow_taskgraph::job_terms::JobTerms;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::GraphRecord;
+
+use crate::graph_builder::GraphBuilder;
+use crate::graph_builder::gang;
+use crate::graph_builder::tasks;
+use crate::graph_builder::terms;
+
+/// Time in which a job of [`tasks`] is of use, in ms: three times an objective of 13 s.
+const USEFUL_MS: u64 = 39_000;
+/// Time between two rounds of the simulated planner, in ms.
+const STEP_MS: u64 = 500;
+
+/// A service of 16 accelerators with two entries, whose queue has measured run times.
+struct FullService {
+    graph: GraphBuilder,
+    memories: [AdmissionMemory; 2],
+    /// Actual run time of each task, in ms.
+    run_ms: u64,
+    has_admission: bool,
+    /// Acceptance of each job, and its completion, in ms.
+    accepted: BTreeMap<JobId, (u64, Option<u64>)>,
+}
+
+impl FullService {
+    fn new(has_admission: bool, run_ms: u64) -> Self {
+        let graph = GraphBuilder::new(2, 1);
+        let (memories, accepted) = Default::default();
+        let mut service = Self { graph, memories, run_ms, has_admission, accepted };
+        assert_eq!(service.submit(0, 1, tasks(16, 1)), None);
+        service.run_for(10_000);
+        service
+    }
+
+    fn submit(&mut self, entry: usize, id: u64, step: StepSpec) -> Option<u64> {
+        self.submit_as(entry, id, step, terms(1))
+    }
+
+    /// Submits a job of one step. Returns the delay of a rejection, in s.
+    fn submit_as(&mut self, entry: usize, id: u64, step: StepSpec, terms: JobTerms) -> Option<u64> {
+        let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+        if self.has_admission
+            && let Some(retry_after_s) = self.decide(entry, id, &spec, &terms)
+        {
+            return Some(retry_after_s);
+        }
+        self.memories[entry].settle_handed(JobId(id));
+        self.graph.submit_on(id, spec, terms);
+        self.accepted.entry(JobId(id)).or_insert((self.graph.now_ms, None));
+        None
+    }
+
+    /// Decision of an entry, which remembers it.
+    fn decide(&mut self, entry: usize, id: u64, spec: &JobSpec, terms: &JobTerms) -> Option<u64> {
+        let now_ms = self.graph.now_ms;
+        self.memories[entry].expire(now_ms);
+        let view = AdmissionView {
+            state: &self.graph.state,
+            guarantees: &self.graph.guarantees,
+            memory: &self.memories[entry],
+            now_ms,
+            memory_now_ms: now_ms,
+        };
+        let decision = decide_admission(&view, &Submission { job: JobId(id), spec, terms });
+        let claim = JobClaim::new(&self.graph.state, JobId(id), spec, terms, now_ms);
+        match decision {
+            AdmissionDecision::Admit => {
+                self.memories[entry].record_handed(claim, now_ms);
+                None
+            }
+            AdmissionDecision::Reject(rejection) => {
+                let retry_after_s = rejection.retry_after_s;
+                self.memories[entry].record_rejected(claim, now_ms, retry_after_s * 1_000);
+                Some(retry_after_s)
+            }
+        }
+    }
+
+    /// Lets the planner and the workers work.
+    fn run_for(&mut self, duration_ms: u64) {
+        let until_ms = self.graph.now_ms + duration_ms;
+        while self.graph.now_ms < until_ms {
+            self.graph.plan_across_stops();
+            self.graph.now_ms += STEP_MS;
+            self.graph.apply(GraphRecord::PlannerRenewed { epoch: 1 }).unwrap();
+            for (run, worker) in self.graph.runs() {
+                let placed_ms = self.graph.state.workers[&worker].runs[&run].placed_ms;
+                if self.graph.now_ms >= placed_ms + self.run_ms {
+                    self.graph.end(run, worker, EndKind::Done).unwrap();
+                }
+            }
+            for (id, (_, done_ms)) in &mut self.accepted {
+                if let Some(JobPhase::Completed { at_ms }) =
+                    self.graph.state.jobs.get(id).map(|job| job.phase)
+                {
+                    *done_ms = Some(at_ms);
+                }
+            }
+        }
+    }
+
+    /// Submits jobs of 8 tasks with these ids. Returns the delays of the rejected ones, in s.
+    fn burst(&mut self, ids: std::ops::Range<u64>, priority: u8) -> BTreeMap<u64, u64> {
+        let submitted = ids.map(|id| (id, self.submit_as(0, id, tasks(8, 1), terms(priority))));
+        let rejected: Vec<(u64, Option<u64>)> = submitted.collect();
+        rejected.into_iter().filter_map(|(id, delay_s)| Some((id, delay_s?))).collect()
+    }
+
+    /// Fills the service with runs, and gives it as much work as it can do in useful time.
+    fn fill(&mut self) -> BTreeMap<u64, u64> {
+        self.burst(100..102, 1);
+        self.run_for(STEP_MS);
+        self.burst(102..160, 1)
+    }
+
+    /// Numbers of accepted jobs that were done in useful time, and of the others.
+    fn outcome(&self) -> (usize, usize) {
+        let is_useful = |(accepted_ms, done_ms): &(u64, Option<u64>)| {
+            done_ms.is_some_and(|done_ms| done_ms <= accepted_ms + USEFUL_MS)
+        };
+        let useful = self.accepted.values().filter(|job| is_useful(job)).count();
+        (useful, self.accepted.len() - useful)
+    }
+}
+
+/// A burst fills the service three times over. Without the rule, two thirds of the callers wait for
+/// results that come too late; with it, they know at once, and no less work is done in time.
+#[test]
+fn burst_is_accepted_as_far_as_it_can_be_done_in_useful_time() {
+    let outcomes = [true, false].map(|has_admission| {
+        let mut service = FullService::new(has_admission, 4_000);
+        service.fill();
+        service.run_for(150_000);
+        service.outcome()
+    });
+    let [(useful, useless), (useful_without, useless_without)] = outcomes;
+    assert!(useless <= 2 && useful >= useful_without, "{outcomes:?}");
+    assert!(useless_without >= 30, "{outcomes:?}");
+}
+
+/// Estimates are half or one and a half times the actual run times. Nothing is rejected that the service
+/// could do in useful time.
+#[test]
+fn wrong_estimates_do_not_reject_what_can_be_done() {
+    for run_ms in [2_500, 8_000] {
+        let mut service = FullService::new(true, run_ms);
+        let rejected = service.fill();
+        // Of 8 tasks each, two jobs run at a time.
+        let doable = usize::try_from(USEFUL_MS / run_ms * 2).unwrap();
+        assert!(60 - rejected.len() >= doable, "{run_ms}: {} of 60 rejected", rejected.len());
+        assert!(!rejected.is_empty() || doable >= 28, "{run_ms}");
+    }
+}
+
+/// One team floods the service while another one submits a job now and then. The flood is rejected
+/// beyond what can be done, and the quiet team is not.
+#[test]
+fn flood_of_one_team_is_rejected_and_a_quiet_team_is_not() {
+    let mut service = FullService::new(true, 4_000);
+    assert!(service.fill().len() >= 30);
+    let quiet = JobTerms { team: "quiet".into(), ..terms(1) };
+    for second in 0..5 {
+        let delay_s = service.submit_as(1, 300 + second, tasks(8, 1), quiet.clone());
+        assert_eq!(delay_s, None, "second {second}");
+        service.run_for(1_000);
+    }
+    assert!(service.burst(1_000..1_010, 1).len() >= 9, "the flood goes on");
+}
+
+/// More urgent work is not rejected for the backlog of less urgent work.
+#[test]
+fn backlog_of_less_urgent_work_rejects_no_urgent_job() {
+    let mut service = FullService::new(true, 4_000);
+    assert!(service.fill().len() >= 30);
+    assert_eq!(service.submit_as(1, 300, gang(2, 4), terms(0)), None);
+    assert!(service.submit_as(1, 301, gang(2, 4), terms(2)).is_some());
+}
+
+/// The service is full but for accelerators that only narrow tasks can use, or for a rack that another
+/// label excludes. Jobs that fit there are accepted, however long the others' queue is.
+#[test]
+fn job_whose_shape_has_room_is_accepted() {
+    let mut service = FullService::new(true, 4_000);
+    for id in 100..140 {
+        service.submit(0, id, gang(1, 6));
+        service.run_for(if id < 102 { STEP_MS } else { 0 });
+    }
+    assert!(service.submit(0, 300, gang(1, 6)).is_some(), "no worker has 6 free");
+    assert_eq!(service.submit(0, 301, gang(2, 2)), None, "two workers have 2 free");
+
+    let on_rack = |rack: &str| StepSpec { required_label: Some(rack.into()), ..gang(1, 8) };
+    let mut service = FullService::new(true, 4_000);
+    service.submit(0, 99, on_rack("r1"));
+    for id in 100..140 {
+        service.submit(0, id, on_rack("r0"));
+        service.run_for(if id < 102 { STEP_MS } else { 0 });
+    }
+    assert!(service.submit(0, 300, on_rack("r0")).is_some());
+    assert_eq!(service.submit(0, 301, on_rack("r1")), None, "its rack is free in 4 s");
+    assert_eq!(service.submit(0, 302, gang(1, 8)), None, "any rack will do");
+}
+
+/// Jobs that must not be rejected although the service is full.
+#[test]
+fn exempt_jobs_are_accepted_by_a_full_service() {
+    let mut service = FullService::new(true, 4_000);
+    service.graph.guarantees.insert("team".into(), 16);
+    let rejected = service.fill();
+    let urgent = service.burst(1_000..1_060, 0);
+    assert!(!urgent.contains_key(&1_001) && urgent.contains_key(&1_059), "8 + 8 are guaranteed");
+    let spec = |step: StepSpec| JobSpec { steps: vec![step], ..JobSpec::default() };
+    let scheduled = JobSpec { occurrence_count: 2, ..spec(tasks(8, 1)) };
+    let lasting = spec(StepSpec { long_running: true, ..tasks(8, 1) });
+    let unfit = spec(tasks(1, 9));
+    for exempt in [&scheduled, &lasting, &unfit] {
+        assert_eq!(service.decide(0, 400, exempt, &terms(1)), None, "{exempt:?}");
+    }
+    let ordinary = spec(tasks(8, 1));
+    assert_eq!(service.decide(0, 400, &ordinary, &terms(1)), None, "handed to the log before");
+    assert_eq!(service.decide(0, 100, &ordinary, &terms(1)), None, "known to the state");
+    let last = *rejected.keys().last().unwrap();
+    assert!(service.decide(0, last, &ordinary, &terms(1)).is_some(), "rejected before");
+    service.run_for(200_000);
+    assert_eq!(service.decide(0, last, &ordinary, &terms(1)), None, "the service is idle again");
+}
+
+/// Two entries decide on the same burst before either sees the other's admissions. Each counts its own,
+/// so together they exceed the limit by one entry's admissions at most, and neither stays behind.
+#[test]
+fn two_entries_that_decide_at_once_agree_once_the_log_is_applied() {
+    let mut service = FullService::new(true, 4_000);
+    service.burst(100..102, 1);
+    service.run_for(STEP_MS);
+    let spec = JobSpec { steps: vec![tasks(8, 1)], ..JobSpec::default() };
+    let admitted = [0, 1].map(|entry| {
+        let ids: Vec<u64> = (1_000..1_100).map(|id| id + 1_000 * entry as u64).collect();
+        let admitted =
+            ids.into_iter().filter(|id| service.decide(entry, *id, &spec, &terms(1)).is_none());
+        admitted.collect::<Vec<u64>>()
+    });
+    let [first, second] = admitted.each_ref().map(Vec::len);
+    assert!((15..=21).contains(&first) && (15..=21).contains(&second), "{admitted:?}");
+    for id in admitted.iter().flatten() {
+        service.graph.submit_on(*id, spec.clone(), terms(1));
+    }
+    for entry in 0..2 {
+        assert!(service.decide(entry, 5_000, &spec, &terms(1)).is_some(), "entry {entry}");
+    }
+}
+
+/// Callers that come back when they were told to get in before newcomers, at the entry that rejected
+/// them and at another one. There are newcomers for four times the room, and they always call first.
+#[test]
+fn returning_callers_precede_newcomers() {
+    for entry in 0..2 {
+        let mut service = FullService::new(true, 4_000);
+        let mut due: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+        service.burst(100..102, 1);
+        service.run_for(STEP_MS);
+        for (id, delay_s) in service.burst(102..126, 1) {
+            due.entry(service.graph.now_ms / 1_000 + delay_s).or_default().push(id);
+        }
+        let (mut returned, mut newcomers) = (Vec::new(), Vec::new());
+        while !due.is_empty() {
+            service.run_for(STEP_MS);
+            let now_ms = service.graph.now_ms;
+            newcomers.push(service.submit(entry, now_ms, tasks(8, 1)).is_none());
+            for id in due.remove(&(now_ms / 1_000)).unwrap_or_default() {
+                returned.push(service.submit(entry, id, tasks(8, 1)).is_none());
+            }
+        }
+        let [returned, newcomers] = [returned, newcomers].map(|accepted| {
+            accepted.iter().filter(|accepted| **accepted).count() * 100 / accepted.len()
+        });
+        assert!(returned >= 2 * newcomers, "entry {entry}: {returned} % and {newcomers} %");
+    }
+}
+
+/// Callers that are rejected at once do not come back at once, and urgent ones come back sooner.
+#[test]
+fn returns_are_spread_and_urgent_callers_return_sooner() {
+    let means = [1, 2].map(|priority| {
+        let mut service = FullService::new(true, 4_000);
+        service.fill();
+        let rejected = service.burst(1_000..1_200, priority);
+        assert!(rejected.len() > 150, "{}", rejected.len());
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+        rejected.values().for_each(|delay_s| *counts.entry(*delay_s).or_default() += 1);
+        let most = counts.values().max().unwrap();
+        assert!(*most * 5 < rejected.len(), "{counts:?}");
+        assert!(rejected.values().all(|delay_s| (1..=60).contains(delay_s)), "{counts:?}");
+        rejected.values().sum::<u64>()
+    });
+    let [medium, background] = means;
+    assert!(medium <= background, "{means:?}");
+}
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod admission;
 mod advice;
 mod graph_builder;
 mod leases;
