--- a/crates/dispatch/src/admission_gate.rs
+++ b/crates/dispatch/src/admission_gate.rs
@@ -68,6 +68,11 @@
         self.memory().settle_handed(job);
     }
 
+    /// Notes that a submission found the log unreadable, or that its record's outcome is unknown.
+    pub(crate) fn note_disturbance(&self, replica: &Replica) {
+        self.memory().record_disturbance(replica.clock.now_ms());
+    }
+
     fn memory(&self) -> MutexGuard<'_, AdmissionMemory> {
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -137,14 +137,14 @@
                 Err(JobServiceError::Conflict)
             };
         }
-        self.check_writable()?;
+        if let Err(error) = self.check_writable() {
+            self.note_disturbance();
+            return Err(error);
+        }
         self.check_admission(&Submission { job, spec: &spec, terms: &terms })?;
         let record = GraphRecord::JobAccepted { job, spec, terms };
         let outcome = self.write(record, patience).await;
-        let is_open = matches!(outcome, Err(JobServiceError::Unknown) | Ok(Err(_)));
-        if let Some(gate) = self.gate.as_ref().filter(|_| !is_open) {
-            gate.settle(job);
-        }
+        self.settle_admission(job, &outcome);
         match outcome? {
             Ok(GraphEffect::Job { queue: held_by }) if held_by == queue => Ok(()),
             Ok(_) => Err(JobServiceError::Conflict),
@@ -168,6 +168,21 @@
         }
     }
 
+    /// Notes the outcome of an admitted job's record.
+    fn settle_admission(&self, job: JobId, outcome: &Result<GraphOutcome, JobServiceError>) {
+        match (&self.gate, outcome) {
+            (None, _) => {}
+            (Some(_), Err(JobServiceError::Unknown) | Ok(Err(_))) => self.note_disturbance(),
+            (Some(gate), _) => gate.settle(job),
+        }
+    }
+
+    fn note_disturbance(&self) {
+        if let Some(gate) = &self.gate {
+            gate.note_disturbance(&self.replica);
+        }
+    }
+
     fn log_rejection(&self, submission: &Submission<'_>, rejection: &Rejection) {
         let (offset, age_ms) = self.freshness();
         let forecast = rejection.forecast;
@@ -182,6 +197,7 @@
             own_ms = forecast.own_ms,
             steps_ahead = forecast.steps_ahead,
             accelerators = forecast.accelerators,
+            is_within_share = forecast.is_within_share,
             offset,
             age_ms;
             "job rejected"
--- a/crates/taskgraph/src/admission.rs
+++ b/crates/taskgraph/src/admission.rs
@@ -17,6 +17,7 @@
 use crate::job_claim::JobClaim;
 use crate::job_id::JobId;
 use crate::job_spec::JobSpec;
+use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::JobTerms;
 use crate::job_terms::URGENT_PRIORITY;
 
@@ -26,7 +27,7 @@
 /// Minimum time over which the returns of callers are spread, in s. Delays are whole seconds.
 const MIN_SPREAD_S: u64 = 4;
 /// Maximum time over which the returns of urgent callers are spread, in s. It grows by as much with
-/// each lower priority.
+/// each lower priority, down to background work.
 const MAX_SPREAD_S: u64 = 8;
 /// Time in which a returning caller is recognized, in ms: it may come at any time within its second,
 /// and the call takes a while.
@@ -174,7 +175,7 @@
 /// Time over which the returns of callers with such a job are spread, in s. Callers with a shorter
 /// objective come back sooner.
 fn spread_s(claim: &JobClaim) -> u64 {
-    let longest_s = MAX_SPREAD_S * (1 + u64::from(claim.priority));
+    let longest_s = MAX_SPREAD_S * (1 + u64::from(claim.priority.min(BACKGROUND_PRIORITY)));
     (claim.objective_ms / 1_000).clamp(MIN_SPREAD_S, longest_s)
 }
 
--- a/crates/taskgraph/src/admission_forecast.rs
+++ b/crates/taskgraph/src/admission_forecast.rs
@@ -25,10 +25,16 @@
 use crate::task_key::StepKey;
 use crate::worker::WorkerState;
 use crate::worker::WorkerStatus;
+use crate::worker_class::WorkerClass;
 
 /// Index of the class of all workers of the service.
 const ALL_WORKERS: usize = 0;
 
+/// Maximum number of steps of one job that count, and of tasks of a step that was begun. They bound the
+/// time for a submission; further ones are left out, in the caller's favour.
+const MAX_COUNTED_STEPS: usize = 64;
+const MAX_COUNTED_TASKS: usize = 1_000;
+
 /// Inputs and result of a forecast.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Forecast {
@@ -42,42 +48,9 @@
     pub accelerators: u64,
     /// Number of steps that are served before the job.
     pub steps_ahead: usize,
-}
-
-/// Workers of a service with one label, or all of them.
-#[derive(Clone, Debug, Default)]
-struct WorkerClass {
-    /// Sum of the workers' resources.
-    total: ResourceWork,
-    /// Distinct sizes of workers, with their numbers.
-    sizes: Vec<(ResourceAmounts, u32)>,
-}
-
-impl WorkerClass {
-    fn of(workers: &[&WorkerState], label: Option<&SmolStr>) -> Self {
-        let mut class = Self::default();
-        for worker in workers.iter().filter(|worker| worker.has_label(label)) {
-            let resources = worker.spec.resources;
-            class.total = class.total.plus(&work_of(&resources, 1));
-            match class.sizes.iter_mut().find(|(size, _)| *size == resources) {
-                Some((_, count)) => *count += 1,
-                None => class.sizes.push((resources, 1)),
-            }
-        }
-        class
-    }
-
-    /// Whether the step could be placed if the workers were empty.
-    fn fits(&self, spec: &StepSpec) -> bool {
-        let each = spec.held_resources();
-        let fitting = self.sizes.iter().map(|(size, count)| {
-            let fit_count = size.fit_count(&each);
-            let limit = if spec.max_per_worker == 0 { u32::MAX } else { spec.max_per_worker };
-            fit_count.min(limit).saturating_mul(*count)
-        });
-        let fit_count = fitting.fold(0, u32::saturating_add);
-        fit_count >= if spec.gang { spec.count } else { 1 }
-    }
+    /// Whether the team is within its share, so that other teams' work of the same priority is not
+    /// served before the job.
+    pub is_within_share: bool,
 }
 
 /// Work that is served before the submitted job.
@@ -197,13 +170,13 @@
         };
         // Occurrences in the future take nothing yet, and advice may forbid all workers.
         if job.spec.occurrence_count > 0 || job.terms.is_advised {
-            for ((occurrence, step), known) in &job.steps {
+            for ((occurrence, step), known) in job.steps.iter().take(MAX_COUNTED_STEPS) {
                 if let Some(spec) = job.step_spec(*step) {
                     add(*occurrence, *step, spec, Some(known));
                 }
             }
         } else {
-            for (step, spec) in (0..).zip(&job.spec.steps) {
+            for (step, spec) in (0..).zip(&job.spec.steps).take(MAX_COUNTED_STEPS) {
                 add(0, step, spec, job.steps.get(&(0, step)));
             }
         }
@@ -228,7 +201,8 @@
     ) -> u64 {
         let run_ms = expected_run_ms(self.state, &job.terms.queue, spec);
         let Some(known) = known else { return run_ms.saturating_mul(u64::from(spec.count)) };
-        let remaining = (0..).zip(&known.tasks).filter(|(_, task)| !task.is_done);
+        let tasks = (0..).zip(&known.tasks).take(MAX_COUNTED_TASKS);
+        let remaining = tasks.filter(|(_, task)| !task.is_done);
         let remaining = remaining.map(|(index, task)| {
             let Some(placement) = task.current.first() else {
                 // How much a checkpoint saves is not known here.
@@ -287,6 +261,7 @@
         let by_team_ms = self.finish_ms(claim, &by_team, limit_ms);
         Forecast {
             finish_ms: in_order_ms.min(by_team_ms),
+            is_within_share: by_team_ms < in_order_ms,
             limit_ms,
             own_ms: self.finish_ms(claim, &idle, limit_ms),
             accelerators: self.classes.first().map_or(0, |all| all.total.accelerators()),
--- a/crates/taskgraph/src/admission_memory.rs
+++ b/crates/taskgraph/src/admission_memory.rs
@@ -8,8 +8,11 @@
 use crate::job_claim::JobClaim;
 use crate::job_id::JobId;
 
+/// How long nothing is rejected after a disturbance of the log, in ms. A job may be on its way to the
+/// log from another entry, whose caller got no answer; copies of an append have arrived 12 s later.
+const DISTURBANCE_MS: u64 = 12_000;
 /// How long the id of a job is kept whose record was handed to the log with an unknown outcome, in
-/// ms. Copies of an append have arrived up to 12 s later.
+/// ms: several times as long as a late copy of an append takes.
 const HANDED_RETENTION_MS: u64 = 60_000;
 /// Maximum number of handed jobs. Beyond it nothing is rejected until the first ids are forgotten.
 const MAX_HANDED_JOBS: usize = 4_096;
@@ -64,7 +67,8 @@
         } else if self.handed.len() < MAX_HANDED_JOBS {
             self.handed.insert(claim.job, HandedJob { claim, at_ms: now_ms, unsettled: 1 });
         } else {
-            self.incomplete_until_ms = now_ms + HANDED_RETENTION_MS;
+            let until_ms = now_ms + HANDED_RETENTION_MS;
+            self.incomplete_until_ms = self.incomplete_until_ms.max(until_ms);
         }
     }
 
@@ -78,6 +82,12 @@
         }
     }
 
+    /// Notes that the log does not answer as it should. Nothing is rejected for a while, since jobs of
+    /// other entries may be on their way to it.
+    pub fn record_disturbance(&mut self, now_ms: u64) {
+        self.incomplete_until_ms = self.incomplete_until_ms.max(now_ms + DISTURBANCE_MS);
+    }
+
     /// Remembers a job that was told to come back after `retry_after_ms`.
     pub fn record_rejected(&mut self, claim: JobClaim, now_ms: u64, retry_after_ms: u64) {
         let until_ms = now_ms + retry_after_ms + RETURN_GRACE_MS;
--- a/crates/taskgraph/src/job_claim.rs
+++ b/crates/taskgraph/src/job_claim.rs
@@ -14,6 +14,11 @@
 /// by up to half.
 const UNMEASURED_DIVISOR: u64 = 2;
 
+/// Maximum number of labels of a claim. Work of further ones does not count, in the caller's favour.
+const MAX_CLAIM_LABELS: usize = 8;
+/// Maximum length of a label in a claim, in bytes. Callers may name labels that no worker has.
+const MAX_LABEL_BYTES: usize = 64;
+
 /// Amounts of accelerators, processor time in thousandths of a core, and memory in MB, each times ms.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ResourceWork(pub(crate) [u64; 3]);
@@ -134,6 +139,10 @@
                 }
                 None => {
                     let label = step.required_label.clone();
+                    let bytes = label.as_ref().map_or(0, SmolStr::len);
+                    if parts.len() >= MAX_CLAIM_LABELS || bytes > MAX_LABEL_BYTES {
+                        continue;
+                    }
                     parts.push(ClaimPart { label, work, tails_ms: step_tails_ms });
                 }
             }
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod task_key;
 pub mod throttle_control;
 pub mod worker;
+mod worker_class;
