--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -10,6 +10,9 @@
 //! lease arithmetic ([`lease_terms`]) are pure as well: they compute decisions from a state and a
 //! time.
 
+pub mod admission;
+pub mod admission_forecast;
+pub mod admission_memory;
 pub mod advice_request;
 mod apply_jobs;
 mod apply_runs;
@@ -19,6 +22,7 @@
 pub mod early_cancellations;
 pub mod evacuations;
 pub mod graph_state;
+pub mod job_claim;
 pub mod job_id;
 pub mod job_spec;
 pub mod job_state;
@@ -39,3 +43,4 @@
 pub mod task_key;
 pub mod throttle_control;
 pub mod worker;
+mod worker_class;
