Order waiting steps by the cost of waiting where room is short

Cause: within a priority, steps were ordered by timeliness and objective, and timeliness compared one task's estimate with the objective. A job of 200 tasks that is late in any case preceded ten small ones that would have been on time, and a burst that exceeds the service was served so that few were on time.

Change: with `planning.cost_order`, and only while the waiting tasks of a service need more than its free and soon free room, the results of one priority are classed by a forecast of that room: those that can be on time together (Moore-Hodgson), late but useful ones (Smith's rule), those that can't be useful. One late job at a time that would lose half of its worth precedes the others, while late work holds less than the room that this job needs to be useful, at most half of the service. Run times are predicted by the queue's mean or by the estimate corrected by the team's measured ratio, whichever was closer. Guaranteed work and the order of priorities are as before, and so is everything with the switch off.

--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -15,6 +15,7 @@
 use crate::job_state::JobState;
 use crate::job_state::RunPlacement;
 use crate::job_state::StepState;
+use crate::job_terms::JobTerms;
 use crate::record::EndKind;
 use crate::record::RunEnd;
 use crate::record::TaskPlacement;
@@ -236,8 +237,8 @@
         match end.kind {
             EndKind::Done if spec.long_running => self.stop_gang(step, spec),
             EndKind::Done => {
-                let queue = job.terms.queue.clone();
-                self.record_duration(queue, end, held);
+                let terms = job.terms.clone();
+                self.record_duration(&terms, spec, end, held);
                 self.complete_task(step, index, spec);
             }
             EndKind::Failed => {
@@ -273,10 +274,14 @@
         }
     }
 
-    fn record_duration(&mut self, queue: SmolStr, end: &RunEnd, held: &HeldRun) {
+    fn record_duration(&mut self, terms: &JobTerms, spec: &StepSpec, end: &RunEnd, held: &HeldRun) {
         if end.run.run == 1 {
             let run_ms = self.clock_ms.saturating_sub(held.placed_ms);
-            self.durations.entry(queue).or_default().record(run_ms);
+            let JobTerms { queue, team, .. } = terms;
+            let duration = self.durations.entry(queue.clone()).or_default();
+            let mean_ms = duration.mean_ms;
+            duration.record(run_ms);
+            self.estimate_errors.record(queue, team, spec.estimate_ms, mean_ms, run_ms);
         }
     }
 
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -10,11 +10,13 @@
 use cuminbarrow_ledger::state::PlannerState;
 use cuminbarrow_ledger::state::WriterState;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
 use snafu::ensure;
 
 use crate::early_cancellations::EarlyCancellations;
+use crate::estimate_errors::EstimateErrors;
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
@@ -71,7 +73,7 @@
 const RECLAIM_RETENTION_MS: u64 = 10_000;
 
 /// Number of runs after which a queue's mean run time is used in place of estimates.
-const MIN_DURATION_SAMPLES: u32 = 3;
+pub(crate) const MIN_DURATION_SAMPLES: u32 = 3;
 
 /// Run time of a queue's tasks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -174,6 +176,18 @@
     pub(crate) slow_workers: BTreeMap<WorkerKey, SlowWorker>,
     /// Cancellations of jobs that are not known, kept as long as ended jobs.
     pub early_cancellations: EarlyCancellations,
+    /// Errors of estimated run times. Snapshots of version 0.1.0 end before it.
+    #[serde(deserialize_with = "present_or_default")]
+    pub estimate_errors: EstimateErrors,
+}
+
+/// Reads a field that snapshots of earlier releases lack at their end.
+fn present_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 impl GraphState {
--- /dev/null
+++ b/crates/taskgraph/src/load_order.rs
@@ -0,0 +1,165 @@
+//! Order of waiting steps while a service has too little room for them.
+//!
+//! Answers a full service: as long as what waits fits into the room that is free or about to be, the
+//! order of [`crate::step_queue`] remains.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+
+use crate::graph_state::GraphState;
+use crate::job_id::JobId;
+use crate::job_terms::URGENT_PRIORITY;
+use crate::plan_round::PlannerInput;
+use crate::remaining_work::ServiceLoad;
+use crate::room_forecast::HeldRoom;
+use crate::room_forecast::RoomForecast;
+use crate::step_queue::Timeliness;
+use crate::step_queue::WaitingStep;
+use crate::task_key::StepKey;
+use crate::waiting_cost::CostClass;
+use crate::waiting_cost::WaitingWork;
+use crate::waiting_cost::waiting_costs;
+
+/// Room counts as free if a run is expected to end within this time, in ms. It is the longest time
+/// between two rounds while jobs wait.
+const SOON_MS: u64 = 250;
+
+/// A step that is put behind others of its priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DelayedStep {
+    /// Key of the step.
+    pub step: StepKey,
+    /// Why the step is put behind others.
+    pub reason: &'static str,
+    /// When the job misses its latency objective, in ms since the Unix epoch.
+    pub objective_at_ms: u64,
+    /// When the result is expected if it is placed first, in ms since the Unix epoch.
+    pub earliest_ms: u64,
+    /// Time that the whole service needs for the work left to place, in ms.
+    pub work_ms: u64,
+}
+
+/// Position of a step among those of its priority, lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LoadRank {
+    /// Class: the timeliness, or the class by cost where room is short.
+    class: u8,
+    /// Order within the class.
+    key: u128,
+}
+
+impl LoadRank {
+    /// Position while there is room for everything.
+    pub fn without_load(timeliness: Timeliness, objective_at_ms: u64) -> Self {
+        Self { class: timeliness as u8, key: u128::from(objective_at_ms) }
+    }
+}
+
+/// Sets the ranks of the steps of each service in which room is short. Steps covered by a guarantee
+/// and those that are too late keep their ranks. Returns the steps that are put behind others.
+pub fn rank_under_load(
+    state: &GraphState,
+    input: &PlannerInput,
+    waiting: &mut [WaitingStep<'_>],
+) -> Vec<DelayedStep> {
+    let mut delayed = Vec::new();
+    if !input.options.cost_order {
+        return delayed;
+    }
+    let services: BTreeSet<SmolStr> =
+        waiting.iter().map(|step| step.job.terms.service.clone()).collect();
+    for service in services {
+        let mut load = ServiceLoad::new(state, &service, input.now_ms);
+        let mut steps: Vec<&mut WaitingStep<'_>> = waiting
+            .iter_mut()
+            .filter(|step| step.job.terms.service == service)
+            .filter(|step| step.timeliness != Timeliness::TooLate)
+            .collect();
+        if is_short(&mut load, &steps) {
+            rank_by_cost(state, &mut load, &mut steps, input.now_ms, &mut delayed);
+        }
+    }
+    delayed
+}
+
+/// Whether the waiting tasks need more room than is free or expected to be soon.
+fn is_short(load: &mut ServiceLoad<'_>, steps: &[&mut WaitingStep<'_>]) -> bool {
+    let needed = steps.iter().map(|step| load.needed_room(step)).fold(0, u64::saturating_add);
+    let held = load.running.iter().map(|run| run.held).collect();
+    needed > RoomForecast::new(held).free_room(SOON_MS)
+}
+
+/// Ranks the steps of one service by the cost of waiting, from the most urgent priority on.
+fn rank_by_cost(
+    state: &GraphState,
+    load: &mut ServiceLoad<'_>,
+    steps: &mut [&mut WaitingStep<'_>],
+    now_ms: u64,
+    delayed: &mut Vec<DelayedStep>,
+) {
+    let mut work_ahead = 0;
+    let mut results: BTreeMap<u8, BTreeMap<(JobId, u32), WaitingWork>> = BTreeMap::new();
+    let mut guaranteed: BTreeSet<(JobId, u32)> = BTreeSet::new();
+    for step in steps.iter() {
+        let result = (step.key.job, step.key.occurrence);
+        if step.is_guaranteed {
+            if guaranteed.insert(result) {
+                work_ahead += load.waiting_work(state, step).work;
+            }
+        } else if is_ranked(step) {
+            let of_priority = results.entry(step.job.terms.priority).or_default();
+            let known = of_priority.entry(result);
+            let work = known.or_insert_with(|| load.waiting_work(state, step));
+            work.first_size = work.first_size.min(load.first_size(step));
+        }
+    }
+    for (priority, results) in results {
+        let held = load.running.iter().filter(|run| is_held_against(priority, run.priority));
+        let held: Vec<HeldRoom> = held.map(|run| run.held).collect();
+        let forecast = RoomForecast::new(held);
+        let works: Vec<WaitingWork> = results.values().copied().collect();
+        let late = load.running.iter().filter(|run| run.is_late && run.priority == priority);
+        let late_room = late.map(|run| run.held.size).fold(0, u64::saturating_add);
+        let costs = waiting_costs(&forecast, work_ahead, late_room, &works, now_ms);
+        work_ahead += works.iter().map(|work| work.work).sum::<u128>();
+        let costs: BTreeMap<(JobId, u32), _> =
+            results.keys().copied().zip(works.iter().zip(costs)).collect();
+        for step in steps.iter_mut().filter(|step| is_ranked(step)) {
+            let result = (step.key.job, step.key.occurrence);
+            let Some((work, cost)) = costs.get(&result) else { continue };
+            step.rank = LoadRank { class: cost.class as u8, key: cost.key };
+            if let Some(reason) = delay_reason(cost.class, cost.earliest_ms, work) {
+                delayed.push(DelayedStep {
+                    step: step.key,
+                    reason,
+                    objective_at_ms: work.objective_at_ms,
+                    earliest_ms: cost.earliest_ms,
+                    work_ms: work.whole_service_ms(),
+                });
+            }
+        }
+    }
+}
+
+/// Whether the cost of waiting decides on a step. Tasks that run until they are cancelled have no
+/// end that could be late.
+fn is_ranked(step: &WaitingStep<'_>) -> bool {
+    !step.is_guaranteed && !step.spec.long_running
+}
+
+/// Whether a run holds its room against waiting work of this priority. Urgent work may preempt less
+/// urgent work.
+fn is_held_against(waiting_priority: u8, running_priority: u8) -> bool {
+    waiting_priority != URGENT_PRIORITY || running_priority <= waiting_priority
+}
+
+fn delay_reason(class: CostClass, earliest_ms: u64, work: &WaitingWork) -> Option<&'static str> {
+    match class {
+        CostClass::Aged | CostClass::OnTime => None,
+        CostClass::Late if earliest_ms > work.objective_at_ms => Some("can't be on time"),
+        CostClass::Late => Some("others can be on time instead"),
+        CostClass::Useless => Some("can't be useful"),
+    }
+}
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -21,6 +21,7 @@
 use crate::job_state::TaskState;
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::load_order::DelayedStep;
 use crate::planning_options::PlanningOptions;
 use crate::reclaim::PreemptionScope;
 use crate::reclaim::VictimTable;
@@ -82,6 +83,8 @@
     pub records: Vec<GraphRecord>,
     /// Steps that were left waiting.
     pub unplaced: Vec<UnplacedStep>,
+    /// Steps that are put behind others because room is short.
+    pub delayed: Vec<DelayedStep>,
     /// Requests to the services that advise queues.
     pub advice_requests: Vec<AdviceRequest>,
 }
@@ -99,7 +102,9 @@
         now_ms: input.now_ms,
     };
     round.stop_on_draining_workers(state);
-    for waiting in waiting_steps(state, &guaranteed, input.now_ms) {
+    let (queue, delayed) = waiting_steps(state, &guaranteed, input);
+    round.plan.delayed = delayed;
+    for waiting in queue {
         round.place_step(state, &waiting);
     }
     round.stop_on_slow_workers(state);
@@ -187,11 +192,11 @@
         } else {
             StepRequest { failed_workers: &[], ..request }
         };
-        let count = round_count(waiting);
+        let count = waiting.round_count();
         let placeable_count = self.placeable_count(state, waiting, count);
         if placeable_count == 0 {
             let is_kept = self.reserved_accelerators(state, waiting) > 0
-                && is_enough(waiting, &self.find_allocation(waiting, &request, count), count);
+                && waiting.is_enough(&self.find_allocation(waiting, &request, count), count);
             let reason = if is_kept { "room is kept for urgent work" } else { "no room" };
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
@@ -205,7 +210,7 @@
         }
         let allocation = self.find_allocation(waiting, &request, count);
         let found: u32 = allocation.iter().map(|(_, count)| count).sum();
-        let is_enough = is_enough(waiting, &allocation, count);
+        let is_enough = waiting.is_enough(&allocation, count);
         if is_enough {
             self.commit_placement(waiting, &request, &allocation);
         }
@@ -434,17 +439,3 @@
         true
     }
 }
-
-/// Number of the step's waiting tasks that one round considers. The next round follows at once.
-fn round_count(waiting: &WaitingStep<'_>) -> u32 {
-    if waiting.spec.gang {
-        return waiting.count;
-    }
-    waiting.count.min(u32::try_from(MAX_RUNS_PER_RECORD).unwrap_or(u32::MAX))
-}
-
-/// Whether an allocation lets a step begin: all members of a gang, or any of its independent tasks.
-fn is_enough(waiting: &WaitingStep<'_>, allocation: &[(usize, u32)], count: u32) -> bool {
-    let found: u32 = allocation.iter().map(|(_, count)| count).sum();
-    if waiting.spec.gang { found == count } else { found > 0 }
-}
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -3,7 +3,8 @@
 //! Urgent jobs within their team's guarantee go first, by acceptance. The others follow by
 //! priority. Within one priority, jobs that can still meet their latency objective precede late
 //! ones, and both are ordered by the time at which they miss it. Jobs that are too late to be
-//! useful come last and fill the remaining capacity.
+//! useful come last and fill the remaining capacity. Where room is short, [`crate::load_order`] decides
+//! within a priority if the settings enable it.
 
 use std::collections::BTreeMap;
 
@@ -15,10 +16,15 @@
 use crate::job_state::JobState;
 use crate::job_state::StepState;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::load_order::DelayedStep;
+use crate::load_order::LoadRank;
+use crate::load_order::rank_under_load;
+use crate::plan_round::PlannerInput;
+use crate::record::MAX_RUNS_PER_RECORD;
 use crate::task_key::StepKey;
 
 /// A result is worth something until this many times the latency objective has passed.
-const TOO_LATE_FACTOR: u64 = 3;
+pub(crate) const TOO_LATE_FACTOR: u64 = 3;
 /// How long before its due time an occurrence may be placed, in ms. Orders take a while to reach
 /// the worker, but none may start more than 250 ms early.
 const EARLY_PLACEMENT_MS: u64 = 0;
@@ -60,6 +66,8 @@
     pub objective_at_ms: u64,
     /// Since when the occurrence may run, in ms since the Unix epoch.
     pub waiting_since_ms: u64,
+    /// Position among the steps of the same priority.
+    pub rank: LoadRank,
 }
 
 impl WaitingStep<'_> {
@@ -74,15 +82,29 @@
         (0..self.spec.count).filter(move |index| is_waiting(state, *index))
     }
 
-    fn rank(&self) -> (bool, u64, bool, u8, Timeliness, u64, JobId) {
+    /// Number of the waiting tasks that one round considers. The next round follows at once.
+    pub(crate) fn round_count(&self) -> u32 {
+        if self.spec.gang {
+            return self.count;
+        }
+        self.count.min(u32::try_from(MAX_RUNS_PER_RECORD).unwrap_or(u32::MAX))
+    }
+
+    /// Whether an allocation lets the step begin: all members of a gang, or any of its independent
+    /// tasks.
+    pub(crate) fn is_enough(&self, allocation: &[(usize, u32)], count: u32) -> bool {
+        let found: u32 = allocation.iter().map(|(_, count)| count).sum();
+        if self.spec.gang { found == count } else { found > 0 }
+    }
+
+    fn position(&self) -> (bool, u64, bool, u8, LoadRank, JobId) {
         let accepted_ms = if self.is_guaranteed { self.job.accepted_ms } else { 0 };
         (
             !self.is_guaranteed,
             accepted_ms,
             self.timeliness == Timeliness::TooLate,
             self.job.terms.priority,
-            self.timeliness,
-            self.objective_at_ms,
+            self.rank,
             self.key.job,
         )
     }
@@ -113,21 +135,23 @@
     guaranteed
 }
 
-/// Steps that can be placed now, in the order in which to place them.
+/// Steps that can be placed now, in the order in which to place them, and those that are put behind
+/// others because room is short.
 pub fn waiting_steps<'a>(
     state: &'a GraphState,
     guaranteed: &BTreeMap<JobId, bool>,
-    now_ms: u64,
-) -> Vec<WaitingStep<'a>> {
+    input: &PlannerInput,
+) -> (Vec<WaitingStep<'a>>, Vec<DelayedStep>) {
     let mut waiting = Vec::new();
     for id in &state.active {
         let Some(job) = state.jobs.get(id) else { continue };
         let is_guaranteed = guaranteed.get(id).copied().unwrap_or(false);
-        let steps = waiting_steps_of(*id, job, is_guaranteed, now_ms);
+        let steps = waiting_steps_of(*id, job, is_guaranteed, input.now_ms);
         waiting.extend(steps.take(MAX_WAITING_STEPS));
     }
-    waiting.sort_by_key(WaitingStep::rank);
-    waiting
+    let delayed = rank_under_load(state, input, &mut waiting);
+    waiting.sort_by_key(WaitingStep::position);
+    (waiting, delayed)
 }
 
 /// Accelerators of a service that urgent tasks wait for.
@@ -196,15 +220,17 @@
     }
     let objective_at_ms = job.objective_at_ms(key.occurrence);
     let eligible_ms = job.spec.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
+    let timeliness = timeliness(job, spec, eligible_ms, now_ms);
     Some(WaitingStep {
         key,
         job,
         spec,
         count,
         is_guaranteed,
-        timeliness: timeliness(job, spec, eligible_ms, now_ms),
+        timeliness,
         objective_at_ms,
         waiting_since_ms: eligible_ms,
+        rank: LoadRank::without_load(timeliness, objective_at_ms),
     })
 }
 
@@ -214,7 +240,8 @@
     task.is_none_or(|task| !task.is_done && task.current.is_empty())
 }
 
-fn waiting_count(state: &StepState, spec: &StepSpec) -> u32 {
+/// Number of a step's tasks that wait to be placed.
+pub(crate) fn waiting_count(state: &StepState, spec: &StepSpec) -> u32 {
     let indices = (0..spec.count).filter(|index| is_waiting(Some(state), *index));
     u32::try_from(indices.count()).unwrap_or(u32::MAX)
 }
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -91,7 +91,7 @@
         self.submit_on(id, spec, terms(priority))
     }
 
-    fn submit_on(&mut self, id: u64, spec: JobSpec, terms: JobTerms) -> JobId {
+    pub(crate) fn submit_on(&mut self, id: u64, spec: JobSpec, terms: JobTerms) -> JobId {
         let job = JobId(id);
         self.apply(GraphRecord::JobAccepted { job, spec, terms }).unwrap();
         job
@@ -191,7 +191,7 @@
     StepSpec { gang: true, ..tasks(count, accelerators) }
 }
 
-fn terms(priority: u8) -> JobTerms {
+pub(crate) fn terms(priority: u8) -> JobTerms {
     JobTerms {
         queue: "queue".into(),
         service: "service".into(),
--- a/crates/taskgraph/tests/graph/restored_states.rs
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -122,3 +122,16 @@
         assert_eq!(state, graph.state, "the copy changed the state");
     }
 }
+
+/// Guards against a snapshot of the previous release, which ends before the errors of estimates, that no
+/// longer can be read.
+#[test]
+fn snapshot_without_errors_of_estimates_is_read() {
+    let mut graph = GraphBuilder::new(1, 1);
+    graph.submit(1, 1, vec![tasks(1, 1)]);
+    graph.plan();
+    let mut bytes = codec::encode(&graph.state).unwrap();
+    assert_eq!(bytes.pop(), Some(0), "the last field is an empty map");
+    let state: GraphState = codec::decode(&bytes).unwrap();
+    assert_eq!(state, graph.state);
+}
