Prefer teams below their share of a full service

Cause: apart from guarantees, which cover urgent work only, nothing protects the other teams from one team's burst: its earlier jobs precede theirs.

Change: with `planning.team_shares`, and only while room is short, steps of teams that stay within their share precede the others of the same priority and class. Shares are in proportion to guaranteed accelerators, equal without any, and what a team does not need of its share is divided among the others (weighted max-min), so a team alone may use all. The order alone changes, so no room is left idle. Where the cost of waiting decides too, jobs of teams above their share are the first to be dropped from the set that can be on time.

--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod step_advice;
 pub mod step_queue;
 pub mod task_key;
+pub mod team_shares;
 pub mod throttle_control;
 pub mod waiting_cost;
 pub mod worker;
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -97,7 +97,12 @@
         if self.spec.gang { found == count } else { found > 0 }
     }
 
-    fn position(&self) -> (bool, u64, bool, u8, LoadRank, JobId) {
+    /// Priority and class among its steps; steps of the same are ordered by their teams' shares.
+    pub(crate) fn class(&self) -> (u8, u8) {
+        (self.job.terms.priority, self.rank.class)
+    }
+
+    pub(crate) fn position(&self) -> (bool, u64, bool, u8, LoadRank, JobId) {
         let accepted_ms = if self.is_guaranteed { self.job.accepted_ms } else { 0 };
         (
             !self.is_guaranteed,
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -15,5 +15,6 @@
 mod run_table;
 mod single_runs;
 mod slow_workers;
+mod team_shares;
 mod throttling;
 mod waiting_cost;
