Count what callers got and which steps are delayed

Cause: operators could not see who bears a load: whether jobs ended in time, and why work waits behind other work.

Change: the entry that plans serves `jobs_ended` by queue, team and outcome, and `steps_delayed` by reason, and logs each delay with its inputs, up to 16 lines a round. Queues and teams beyond 256 combinations are counted as "other". The outcome is taken from the state when a job has completed, by times that are remembered while it is active. The played loads of the tests use the same outcomes.

The metrics were not scraped from a running entry.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod job_service;
 mod lease_grants;
 mod lease_obstacle;
+pub mod load_report;
 pub mod membership;
 pub mod peer_list;
 pub mod planner_role;
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -28,6 +28,8 @@
 use crate::configuration::Configuration;
 use crate::failure_detector::FailureDetector;
 use crate::failure_detector::MemberList;
+use crate::load_report::LoadCounters;
+use crate::load_report::LoadReport;
 use crate::membership::Membership;
 use crate::membership::MembershipError;
 use crate::planner_role::EntrySize;
@@ -69,6 +71,8 @@
     pub size: EntrySize,
     /// Decisions under load that are switched on.
     pub options: PlanningOptions,
+    /// Counters of ended jobs and delayed steps.
+    pub counters: Arc<LoadCounters>,
 }
 
 impl PlannerTask {
@@ -88,6 +92,7 @@
             member_request: None,
             written_at: Instant::now(),
             wait_reasons: BTreeMap::new(),
+            report: LoadReport::default(),
             has_waiting_jobs: false,
             task: self,
         };
@@ -127,6 +132,7 @@
     written_at: Instant,
     /// Reasons of the waiting jobs, as logged last.
     wait_reasons: BTreeMap<JobId, &'static str>,
+    report: LoadReport,
     has_waiting_jobs: bool,
 }
 
@@ -152,7 +158,10 @@
                 self.release().await;
             }
             RoleDecision::Claim => self.claim(planner.epoch + 1).await,
-            RoleDecision::Wait => self.has_waiting_jobs = false,
+            RoleDecision::Wait => {
+                self.has_waiting_jobs = false;
+                self.report = LoadReport::default();
+            }
         }
     }
 
@@ -231,8 +240,13 @@
             guarantees: guarantees.unwrap_or_default(),
             options: self.task.options,
         };
-        let plan = plan_round(&self.task.replica.state(), &input);
+        let plan = {
+            let state = self.task.replica.state();
+            self.report.count_ended_jobs(&state, &self.task.counters);
+            plan_round(&state, &input)
+        };
         self.log_waiting_jobs(&plan.unplaced);
+        self.report.log_delayed_steps(&plan.delayed, &self.task.counters);
         self.advice.request(epoch, plan.advice_requests);
         if !plan.records.is_empty() {
             plan.records.iter().for_each(log_decision);
--- a/crates/dispatch/tests/fleet/fake_fleet.rs
+++ b/crates/dispatch/tests/fleet/fake_fleet.rs
@@ -216,6 +216,7 @@
             advice: None,
             size: EntrySize::Regular,
             options: PlanningOptions::default(),
+            counters: Arc::default(),
         };
         let (shutdown, receiver) = watch::channel(false);
         let tasks = vec![
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod estimate_errors;
 pub mod graph_state;
 pub mod job_id;
+pub mod job_outcomes;
 pub mod job_spec;
 pub mod job_state;
 pub mod job_terms;
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod graph_builder;
+mod job_outcomes;
 mod leases;
 mod load_patterns;
 mod many_occurrences;
--- a/crates/taskgraph/tests/graph/team_shares.rs
+++ b/crates/taskgraph/tests/graph/team_shares.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::job_outcomes::JobOutcome;
 use cuminbarrow_taskgraph::job_spec::JobSpec;
 use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::job_terms::JobTerms;
@@ -15,7 +16,6 @@
 use crate::graph_builder::tasks;
 use crate::graph_builder::terms;
 use crate::played_load::Arrival;
-use crate::played_load::Served;
 use crate::played_load::count;
 use crate::played_load::play;
 
@@ -55,11 +55,11 @@
     }
     for cost_order in [false, true] {
         let [off, on] =
-            [false, true].map(|shares| play(4, &[], options(shares, cost_order), &load, 70_000));
-        let on_time = |served: &[Served]| count(&served[100..], Served::OnTime);
+            [false, true].map(|shares| play(4, options(shares, cost_order), &load, 70_000));
+        let on_time = |served: &[JobOutcome]| count(&served[100..], JobOutcome::OnTime);
         assert!(on_time(&off) <= 3, "{off:?}");
         assert_eq!(on_time(&on), 9, "{on:?}");
-        assert!(count(&on[..100], Served::OnTime) > 0);
+        assert!(count(&on[..100], JobOutcome::OnTime) > 0);
     }
 }
 
@@ -70,8 +70,8 @@
     let of = |team, count| Arrival { team, ..Arrival::new(0, vec![tasks(count, 1)]) };
     let mut load = vec![of("flood", 8); 30];
     load.push(of("quiet", 24));
-    let [off, on] = [false, true].map(|shares| play(4, &[], options(shares, true), &load, 60_000));
-    assert_eq!((off[30], on[30]), (Served::Late, Served::OnTime));
+    let [off, on] = [false, true].map(|shares| play(4, options(shares, true), &load, 60_000));
+    assert_eq!((off[30], on[30]), (JobOutcome::Late, JobOutcome::OnTime));
 }
 
 /// Guards against shares that leave room idle: a team alone may use all, and so may a team above its share
--- a/crates/taskgraph/tests/graph/waiting_cost.rs
+++ b/crates/taskgraph/tests/graph/waiting_cost.rs
@@ -1,6 +1,7 @@
 //! Loads that exceed the service, with the order by the cost of waiting and without it.
 
 use cuminbarrow_taskgraph::estimate_errors::EstimateErrors;
+use cuminbarrow_taskgraph::job_outcomes::JobOutcome;
 use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::room_forecast::RoomForecast;
@@ -13,22 +14,17 @@
 use crate::graph_builder::gang;
 use crate::graph_builder::tasks;
 use crate::played_load::Arrival;
-use crate::played_load::Served;
 use crate::played_load::count;
 use crate::played_load::play;
 
-const COST_ORDER: PlanningOptions = PlanningOptions {
-    preemption_history: false,
-    cost_order: true,
-    team_shares: false,
-    shape_packing: false,
-    admission: false,
-};
+fn cost_order() -> PlanningOptions {
+    PlanningOptions { cost_order: true, ..PlanningOptions::default() }
+}
 
 /// Plays a load on two workers with 16 accelerators, without the rule and with it.
-fn play_both(arrivals: &[Arrival], until_ms: u64) -> [Vec<Served>; 2] {
-    let options = [PlanningOptions::default(), COST_ORDER];
-    options.map(|options| play(2, &[], options, arrivals, until_ms))
+fn play_both(arrivals: &[Arrival], until_ms: u64) -> [Vec<JobOutcome>; 2] {
+    let options = [PlanningOptions::default(), cost_order()];
+    options.map(|options| play(2, options, arrivals, until_ms))
 }
 
 /// Guards against a job that is late in any case in front of jobs that would be on time.
@@ -37,9 +33,9 @@
     let mut load = vec![Arrival::new(0, vec![tasks(200, 1)])];
     load.extend(vec![Arrival::new(1_000, vec![tasks(3, 1)]); 10]);
     let [off, on] = play_both(&load, 90_000);
-    assert_eq!(count(&off[1..], Served::OnTime), 0);
-    assert_eq!(count(&on[1..], Served::OnTime), 10);
-    assert_eq!((off[0], on[0]), (Served::No, Served::No));
+    assert_eq!(count(&off[1..], JobOutcome::OnTime), 0);
+    assert_eq!(count(&on[1..], JobOutcome::OnTime), 10);
+    assert_eq!((off[0], on[0]), (JobOutcome::TooLate, JobOutcome::TooLate));
 }
 
 /// Guards against a burst that is served in an order in which few of its callers are on time.
@@ -48,9 +44,9 @@
     let mut load = vec![Arrival::new(0, vec![tasks(32, 1)]); 3];
     load.extend(vec![Arrival::new(0, vec![gang(4, 1)]); 10]);
     let [off, on] = play_both(&load, 60_000);
-    assert_eq!(count(&off, Served::OnTime), 1);
-    assert_eq!(count(&on, Served::OnTime), 10);
-    assert_eq!(count(&on, Served::No), 0, "the others are late, but of use");
+    assert_eq!(count(&off, JobOutcome::OnTime), 1);
+    assert_eq!(count(&on, JobOutcome::OnTime), 10);
+    assert_eq!(count(&on, JobOutcome::TooLate), 0, "the others are late, but of use");
 }
 
 /// Guards against a large job that is never served while small ones keep arriving.
@@ -60,7 +56,7 @@
     let stream = (0..300).map(|index| Arrival::new(index * 200, vec![tasks(1, 1)]));
     load.extend(stream);
     let [_, on] = play_both(&load, 60_000);
-    assert_eq!(on[0], Served::Late);
+    assert_eq!(on[0], JobOutcome::Late);
 }
 
 /// Guards against a chain of steps that counts as on time while its next step alone would be.
@@ -72,15 +68,15 @@
     let mut load = vec![Arrival::new(0, vec![blocker]), Arrival::new(200, chain)];
     load.push(Arrival::new(24_400, vec![gang(2, 8)]));
     let [off, on] = play_both(&load, 60_000);
-    assert_eq!(off, [Served::OnTime, Served::Late, Served::Late]);
-    assert_eq!(on, [Served::OnTime, Served::Late, Served::OnTime]);
+    assert_eq!(off, [JobOutcome::OnTime, JobOutcome::Late, JobOutcome::Late]);
+    assert_eq!(on, [JobOutcome::OnTime, JobOutcome::Late, JobOutcome::OnTime]);
 }
 
 /// Guards against work that is put behind work of a less urgent priority, however late it will be.
 #[test]
 fn more_urgent_work_that_will_be_late_precedes_less_urgent_work() {
     let mut graph = GraphBuilder::new(1, 2);
-    graph.options = COST_ORDER;
+    graph.options = cost_order();
     let wide = graph.submit(1, 1, vec![tasks(200, 1)]);
     let sweep = graph.submit(2, 2, vec![tasks(3, 1)]);
     let plan = graph.plan();
@@ -93,7 +89,7 @@
 #[test]
 fn nothing_is_delayed_while_there_is_room() {
     let mut graph = GraphBuilder::new(1, 2);
-    graph.options = COST_ORDER;
+    graph.options = cost_order();
     graph.submit(1, 1, vec![tasks(12, 1)]);
     graph.now_ms += 12_900;
     graph.submit(2, 1, vec![tasks(4, 1)]);
@@ -101,19 +97,18 @@
     assert_eq!(graph.runs().len(), 16);
 }
 
+/// Work in ms of the whole service, with an objective at 1,000 ms.
+fn work(work_ms: u128, useless_at_ms: u64) -> WaitingWork {
+    let work = work_ms * u128::from(WHOLE_ROOM);
+    WaitingWork { objective_at_ms: 1_000, useless_at_ms, work, ..WaitingWork::default() }
+}
+
 /// Guards against a new job that is begun in place of one that holds room elsewhere or was stopped.
 #[test]
 fn begun_job_is_finished_rather_than_a_new_one_begun() {
     let forecast = RoomForecast::new(Vec::new());
-    let new = WaitingWork {
-        objective_at_ms: 1_000,
-        useless_at_ms: 3_000,
-        work: 700 * u128::from(WHOLE_ROOM),
-        path_ms: 500,
-        ..WaitingWork::default()
-    };
-    let begun = WaitingWork { is_begun: true, ..new };
-    for works in [[new, begun], [begun, new]] {
+    let begun = WaitingWork { is_begun: true, ..work(700, 3_000) };
+    for works in [[work(700, 3_000), begun], [begun, work(700, 3_000)]] {
         let costs = waiting_costs(&forecast, 0, 0, &works, 0);
         let is_on_time = costs.iter().map(|cost| cost.class == CostClass::OnTime);
         assert!(is_on_time.eq(works.iter().map(|work| work.is_begun)), "{costs:?}");
@@ -129,8 +124,8 @@
     load.extend(vec![double(Arrival::new(8_000, vec![tasks(16, 1)])); 2]);
     load.extend(vec![double(Arrival::new(8_000, vec![tasks(8, 1)])); 2]);
     let [off, on] = play_both(&load, 60_000);
-    assert_eq!(count(&off[2..], Served::OnTime), 1);
-    assert_eq!(count(&on[2..], Served::OnTime), 2);
+    assert_eq!(count(&off[2..], JobOutcome::OnTime), 1);
+    assert_eq!(count(&on[2..], JobOutcome::OnTime), 2);
 }
 
 /// Guards against a forecast that takes the mean of a queue for tasks that differ in length as their
@@ -155,9 +150,10 @@
 fn late_jobs_of_a_lasting_flood_are_served_beside_those_on_time() {
     let load: Vec<Arrival> =
         (0..100).map(|index| Arrival::new(index * 200, vec![tasks(8, 1)])).collect();
-    let [off, on] = [PlanningOptions::default(), COST_ORDER]
-        .map(|options| play(4, &[], options, &load, 70_000));
-    let counts = |served| [Served::OnTime, Served::Late].map(|wanted| count(served, wanted));
+    let [off, on] =
+        [PlanningOptions::default(), cost_order()].map(|options| play(4, options, &load, 70_000));
+    let counts =
+        |served| [JobOutcome::OnTime, JobOutcome::Late].map(|wanted| count(served, wanted));
     let ([off_on_time, off_late], [on_time, late]) = (counts(&off), counts(&on));
     assert!(on_time + 2 >= off_on_time, "{on:?}");
     assert!(late >= 2 * off_late, "{on:?}");
@@ -166,13 +162,7 @@
 /// Guards against late work that is served by objective, while its results lose worth at rates of their own.
 #[test]
 fn least_late_work_for_the_worth_it_saves_goes_first() {
-    let late = |work, useless_at_ms| WaitingWork {
-        objective_at_ms: 1_000,
-        useless_at_ms,
-        work: work * u128::from(WHOLE_ROOM),
-        ..WaitingWork::default()
-    };
-    let works = [late(200, 9_000), late(100, 9_000), late(100, 5_000)];
+    let works = [work(200, 9_000), work(100, 9_000), work(100, 5_000)];
     let costs = waiting_costs(&RoomForecast::new(Vec::new()), 0, 0, &works, 2_000);
     assert!(costs.iter().all(|cost| cost.class == CostClass::Late), "{costs:?}");
     assert!(costs.is_sorted_by(|before, after| before.key > after.key), "{costs:?}");
