--- a/crates/taskgraph/src/evacuations.rs
+++ b/crates/taskgraph/src/evacuations.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
-use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
 use snafu::ensure;
@@ -49,15 +48,6 @@
     (1..=MAX_DATA_CENTRE_BYTES).contains(&name.len()) && !name.chars().any(char::is_control)
 }
 
-/// Decodes the last field of a snapshot. A snapshot of an earlier release ends before it; a checksum
-/// guards against one that was cut off.
-pub(crate) fn none_if_missing<'de, D>(deserializer: D) -> Result<Evacuations, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    Ok(Evacuations::deserialize(deserializer).unwrap_or_default())
-}
-
 impl GraphState {
     /// Whether a worker is in an evacuated data centre.
     pub fn is_evacuated(&self, worker: &WorkerState) -> bool {
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -15,13 +15,14 @@
 use snafu::ensure;
 
 use crate::early_cancellations::EarlyCancellations;
-use crate::evacuations;
+use crate::estimate_errors::EstimateErrors;
 use crate::evacuations::Evacuations;
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::optional_tail::decode_or_default;
 use crate::record::GraphRecord;
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
@@ -73,7 +74,7 @@
 const RECLAIM_RETENTION_MS: u64 = 10_000;
 
 /// Number of runs after which a queue's mean run time is used in place of estimates.
-const MIN_DURATION_SAMPLES: u32 = 3;
+pub(crate) const MIN_DURATION_SAMPLES: u32 = 3;
 
 /// Run time of a queue's tasks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,8 +178,11 @@
     /// Cancellations of jobs that are not known, kept as long as ended jobs.
     pub early_cancellations: EarlyCancellations,
     /// Data centres on whose workers no task is started.
-    #[serde(deserialize_with = "evacuations::none_if_missing")]
+    #[serde(deserialize_with = "decode_or_default")]
     pub evacuations: Evacuations,
+    /// Errors of estimated run times. Snapshots of version 0.1.0 end before it.
+    #[serde(deserialize_with = "decode_or_default")]
+    pub estimate_errors: EstimateErrors,
 }
 
 impl GraphState {
