Leave the room of urgent bursts for as long as a step can wait, and don't starve preempted jobs

Cause: background work took the capacity of the last burst after 10 s and medium work at once, so the next burst stopped them. A job that had lost its time to preemption was ordered behind all later ones.

Change, with planning.preemption_history on: background work leaves the room for its latency objective, between 10 and 40 s; medium work without checkpoints, or preempted in the last 10 s, leaves it until 80 % of its objective is left; both only while at least half of the service is in use. The time lost to preemptions, up to one objective, does not count against a job in the order of steps. The decisions on room and on permitted loss move out of plan_round.

Not measured on the platform.

--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -70,7 +70,10 @@
 /// How long capacity is reserved for urgent work that has reclaimed some, in ms. Tasks run for up to
 /// about ten seconds, so capacity that is reclaimed again within that time is of no use to background
 /// work.
-const RECLAIM_RETENTION_MS: u64 = 10_000;
+pub(crate) const RECLAIM_RETENTION_MS: u64 = 10_000;
+/// How long it is known what urgent work needed when it reclaimed capacity, in ms. Work that can wait for
+/// longer than [`RECLAIM_RETENTION_MS`] leaves the capacity free for up to that time.
+pub(crate) const MAX_RECLAIM_RETENTION_MS: u64 = 4 * RECLAIM_RETENTION_MS;
 
 /// Number of runs after which a queue's mean run time is used in place of estimates.
 const MIN_DURATION_SAMPLES: u32 = 3;
@@ -372,7 +375,7 @@
     /// Records how much urgent work needs of a service, if capacity is being reclaimed for it.
     pub(crate) fn record_reclaim(&mut self, service: SmolStr) {
         let Some(needed) = self.urgent_need(&service) else { return };
-        let oldest_ms = self.clock_ms.saturating_sub(RECLAIM_RETENTION_MS);
+        let oldest_ms = self.clock_ms.saturating_sub(MAX_RECLAIM_RETENTION_MS);
         let reclaims = self.reclaims.entry(service).or_default();
         reclaims.push_back((self.clock_ms, needed));
         while reclaims.front().is_some_and(|(at_ms, _)| *at_ms < oldest_ms) {
@@ -402,10 +405,10 @@
         self.jobs.get(&job).is_some_and(|job| job.terms.priority == URGENT_PRIORITY)
     }
 
-    /// Most accelerators of a service that urgent work has needed at once when it recently reclaimed
-    /// capacity.
-    pub fn recent_urgent_need(&self, service: &str, now_ms: u64) -> u32 {
-        let oldest_ms = now_ms.saturating_sub(RECLAIM_RETENTION_MS);
+    /// Most accelerators of a service that urgent work has needed at once when it reclaimed capacity within
+    /// the last `retention_ms`.
+    pub fn urgent_need_within(&self, service: &str, retention_ms: u64, now_ms: u64) -> u32 {
+        let oldest_ms = now_ms.saturating_sub(retention_ms);
         let reclaims = self.reclaims.get(service).into_iter().flatten();
         let recent = reclaims.filter(|(at_ms, _)| *at_ms >= oldest_ms);
         recent.map(|(_, accelerators)| *accelerators).max().unwrap_or(0)
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -20,8 +20,7 @@
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_state::TaskState;
-use crate::job_terms::BACKGROUND_PRIORITY;
-use crate::job_terms::URGENT_PRIORITY;
+use crate::loss_limit::max_loss;
 use crate::planning_options::PlanningOptions;
 use crate::reclaim::PreemptionScope;
 use crate::reclaim::ReclaimTerms;
@@ -31,11 +30,11 @@
 use crate::record::MAX_RUNS_PER_RECORD;
 use crate::record::TaskPlacement;
 use crate::slow_worker_migration::slow_worker_migrations;
-use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::guaranteed_jobs;
 use crate::step_queue::waiting_steps;
 use crate::task_key::RunKey;
+use crate::urgent_room::UrgentRoom;
 use crate::worker::StopCause;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerStatus;
@@ -44,19 +43,6 @@
 /// the step takes three times as long, so waiting up to twice the estimate pays off.
 const RACK_WAIT_FACTOR: u64 = 2;
 
-/// Maximum work of other jobs that urgent work beyond its team's guarantee may destroy, in percent
-/// of its own work. No more work may be lost than is started in time.
-const URGENT_LOSS_PERCENT: u64 = 100;
-/// Maximum work of less urgent jobs that a non-urgent job may destroy once it is at risk of missing
-/// its latency objective, in percent of its own work.
-const AT_RISK_LOSS_PERCENT: u64 = 25;
-/// A job is at risk once less than this part of its latency objective is left, in percent.
-const AT_RISK_PERCENT: u64 = 60;
-
-/// Maximum part of a service's accelerators that is reserved for urgent work, in percent. Work must
-/// not wait while less than half of a service is in use.
-const MAX_RESERVED_PERCENT: u32 = 40;
-
 /// Inputs of the planner that are not part of the replicated state.
 #[derive(Clone, Debug, Default)]
 pub struct PlannerInput {
@@ -97,11 +83,12 @@
         map: CapacityMap::new(state, input.now_ms),
         victims: VictimTable::new(state, &guaranteed, input.options, input.now_ms),
         unfit_steps: BTreeSet::new(),
+        uses_history: input.options.preemption_history,
         epoch,
         now_ms: input.now_ms,
     };
     round.stop_on_draining_workers(state);
-    for waiting in waiting_steps(state, &guaranteed, input.now_ms) {
+    for waiting in waiting_steps(state, &guaranteed, input.options, input.now_ms) {
         round.place_step(state, &waiting);
     }
     round.stop_on_slow_workers(state);
@@ -114,6 +101,8 @@
     victims: VictimTable,
     /// Steps that no worker can run, in any occurrence.
     unfit_steps: BTreeSet<(JobId, u16)>,
+    /// Whether earlier preemptions count.
+    uses_history: bool,
     epoch: u64,
     now_ms: u64,
 }
@@ -190,11 +179,11 @@
             StepRequest { failed_workers: &[], ..request }
         };
         let count = round_count(waiting);
-        let placeable_count = self.placeable_count(state, waiting, count);
+        let placeable_count = self.urgent_room(state).placeable_count(waiting, count);
         if placeable_count == 0 {
-            let is_kept = self.reserved_accelerators(state, waiting) > 0
-                && is_enough(waiting, &self.find_allocation(waiting, &request, count), count);
-            let reason = if is_kept { "room is kept for urgent work" } else { "no room" };
+            let fits = is_enough(waiting, &self.find_allocation(waiting, &request, count), count);
+            let kept = self.urgent_room(state).reason(waiting).filter(|_| fits);
+            let reason = kept.unwrap_or("no room");
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
         }
@@ -221,7 +210,7 @@
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
         }
-        let limit = self.max_loss(waiting, unplaced_count);
+        let limit = max_loss(waiting, unplaced_count, self.now_ms);
         let is_reclaiming =
             limit.is_some_and(|limit| self.reclaim(waiting, &request, unplaced_count, limit));
         if !is_reclaiming {
@@ -245,66 +234,13 @@
             self.commit_placement(waiting, &request, &allocation);
             return true;
         }
-        let limit = self.max_loss(waiting, count);
+        let limit = max_loss(waiting, count, self.now_ms);
         limit.is_some_and(|limit| self.reclaim(waiting, &request, count, limit))
     }
 
-    /// Number of the step's tasks that may be placed now. Background work must leave the capacity
-    /// that urgent work is likely to need again soon, because tasks placed there would only be
-    /// stopped and their work lost.
-    fn placeable_count(&self, state: &GraphState, waiting: &WaitingStep<'_>, count: u32) -> u32 {
-        let each = waiting.spec.resources.accelerators;
-        if waiting.job.terms.priority < BACKGROUND_PRIORITY || each == 0 {
-            return count;
-        }
-        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
-        let free: u32 = usable.map(|worker| worker.free.accelerators).sum();
-        let reserved = self.reserved_accelerators(state, waiting);
-        let placeable_count = (free.saturating_sub(reserved) / each).min(count);
-        if waiting.spec.gang && placeable_count < count { 0 } else { placeable_count }
-    }
-
-    /// Accelerators of the step's service that background work must leave free for urgent work: as many
-    /// as that needed at once recently, less those that it holds.
-    fn reserved_accelerators(&self, state: &GraphState, waiting: &WaitingStep<'_>) -> u32 {
-        let needed = state.recent_urgent_need(&waiting.job.terms.service, self.now_ms);
-        if needed == 0 {
-            return 0;
-        }
-        let in_use: u32 = self.workers_of(waiting).map(|worker| worker.urgent_accelerators).sum();
-        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
-        let all: u32 = usable.map(|worker| worker.state.spec.resources.accelerators).sum();
-        needed.saturating_sub(in_use).min(all * MAX_RESERVED_PERCENT / 100)
-    }
-
-    /// Workers of the step's service.
-    fn workers_of(&self, waiting: &WaitingStep<'_>) -> impl Iterator<Item = &WorkerCapacity<'_>> {
-        let service = &waiting.job.terms.service;
-        self.map.workers.iter().filter(move |worker| worker.state.spec.service == *service)
-    }
-
-    /// Work of other jobs that the step may destroy, in core-ms; `None` if it may not preempt any.
-    /// Steps covered by a guarantee may preempt at any cost. Other steps may preempt only if they
-    /// can still meet their latency objective, and within a share of their own work.
-    fn max_loss(&self, waiting: &WaitingStep<'_>, count: u32) -> Option<u64> {
-        if waiting.is_guaranteed {
-            return Some(u64::MAX);
-        }
-        if waiting.spec.long_running || waiting.timeliness != Timeliness::OnTime {
-            return None;
-        }
-        let percent = if waiting.job.terms.priority == URGENT_PRIORITY {
-            URGENT_LOSS_PERCENT
-        } else {
-            let remaining_ms = waiting.objective_at_ms.saturating_sub(self.now_ms);
-            let is_at_risk = remaining_ms * 100 < waiting.job.objective_ms() * AT_RISK_PERCENT;
-            if !is_at_risk {
-                return None;
-            }
-            AT_RISK_LOSS_PERCENT
-        };
-        let own = waiting.spec.resources.weight() * u64::from(count) / 1_000;
-        Some(own * u64::from(waiting.spec.estimate_ms) * percent / 100)
+    /// Room that the step must leave to urgent work.
+    fn urgent_room<'a>(&'a self, state: &'a GraphState) -> UrgentRoom<'a> {
+        UrgentRoom { state, map: &self.map, uses_history: self.uses_history, now_ms: self.now_ms }
     }
 
     /// Workers on which the step failed; none if that would exclude more than half of the ready
--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -184,11 +184,15 @@
     }
 }
 
-/// Work that is lost if a run is stopped, in core-ms: that since its last checkpoint.
-pub(crate) fn lost_work(spec: &StepSpec, held: &HeldRun, now_ms: u64) -> u64 {
+/// Run time that is lost if a run is stopped, in ms: that since its last checkpoint.
+pub(crate) fn lost_time(spec: &StepSpec, held: &HeldRun, now_ms: u64) -> u64 {
     let ran_ms = now_ms.saturating_sub(held.placed_ms);
-    let lost_ms = if spec.saves_progress { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms };
-    lost_ms.saturating_mul(held.resources.weight()) / 1_000
+    if spec.saves_progress { ran_ms.min(CHECKPOINT_LOSS_MS) } else { ran_ms }
+}
+
+/// Work that is lost if a run is stopped, in core-ms.
+pub(crate) fn lost_work(spec: &StepSpec, held: &HeldRun, now_ms: u64) -> u64 {
+    lost_time(spec, held, now_ms).saturating_mul(held.resources.weight()) / 1_000
 }
 
 /// What a step may preempt, and how long it can wait for runs that are about to end.
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -15,6 +15,7 @@
 use crate::job_state::JobState;
 use crate::job_state::StepState;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::planning_options::PlanningOptions;
 use crate::task_key::StepKey;
 
 /// A result is worth something until this many times the latency objective has passed.
@@ -56,6 +57,9 @@
     pub is_guaranteed: bool,
     /// Whether the job can meet its latency objective.
     pub timeliness: Timeliness,
+    /// Timeliness for the order of steps: a job that is late only since it was preempted counts as on time,
+    /// where earlier preemptions count.
+    pub ranked_timeliness: Timeliness,
     /// When the job misses its latency objective, in ms since the Unix epoch.
     pub objective_at_ms: u64,
     /// Since when the occurrence may run, in ms since the Unix epoch.
@@ -74,14 +78,23 @@
         (0..self.spec.count).filter(move |index| is_waiting(state, *index))
     }
 
+    /// The step, ranked as if the job had been eligible later by what preemptions cost it. More than one
+    /// further objective is not granted, so that jobs that can't be on time don't precede those that can
+    /// for good.
+    fn without_delay(self, delay_ms: u64, now_ms: u64) -> Self {
+        let eligible_ms = self.waiting_since_ms.saturating_add(delay_ms);
+        let ranked_timeliness = timeliness(self.job, self.spec, eligible_ms, now_ms);
+        Self { ranked_timeliness, ..self }
+    }
+
     fn rank(&self) -> (bool, u64, bool, u8, Timeliness, u64, JobId) {
         let accepted_ms = if self.is_guaranteed { self.job.accepted_ms } else { 0 };
         (
             !self.is_guaranteed,
             accepted_ms,
-            self.timeliness == Timeliness::TooLate,
+            self.ranked_timeliness == Timeliness::TooLate,
             self.job.terms.priority,
-            self.timeliness,
+            self.ranked_timeliness,
             self.objective_at_ms,
             self.key.job,
         )
@@ -117,14 +130,22 @@
 pub fn waiting_steps<'a>(
     state: &'a GraphState,
     guaranteed: &BTreeMap<JobId, bool>,
+    options: PlanningOptions,
     now_ms: u64,
 ) -> Vec<WaitingStep<'a>> {
     let mut waiting = Vec::new();
     for id in &state.active {
         let Some(job) = state.jobs.get(id) else { continue };
         let is_guaranteed = guaranteed.get(id).copied().unwrap_or(false);
-        let steps = waiting_steps_of(*id, job, is_guaranteed, now_ms);
-        waiting.extend(steps.take(MAX_WAITING_STEPS));
+        let steps = waiting_steps_of(*id, job, is_guaranteed, now_ms).take(MAX_WAITING_STEPS);
+        let preemptions = state.preemptions.job(*id).filter(|_| options.preemption_history);
+        match preemptions {
+            None => waiting.extend(steps),
+            Some(preemptions) => {
+                let delay_ms = preemptions.delay_ms.min(job.objective_ms());
+                waiting.extend(steps.map(|step| step.without_delay(delay_ms, now_ms)));
+            }
+        }
     }
     waiting.sort_by_key(WaitingStep::rank);
     waiting
@@ -196,13 +217,15 @@
     }
     let objective_at_ms = job.objective_at_ms(key.occurrence);
     let eligible_ms = job.spec.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
+    let timeliness = timeliness(job, spec, eligible_ms, now_ms);
     Some(WaitingStep {
         key,
         job,
         spec,
         count,
         is_guaranteed,
-        timeliness: timeliness(job, spec, eligible_ms, now_ms),
+        timeliness,
+        ranked_timeliness: timeliness,
         objective_at_ms,
         waiting_since_ms: eligible_ms,
     })
--- /dev/null
+++ b/crates/taskgraph/src/urgent_room.rs
@@ -0,0 +1,125 @@
+//! Room that other work leaves free for urgent work.
+//!
+//! Answers the load of bursts of urgent jobs that come every few seconds: work that takes the capacity of
+//! the last burst is stopped by the next one. Background work leaves what urgent work needed at once while
+//! it recently reclaimed some. Where earlier preemptions count, work that a stop costs more leaves it for
+//! longer, and medium work leaves it while it has time to wait.
+
+use crate::capacity_map::CapacityMap;
+use crate::capacity_map::WorkerCapacity;
+use crate::graph_state::GraphState;
+use crate::graph_state::MAX_RECLAIM_RETENTION_MS;
+use crate::graph_state::RECLAIM_RETENTION_MS;
+use crate::job_terms::BACKGROUND_PRIORITY;
+use crate::job_terms::URGENT_PRIORITY;
+use crate::step_queue::WaitingStep;
+
+/// Maximum part of a service's accelerators that is reserved for urgent work, in percent. Work must
+/// not wait while less than half of a service is in use.
+const MAX_RESERVED_PERCENT: u32 = 40;
+/// Part of its latency objective that a step of medium priority must have left to wait, in percent. It is at
+/// risk below 60 %, and would then preempt others in place of being preempted: waiting until then
+/// made such preemptions five times as frequent in a trial.
+const MIN_REMAINING_PERCENT: u64 = 80;
+
+/// Room for urgent work, at one moment of a round.
+pub(crate) struct UrgentRoom<'a> {
+    pub(crate) state: &'a GraphState,
+    pub(crate) map: &'a CapacityMap<'a>,
+    /// Whether earlier preemptions count.
+    pub(crate) uses_history: bool,
+    pub(crate) now_ms: u64,
+}
+
+impl UrgentRoom<'_> {
+    /// Number of the step's tasks that may be placed now, because tasks placed in the room would only be
+    /// stopped and their work lost.
+    pub(crate) fn placeable_count(&self, waiting: &WaitingStep<'_>, count: u32) -> u32 {
+        let each = waiting.spec.resources.accelerators;
+        let Some(retention_ms) = self.retention_ms(waiting).filter(|_| each > 0) else {
+            return count;
+        };
+        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
+        let free: u32 = usable.map(|worker| worker.free.accelerators).sum();
+        let reserved = self.reserved_accelerators(waiting, retention_ms);
+        let placeable_count = (free.saturating_sub(reserved) / each).min(count);
+        if waiting.spec.gang && placeable_count < count { 0 } else { placeable_count }
+    }
+
+    /// Why the step may leave room free; `None` if there is none to leave.
+    pub(crate) fn reason(&self, waiting: &WaitingStep<'_>) -> Option<&'static str> {
+        let retention_ms = self.retention_ms(waiting)?;
+        if self.reserved_accelerators(waiting, retention_ms) == 0 {
+            return None;
+        }
+        Some(if !self.uses_history {
+            "room is kept for urgent work"
+        } else if self.was_preempted_recently(waiting) {
+            "room is kept for urgent work: the job was preempted recently"
+        } else if !waiting.spec.saves_progress {
+            "room is kept for urgent work: a stop would lose all work"
+        } else {
+            "room is kept for urgent work"
+        })
+    }
+
+    /// For how long the step leaves the room that urgent work needed, in ms; `None` if it leaves none.
+    fn retention_ms(&self, waiting: &WaitingStep<'_>) -> Option<u64> {
+        let priority = waiting.job.terms.priority;
+        let is_background = priority >= BACKGROUND_PRIORITY;
+        let usual_ms = is_background.then_some(RECLAIM_RETENTION_MS);
+        let can_wait = self.uses_history
+            && priority != URGENT_PRIORITY
+            && waiting.spec.runs_to_completion()
+            && self.is_half_in_use(waiting);
+        if !can_wait || (!is_background && !self.leaves_room(waiting)) {
+            return usual_ms;
+        }
+        let objective_ms = waiting.job.objective_ms();
+        Some(objective_ms.clamp(RECLAIM_RETENTION_MS, MAX_RECLAIM_RETENTION_MS))
+    }
+
+    /// Whether a step of medium priority leaves room: if stopping it would cost more than usual, and while
+    /// it has time to be placed elsewhere before it is at risk.
+    fn leaves_room(&self, waiting: &WaitingStep<'_>) -> bool {
+        let remaining_ms = waiting.objective_at_ms.saturating_sub(self.now_ms);
+        let has_time = remaining_ms * 100 >= waiting.job.objective_ms() * MIN_REMAINING_PERCENT;
+        let is_costly = !waiting.spec.saves_progress || self.was_preempted_recently(waiting);
+        is_costly && has_time
+    }
+
+    fn was_preempted_recently(&self, waiting: &WaitingStep<'_>) -> bool {
+        let preemptions = self.state.preemptions.job(waiting.key.job);
+        preemptions.is_some_and(|job| self.now_ms < job.last_ms + RECLAIM_RETENTION_MS)
+    }
+
+    /// Whether at least half of the service's accelerators are in use; otherwise no job may wait.
+    fn is_half_in_use(&self, waiting: &WaitingStep<'_>) -> bool {
+        let (mut free, mut all) = (0, 0);
+        for worker in self.workers_of(waiting).filter(|worker| worker.is_usable()) {
+            free += worker.free.accelerators;
+            all += worker.state.spec.resources.accelerators;
+        }
+        free * 2 <= all
+    }
+
+    /// Accelerators of the step's service that must be left free: as many as urgent work needed at once
+    /// recently, less those that it holds.
+    fn reserved_accelerators(&self, waiting: &WaitingStep<'_>, retention_ms: u64) -> u32 {
+        let service = &waiting.job.terms.service;
+        let needed = self.state.urgent_need_within(service, retention_ms, self.now_ms);
+        if needed == 0 {
+            return 0;
+        }
+        let in_use: u32 = self.workers_of(waiting).map(|worker| worker.urgent_accelerators).sum();
+        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
+        let all: u32 = usable.map(|worker| worker.state.spec.resources.accelerators).sum();
+        needed.saturating_sub(in_use).min(all * MAX_RESERVED_PERCENT / 100)
+    }
+
+    /// Workers of the step's service.
+    fn workers_of(&self, waiting: &WaitingStep<'_>) -> impl Iterator<Item = &WorkerCapacity<'_>> {
+        let service = &waiting.job.terms.service;
+        self.map.workers.iter().filter(move |worker| worker.state.spec.service == *service)
+    }
+}
--- a/crates/telemetry/src/meter_registry.rs
+++ b/crates/telemetry/src/meter_registry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
@@ -71,6 +72,23 @@
         builder.with_callback(move |observer| observer.observe(read(), &[])).build();
     }
 
+    /// Registers a counter whose values are read at each scrape, each with its labels.
+    pub fn register_labelled_counter<F>(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        read: F,
+    ) where
+        F: Fn() -> Vec<(Vec<KeyValue>, u64)> + Send + Sync + 'static,
+    {
+        let meter = self.meter();
+        let builder = meter.u64_observable_counter(name).with_description(description);
+        let callback = builder.with_callback(move |observer| {
+            read().iter().for_each(|(labels, value)| observer.observe(*value, labels));
+        });
+        callback.build();
+    }
+
     /// Renders all metrics in the Prometheus text format. If encoding fails, the text up to the
     /// failure is returned.
     pub fn render(&self) -> String {
