Let all medium work leave the room of urgent bursts while it has time

Cause: medium gangs with checkpoints took the room, so the next burst stopped background work in their place.

Tests of taskgraph and telemetry pass.

--- a/crates/taskgraph/src/urgent_room.rs
+++ b/crates/taskgraph/src/urgent_room.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers the load of bursts of urgent jobs that come every few seconds: work that takes the capacity of
 //! the last burst is stopped by the next one. Background work leaves what urgent work needed at once while
-//! it recently reclaimed some. Where earlier preemptions count, work that a stop costs more leaves it for
-//! longer, and medium work leaves it while it has time to wait.
+//! it recently reclaimed some. Where earlier preemptions count, it leaves that for as long as it can wait,
+//! and medium work leaves it too while it has time.
 
 use crate::capacity_map::CapacityMap;
 use crate::capacity_map::WorkerCapacity;
@@ -72,20 +72,17 @@
             && priority != URGENT_PRIORITY
             && waiting.spec.runs_to_completion()
             && self.is_half_in_use(waiting);
-        if !can_wait || (!is_background && !self.leaves_room(waiting)) {
+        if !can_wait || (!is_background && !self.has_time(waiting)) {
             return usual_ms;
         }
         let objective_ms = waiting.job.objective_ms();
         Some(objective_ms.clamp(RECLAIM_RETENTION_MS, MAX_RECLAIM_RETENTION_MS))
     }
 
-    /// Whether a step of medium priority leaves room: if stopping it would cost more than usual, and while
-    /// it has time to be placed elsewhere before it is at risk.
-    fn leaves_room(&self, waiting: &WaitingStep<'_>) -> bool {
+    /// Whether a step of medium priority has time to be placed elsewhere before it is at risk.
+    fn has_time(&self, waiting: &WaitingStep<'_>) -> bool {
         let remaining_ms = waiting.objective_at_ms.saturating_sub(self.now_ms);
-        let has_time = remaining_ms * 100 >= waiting.job.objective_ms() * MIN_REMAINING_PERCENT;
-        let is_costly = !waiting.spec.saves_progress || self.was_preempted_recently(waiting);
-        is_costly && has_time
+        remaining_ms * 100 >= waiting.job.objective_ms() * MIN_REMAINING_PERCENT
     }
 
     fn was_preempted_recently(&self, waiting: &WaitingStep<'_>) -> bool {
