--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -23,6 +23,7 @@
 use crate::job_state::JobState;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::optional_tail::decode_or_default;
+use crate::preemption_history::PreemptionHistory;
 use crate::record::GraphRecord;
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
@@ -71,7 +72,10 @@
 /// How long capacity is reserved for urgent work that has reclaimed some, in ms. Tasks run for up to
 /// about ten seconds, so capacity that is reclaimed again within that time is of no use to background
 /// work.
-const RECLAIM_RETENTION_MS: u64 = 10_000;
+pub(crate) const RECLAIM_RETENTION_MS: u64 = 10_000;
+/// How long it is known what urgent work needed when it reclaimed capacity, in ms. Work that can wait for
+/// longer than [`RECLAIM_RETENTION_MS`] leaves the capacity free for up to that time.
+pub(crate) const MAX_RECLAIM_RETENTION_MS: u64 = 4 * RECLAIM_RETENTION_MS;
 
 /// Number of runs after which a queue's mean run time is used in place of estimates.
 pub(crate) const MIN_DURATION_SAMPLES: u32 = 3;
@@ -183,6 +187,9 @@
     /// Errors of estimated run times. Snapshots of version 0.1.0 end before it.
     #[serde(deserialize_with = "decode_or_default")]
     pub estimate_errors: EstimateErrors,
+    /// Preemptions of active jobs.
+    #[serde(deserialize_with = "decode_or_default")]
+    pub preemptions: PreemptionHistory,
 }
 
 impl GraphState {
@@ -372,13 +379,14 @@
         state.spec = Default::default();
         self.active.remove(&job);
         self.remove_advice(job);
+        self.preemptions.forget_job(job);
         self.ended.push_back((clock_ms, job));
     }
 
     /// Records how much urgent work needs of a service, if capacity is being reclaimed for it.
     pub(crate) fn record_reclaim(&mut self, service: SmolStr) {
         let Some(needed) = self.urgent_need(&service) else { return };
-        let oldest_ms = self.clock_ms.saturating_sub(RECLAIM_RETENTION_MS);
+        let oldest_ms = self.clock_ms.saturating_sub(MAX_RECLAIM_RETENTION_MS);
         let reclaims = self.reclaims.entry(service).or_default();
         reclaims.push_back((self.clock_ms, needed));
         while reclaims.front().is_some_and(|(at_ms, _)| *at_ms < oldest_ms) {
@@ -408,10 +416,10 @@
         self.jobs.get(&job).is_some_and(|job| job.terms.priority == URGENT_PRIORITY)
     }
 
-    /// Most accelerators of a service that urgent work has needed at once when it recently reclaimed
-    /// capacity.
-    pub fn recent_urgent_need(&self, service: &str, now_ms: u64) -> u32 {
-        let oldest_ms = now_ms.saturating_sub(RECLAIM_RETENTION_MS);
+    /// Most accelerators of a service that urgent work has needed at once when it reclaimed capacity within
+    /// the last `retention_ms`.
+    pub fn urgent_need_within(&self, service: &str, retention_ms: u64, now_ms: u64) -> u32 {
+        let oldest_ms = now_ms.saturating_sub(retention_ms);
         let reclaims = self.reclaims.get(service).into_iter().flatten();
         let recent = reclaims.filter(|(at_ms, _)| *at_ms >= oldest_ms);
         recent.map(|(_, accelerators)| *accelerators).max().unwrap_or(0)
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -62,6 +62,9 @@
     pub is_guaranteed: bool,
     /// Whether the job can meet its latency objective.
     pub timeliness: Timeliness,
+    /// Timeliness for the order of steps: a job that is late only since it was preempted counts as on time,
+    /// where earlier preemptions count.
+    pub ranked_timeliness: Timeliness,
     /// When the job misses its latency objective, in ms since the Unix epoch.
     pub objective_at_ms: u64,
     /// Since when the occurrence may run, in ms since the Unix epoch.
@@ -102,12 +105,22 @@
         (self.job.terms.priority, self.rank.class)
     }
 
+    /// The step, ranked as if the job had been eligible later by what preemptions cost it. More than one
+    /// further objective is not granted, so that jobs that can't be on time don't precede those that can
+    /// for good.
+    fn without_delay(self, delay_ms: u64, now_ms: u64) -> Self {
+        let eligible_ms = self.waiting_since_ms.saturating_add(delay_ms);
+        let ranked_timeliness = timeliness(self.job, self.spec, eligible_ms, now_ms);
+        let rank = LoadRank::without_load(ranked_timeliness, self.objective_at_ms);
+        Self { ranked_timeliness, rank, ..self }
+    }
+
     pub(crate) fn position(&self) -> (bool, u64, bool, u8, LoadRank, JobId) {
         let accepted_ms = if self.is_guaranteed { self.job.accepted_ms } else { 0 };
         (
             !self.is_guaranteed,
             accepted_ms,
-            self.timeliness == Timeliness::TooLate,
+            self.ranked_timeliness == Timeliness::TooLate,
             self.job.terms.priority,
             self.rank,
             self.key.job,
@@ -152,7 +165,15 @@
         let Some(job) = state.jobs.get(id) else { continue };
         let is_guaranteed = guaranteed.get(id).copied().unwrap_or(false);
         let steps = waiting_steps_of(*id, job, is_guaranteed, input.now_ms);
-        waiting.extend(steps.take(MAX_WAITING_STEPS));
+        let steps = steps.take(MAX_WAITING_STEPS);
+        let preemptions = state.preemptions.job(*id);
+        match preemptions.filter(|_| input.options.preemption_history) {
+            None => waiting.extend(steps),
+            Some(preemptions) => {
+                let delay_ms = preemptions.delay_ms.min(job.objective_ms());
+                waiting.extend(steps.map(|step| step.without_delay(delay_ms, input.now_ms)));
+            }
+        }
     }
     let delayed = rank_under_load(state, input, &mut waiting);
     waiting.sort_by_key(WaitingStep::position);
@@ -233,6 +254,7 @@
         count,
         is_guaranteed,
         timeliness,
+        ranked_timeliness: timeliness,
         objective_at_ms,
         waiting_since_ms: eligible_ms,
         rank: LoadRank::without_load(timeliness, objective_at_ms),
--- a/crates/taskgraph/tests/graph/evacuation.rs
+++ b/crates/taskgraph/tests/graph/evacuation.rs
@@ -273,22 +273,10 @@
     assert_eq!(used, BTreeSet::from([2, 3, 5].map(WorkerKey)));
 }
 
-/// Guards against an update that loses the state, since the snapshot of the previous release has no
-/// evacuations.
+/// Guards against evacuations that a restored state lacks.
 #[test]
-fn snapshot_without_evacuations_is_read_and_one_with_them_restores_them() {
+fn snapshot_restores_evacuations() {
     let mut graph = data_centres(2);
-    graph.submit(1, 1, vec![tasks(3, 1)]);
-    graph.plan();
-    let mut bytes = codec::encode(&graph.state).unwrap();
-    // The empty evacuations: a position and a length.
-    assert_eq!(bytes.split_off(bytes.len() - 2), [0, 0]);
-    assert_eq!(codec::decode::<GraphState>(&bytes).unwrap(), graph.state);
-    bytes.pop();
-    assert!(
-        codec::decode::<GraphState>(&bytes).is_err(),
-        "no other part of the state may be missing"
-    );
     evacuate(&mut graph, 300, &["dc-0", "dc-1"]).unwrap();
     let bytes = codec::encode(&graph.state).unwrap();
     assert_eq!(codec::decode::<GraphState>(&bytes).unwrap(), graph.state);
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -12,6 +12,7 @@
 mod many_occurrences;
 mod planning;
 mod played_load;
+mod preemption_history;
 mod random_histories;
 mod record_effects;
 mod restored_states;
--- a/crates/taskgraph/tests/graph/restored_states.rs
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -123,15 +123,24 @@
     }
 }
 
-/// Guards against a snapshot of the previous release, which ends before the errors of estimates, that no
-/// longer can be read.
+/// Guards against an update that loses the state, since snapshots of the previous release end before the
+/// fields that were added since.
 #[test]
-fn snapshot_without_errors_of_estimates_is_read() {
-    let mut graph = GraphBuilder::new(1, 1);
-    graph.submit(1, 1, vec![tasks(1, 1)]);
-    graph.plan();
-    let mut bytes = codec::encode(&graph.state).unwrap();
-    assert_eq!(bytes.pop(), Some(0), "the last field is an empty map");
-    let state: GraphState = codec::decode(&bytes).unwrap();
-    assert_eq!(state, graph.state);
+fn snapshot_of_the_previous_release_is_read() {
+    let mut state = history_with_all_data().state;
+    let bytes = codec::encode(&state).unwrap();
+    let added = [
+        codec::encode(&state.evacuations).unwrap(),
+        codec::encode(&state.estimate_errors).unwrap(),
+        codec::encode(&state.preemptions).unwrap(),
+    ];
+    // Each encoding begins with a byte for the format version.
+    let added_bytes: usize = added.iter().map(|field| field.len() - 1).sum();
+    let earlier = &bytes[..bytes.len() - added_bytes];
+    state.evacuations = Default::default();
+    state.estimate_errors = Default::default();
+    state.preemptions = Default::default();
+    assert_eq!(codec::decode::<GraphState>(earlier).unwrap(), state);
+    let cut = &earlier[..earlier.len() - 1];
+    assert!(codec::decode::<GraphState>(cut).is_err(), "no other part of the state may be missing");
 }
