Bound the memory and connections that requests take

Cause: an entry and an agent buffered the body of each of 2,048 connections whole, as a list of received pieces, for up to 3 s and without a limit on the sum. A crowd that stops a byte short took 200 to 675 MB where 160 MB are there, and a listener out of permits answered nobody.

Change: the crate `requests` holds one byte budget for a process, reserved before a body is read and released however the request ends. A part of it is kept for small bodies; when it is exhausted, the stalled body with the least progress is aborted (408), otherwise the new one is refused (503). Bodies are read into one buffer. A full listener closes the longest idle connection; readiness and metrics have tables of their own; slow readers are cut off after 5 s; the HTTP library's buffers have a limit. Decoding a job stops at 1,000 steps, and a decoded job is charged its size before it is handed on. Limits are settings, checked at the start against each other and `memory_mb`.

--- a/crates/cuminbarrow/src/daemon_error.rs
+++ b/crates/cuminbarrow/src/daemon_error.rs
@@ -7,6 +7,7 @@
 use cuminbarrow_entry::entry_daemon::EntryError;
 use cuminbarrow_entry::entry_settings::EntrySettingsError;
 use cuminbarrow_platform::process_error::ProcessError;
+use cuminbarrow_requests::request_limits::RequestLimitsError;
 use cuminbarrow_telemetry::log_setup::LogSetupError;
 use snafu::Snafu;
 
@@ -64,6 +65,14 @@
         /// Underlying error.
         source: ProcessError,
     },
+    /// The settings file of a daemon on the users' platform parses, but its values don't fit each other.
+    #[snafu(display("{}: {source}", path.display()))]
+    PlatformSettings {
+        /// Path of the file.
+        path: PathBuf,
+        /// Underlying error.
+        source: RequestLimitsError,
+    },
     /// The settings file could not be read or parsed.
     #[snafu(display("{source}"))]
     Settings {
--- a/crates/cuminbarrow/src/platform_main.rs
+++ b/crates/cuminbarrow/src/platform_main.rs
@@ -6,6 +6,7 @@
 use cuminbarrow_platform::agent_process;
 use cuminbarrow_platform::entry_process;
 use cuminbarrow_platform::settings::AgentSettings;
+use cuminbarrow_platform::settings::CheckedSettings;
 use cuminbarrow_platform::settings::EntrySettings;
 use cuminbarrow_telemetry::log_settings::LogSettings;
 use cuminbarrow_telemetry::log_setup;
@@ -16,6 +17,7 @@
 use crate::daemon_error::DaemonError;
 use crate::daemon_error::LogSetupSnafu;
 use crate::daemon_error::OsSnafu;
+use crate::daemon_error::PlatformSettingsSnafu;
 use crate::daemon_error::PlatformSnafu;
 use crate::daemon_error::SettingsSnafu;
 use crate::daemon_options::DaemonOptions;
@@ -56,9 +58,10 @@
 /// Reads the settings file. Returns `None` if the settings were only to be checked.
 fn settings<T>(options: &DaemonOptions) -> Result<Option<T>, DaemonError>
 where
-    T: DeserializeOwned,
+    T: CheckedSettings + DeserializeOwned,
 {
-    let settings = settings_file::read(&options.config).context(SettingsSnafu)?;
+    let settings: T = settings_file::read(&options.config).context(SettingsSnafu)?;
+    settings.check().context(PlatformSettingsSnafu { path: &options.config })?;
     if options.check {
         println!("{}: the settings are valid", options.config.display());
         return Ok(None);
--- a/crates/cuminbarrow/tests/integration/settings_files.rs
+++ b/crates/cuminbarrow/tests/integration/settings_files.rs
@@ -64,3 +64,36 @@
         error: entry.yaml: region: invalid type: sequence, expected a string at line 1 column 9
     "#]].assert_eq(&found);
 }
+
+/// Guards against a process that starts with limits which its memory can't hold.
+#[test]
+fn limits_of_requests_are_checked_against_the_memory() {
+    let folder = std::env::temp_dir().join(format!("cuminbarrow-limits-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("agent.yaml");
+    let valid = "instance: i\nregion: r\ndata_centre: d\nlisten_reports: 127.0.0.1:7500\n\
+                 listen_metrics: 127.0.0.1:7501\nworker: 127.0.0.1:7502\n\
+                 store: { address: 127.0.0.1:7503 }\nshared_key: secret\nmax_lease_ms: 2500\n";
+    let mut found = String::new();
+    for text in [
+        "",
+        "memory_mb: 64\n",
+        "requests: { body_bytes: 5000000 }\n",
+        "requests: { connections: 5000 }\n",
+        "requests: { buffer_bytes: 8192 }\n",
+        "requests: { connection: 1 }\n",
+    ] {
+        std::fs::write(&file, format!("{valid}{text}")).unwrap();
+        let (_, text) = check(env!("CARGO_BIN_EXE_cuminbarrow-platform-agent"), &file);
+        found.push_str(&text.replace(&file.display().to_string(), "agent.yaml"));
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+    expect![[r#"
+        agent.yaml: the settings are valid
+        error: agent.yaml: memory_mb: half of 64 MB is less than the 64 MB that requests may take: lower requests.body_bytes or requests.connections
+        error: agent.yaml: requests.body_bytes: must be at least 8388608: small_part_bytes and the largest body of 4194304
+        error: agent.yaml: memory_mb: half of 128 MB is less than the 292 MB that requests may take: lower requests.body_bytes or requests.connections
+        error: agent.yaml: requests.buffer_bytes: must be at least 16384
+        error: agent.yaml: requests: unknown field `connection`, expected one of `body_bytes`, `small_part_bytes`, `small_body_bytes`, `min_body_bytes_per_s`, `body_timeout_ms`, `write_timeout_ms`, `idle_timeout_ms`, `connections`, `probe_connections`, `buffer_bytes` at line 10 column 13
+    "#]].assert_eq(&found);
+}
--- /dev/null
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -0,0 +1,85 @@
+//! A crowd of clients that all send the same and keep their connections open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::task::JoinSet;
+
+/// Limit of the time in which a client sends. A process that does not read keeps a client waiting.
+const SEND_TIMEOUT: Duration = Duration::from_secs(4);
+/// Receive buffer of clients that read no answers, in bytes.
+const SLOW_RECEIVE_BYTES: u32 = 4_096;
+
+/// What each client of a crowd sends.
+#[derive(Clone)]
+pub(crate) struct FloodRequest {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl FloodRequest {
+    /// A body of `length` bytes, of which the last `missing` are not sent.
+    pub(crate) fn with_length(method: &str, path: &str, length: usize, missing: usize) -> Self {
+        let head = head(method, path, &format!("content-length: {length}"));
+        Self { head, body: vec![b' '; length - missing] }
+    }
+
+    /// A chunked body of `count` chunks of `chunk` bytes each, without its end.
+    pub(crate) fn in_chunks(method: &str, path: &str, chunk: usize, count: usize) -> Self {
+        let mut piece = format!("{chunk:x}\r\n").into_bytes();
+        piece.extend(vec![b' '; chunk]);
+        piece.extend(b"\r\n");
+        let head = head(method, path, "transfer-encoding: chunked");
+        Self { head, body: piece.repeat(count) }
+    }
+
+    /// `count` requests without a body, one after another.
+    pub(crate) fn pipelined(path: &str, count: usize) -> Self {
+        let request = head("GET", path, "accept: */*");
+        Self { head: String::new(), body: request.repeat(count).into_bytes() }
+    }
+}
+
+fn head(method: &str, path: &str, field: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nhost: queues.example\r\nkey: key-1\r\n{field}\r\n\r\n")
+}
+
+/// Clients that keep their connections open until they are dropped.
+pub(crate) struct Crowd {
+    _runtime: Runtime,
+    _streams: Vec<TcpStream>,
+}
+
+impl Crowd {
+    /// Lets `clients` connect and send at once, and returns when each has sent or given up. None reads
+    /// an answer.
+    pub(crate) fn send(address: SocketAddr, clients: usize, request: &FloodRequest) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let streams = runtime.block_on(async {
+            let mut sending = JoinSet::new();
+            for _ in 0..clients {
+                let request = request.clone();
+                sending.spawn(async move { send_one(address, &request).await });
+            }
+            sending.join_all().await.into_iter().flatten().collect()
+        });
+        Self { _runtime: runtime, _streams: streams }
+    }
+}
+
+async fn send_one(address: SocketAddr, request: &FloodRequest) -> Option<TcpStream> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_recv_buffer_size(SLOW_RECEIVE_BYTES).ok()?;
+    let connect = tokio::time::timeout(SEND_TIMEOUT, socket.connect(address));
+    let mut stream = connect.await.ok()?.ok()?;
+    let _ = tokio::time::timeout(SEND_TIMEOUT, async {
+        stream.write_all(request.head.as_bytes()).await?;
+        stream.write_all(&request.body).await
+    })
+    .await;
+    Some(stream)
+}
