Test floods of headers that do not end and of idle connections

Cause: each connection's read buffer grew to some 400 KB with a header that does not end, and a listener whose places idle connections hold must not wait for their 15 s. Change: two tests.

--- a/crates/cuminbarrow/tests/request_floods/entry_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/entry_floods.rs
@@ -92,6 +92,19 @@
     flood_entry("entry, slow readers", 100, &request);
 }
 
+/// Guards against read buffers that grow with a header that does not end.
+#[test]
+fn heads_that_do_not_end() {
+    let request = FloodRequest::endless_head("/q1/", 400_000);
+    flood_entry("entry, endless heads", CLIENTS, &request);
+}
+
+/// Guards against idle connections that take all places of a listener.
+#[test]
+fn idle_connections() {
+    flood_entry("entry, idle connections", CLIENTS, &FloodRequest::nothing());
+}
+
 /// Guards against metrics pages that pile up behind clients that do not read.
 #[test]
 fn slow_readers_of_metrics() {
--- a/crates/cuminbarrow/tests/request_floods/flood.rs
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -37,6 +37,17 @@
         Self { head, body: piece.repeat(count) }
     }
 
+    /// Header fields of `length` bytes that do not end.
+    pub(crate) fn endless_head(path: &str, length: usize) -> Self {
+        let head = format!("GET {path} HTTP/1.1\r\nhost: queues.example\r\nx: ");
+        Self { head, body: vec![b'x'; length] }
+    }
+
+    /// Nothing: a connection that stays idle.
+    pub(crate) fn nothing() -> Self {
+        Self { head: String::new(), body: Vec::new() }
+    }
+
     /// `count` requests without a body, one after another.
     pub(crate) fn pipelined(path: &str, count: usize) -> Self {
         let request = head("GET", path, "accept: */*");
