--- a/crates/cuminbarrow/tests/request_floods/entry_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/entry_floods.rs
@@ -68,7 +68,7 @@
 #[test]
 fn chunks_of_one_byte_that_stop_short() {
     let request = FloodRequest::in_chunks("POST", JOB_PATH, 1, 40_000);
-    flood_entry("entry, chunks of one byte", 60, &request);
+    flood_entry("entry, chunks of one byte", CLIENTS, &request);
 }
 
 /// Guards against memory that a flood leaves behind, so that the next one exceeds the bound.
