Learn the speeds of instances, and place urgent work on faster ones

In some deployments a third of the instances runs everything 1.3 times as long as the others, for good. A gang is as slow as its slowest member, so an urgent job there loses most of the time that its objective leaves. Only drops to under 28 % of the speed were detected.

The state keeps a profile for each instance: the run times of its tasks relative to those of the same step's tasks elsewhere.

--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -238,6 +238,7 @@
             EndKind::Done => {
                 let queue = job.terms.queue.clone();
                 self.record_duration(queue, end, held);
+                self.record_run_time(worker, end, held);
                 self.complete_task(step, index, spec);
             }
             EndKind::Failed => {
--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -35,6 +35,7 @@
         spec: &WorkerSpec,
     ) -> GraphOutcome {
         let fencing_token = offset + 1;
+        self.speed_profiles.record_presence(&spec.instance, true, self.clock_ms);
         let known = self.worker_on(&spec.instance);
         if let Some((key, _)) = known.filter(|(_, known)| known.spec.is_same_incarnation(spec)) {
             self.update_registration(key, agent, fencing_token, spec);
@@ -161,7 +162,10 @@
         is_slow: bool,
         progress: &[(RunKey, u8)],
     ) -> GraphOutcome {
-        ensure!(self.workers.contains_key(&worker), UnknownWorkerSnafu { worker });
+        let known = self.workers.get(&worker).context(UnknownWorkerSnafu { worker })?;
+        if is_slow || self.slow_workers.contains_key(&worker) {
+            self.speed_profiles.record_slow(&known.spec.instance, self.clock_ms);
+        }
         if is_slow {
             let slow = SlowWorker { seen_ms: self.clock_ms, progress: progress.to_vec() };
             self.slow_workers.insert(worker, slow);
@@ -186,7 +190,10 @@
             let end = RunEnd { run, kind: EndKind::Lapsed, checkpoint: Default::default() };
             self.run_ended(worker, &end);
         }
-        self.workers.remove(&worker);
+        if let Some(removed) = self.workers.remove(&worker) {
+            let instance = &removed.spec.instance;
+            self.speed_profiles.record_presence(instance, false, self.clock_ms);
+        }
         self.slow_workers.remove(&worker);
     }
 }
--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -10,6 +10,7 @@
 use crate::job_terms::JobTerms;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::resource_amounts::ResourceAmounts;
+use crate::speed_profile::SpeedClass;
 use crate::step_advice::StepAdvice;
 use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
@@ -85,6 +86,8 @@
     pub is_quarantined: bool,
     /// Whether the worker was recently reported as slow.
     pub is_slow: bool,
+    /// Learned speed of the worker's instance; typical unless speed profiles are used.
+    pub speed: SpeedClass,
     /// Accelerators that urgent work holds, or that this round has allocated to it.
     pub urgent_accelerators: u32,
     /// Tasks that this round has placed on the worker, by step.
@@ -135,6 +138,17 @@
         count.min(u32::try_from(remaining).unwrap_or(u32::MAX))
     }
 
+    /// Rank of the worker by its learned speed, the most suitable first: urgent work prefers faster
+    /// workers, and other work leaves them to it.
+    pub(crate) fn speed_rank(&self, request: &StepRequest<'_>) -> u8 {
+        let rank = self.speed as u8;
+        if request.terms.priority == URGENT_PRIORITY {
+            rank
+        } else {
+            SpeedClass::Slower as u8 - rank
+        }
+    }
+
     fn tasks_of(&self, step: StepKey) -> u32 {
         let held = self.state.runs.keys().filter(|run| run.task.step == step).count();
         let placed = self.placed.iter().filter(|(other, _)| *other == step);
@@ -175,6 +189,14 @@
         Self { workers, placed_jobs }
     }
 
+    /// Takes the learned speeds of instances into account.
+    pub fn use_speed_profiles(&mut self, state: &GraphState) {
+        let classes = state.speed_classes();
+        for worker in &mut self.workers {
+            worker.speed = classes.get(&worker.key).copied().unwrap_or_default();
+        }
+    }
+
     /// Whether no task of a job is placed, not even by this round.
     pub fn is_unplaced(&self, job: JobId) -> bool {
         !self.placed_jobs.contains(&job)
@@ -194,8 +216,8 @@
     }
 
     /// Best-fit allocation of up to `count` tasks of a step to the workers that satisfy
-    /// `is_eligible`, as worker indices with their numbers of tasks. Workers with the least free
-    /// capacity are filled first, and slow ones last.
+    /// `is_eligible`, as worker indices with their numbers of tasks. Workers of suitable speed and
+    /// with the least free capacity are filled first, and slow ones last.
     pub fn pack<F>(
         &self,
         request: &StepRequest<'_>,
@@ -205,14 +227,16 @@
     where
         F: Fn(&WorkerCapacity<'_>) -> bool,
     {
-        let mut candidates: Vec<(bool, u32, u32, usize, u32)> = self
+        let mut candidates: Vec<(bool, u8, u32, u32, usize, u32)> = self
             .workers
             .iter()
             .enumerate()
             .filter(|(_, worker)| is_eligible(worker))
             .map(|(worker_index, worker)| {
                 let ResourceAmounts { accelerators, cpu_millis, .. } = worker.free;
-                (worker.is_slow, accelerators, cpu_millis, worker_index, worker.fit_count(request))
+                let fit_count = worker.fit_count(request);
+                let rank = worker.speed_rank(request);
+                (worker.is_slow, rank, accelerators, cpu_millis, worker_index, fit_count)
             })
             .filter(|(.., fit_count)| *fit_count > 0)
             .collect();
@@ -229,7 +253,8 @@
         allocation
     }
 
-    /// Allocation on the rack that holds all tasks and has the fewest free accelerators.
+    /// Allocation on the rack that holds all tasks and has the fewest free accelerators. An urgent gang
+    /// prefers a rack on which its slowest member is faster.
     pub fn tightest_rack(
         &self,
         request: &StepRequest<'_>,
@@ -240,9 +265,23 @@
             let allocation = self.pack(request, count, on_rack);
             let workers = self.workers.iter().filter(|worker| on_rack(worker));
             let free: u32 = workers.map(|worker| worker.free.accelerators).sum();
-            is_complete(&allocation, count).then_some((free, allocation))
+            is_complete(&allocation, count)
+                .then(|| ((self.slowest_rank(request, &allocation), free), allocation))
         });
-        racks.min_by_key(|(free, _)| *free).map(|(_, allocation)| allocation)
+        racks.min_by_key(|(order, _)| *order).map(|(_, allocation)| allocation)
+    }
+
+    /// Highest rank by speed of the workers that an urgent step is allocated to; 0 for other steps.
+    pub(crate) fn slowest_rank(
+        &self,
+        request: &StepRequest<'_>,
+        allocation: &[(usize, u32)],
+    ) -> u8 {
+        if request.terms.priority != URGENT_PRIORITY {
+            return 0;
+        }
+        let workers = allocation.iter().filter_map(|(index, _)| self.workers.get(*index));
+        workers.map(|worker| worker.speed_rank(request)).max().unwrap_or(0)
     }
 
     /// Whether any worker was recently reported as slow.
@@ -283,6 +322,7 @@
         releasing,
         is_quarantined: false,
         is_slow: false,
+        speed: SpeedClass::default(),
         urgent_accelerators: 0,
         placed: Vec::new(),
     }
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -20,10 +20,12 @@
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::optional_tail::decode_or_default;
 use crate::record::GraphRecord;
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
 use crate::refusal::StaleEpochSnafu;
+use crate::speed_profile::SpeedProfiles;
 use crate::step_advice::StepAdvice;
 use crate::step_queue::waiting_urgent_accelerators;
 use crate::task_key::RunKey;
@@ -174,6 +176,9 @@
     pub(crate) slow_workers: BTreeMap<WorkerKey, SlowWorker>,
     /// Cancellations of jobs that are not known, kept as long as ended jobs.
     pub early_cancellations: EarlyCancellations,
+    /// Learned speeds of instances.
+    #[serde(default, deserialize_with = "decode_or_default")]
+    pub speed_profiles: SpeedProfiles,
 }
 
 impl GraphState {
@@ -217,6 +222,7 @@
         if jump_ms > 0 {
             self.ended.iter_mut().for_each(|(kept_from_ms, _)| *kept_from_ms += jump_ms);
             self.early_cancellations.prolong(jump_ms);
+            self.speed_profiles.record_clock_jump(self.clock_ms);
         }
     }
 
@@ -360,6 +366,7 @@
         state.spec = Default::default();
         self.active.remove(&job);
         self.remove_advice(job);
+        self.speed_profiles.remove_job(job);
         self.ended.push_back((clock_ms, job));
     }
 
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -90,9 +90,13 @@
 pub fn plan_round(state: &GraphState, input: &PlannerInput) -> Plan {
     let epoch = state.planner.epoch;
     let guaranteed = guaranteed_jobs(state, &input.guarantees);
+    let mut map = CapacityMap::new(state, input.now_ms);
+    if input.options.speed_profiles {
+        map.use_speed_profiles(state);
+    }
     let mut round = Round {
         plan: Plan::default(),
-        map: CapacityMap::new(state, input.now_ms),
+        map,
         victims: VictimTable::new(state, &guaranteed, input.now_ms),
         unfit_steps: BTreeSet::new(),
         epoch,
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -14,4 +14,5 @@
 mod run_table;
 mod single_runs;
 mod slow_workers;
+mod speed_profiles;
 mod throttling;
