--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -3,7 +3,7 @@
 //! Only runs that no guarantee covers are preempted, and among them those that lose the least work.
 //! The cost of a run is its work since the last checkpoint, weighted by its resources. A gang is
 //! preempted as a whole, at the total cost of its members. Where learned speeds of instances are used,
-//! urgent work takes the faster of workers at which it destroys about as much work.
+//! urgent work takes the faster of workers where it destroys about as much work.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,7 +15,6 @@
 use crate::disruption_budget::unavailability_limit;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
-use crate::job_terms::URGENT_PRIORITY;
 use crate::resource_amounts::ResourceAmounts;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
@@ -25,9 +24,9 @@
 /// once a second.
 const CHECKPOINT_LOSS_MS: u64 = 1_000;
 
-/// Losses that differ by less than this are alike to urgent work, which then prefers faster workers, in
-/// ms of its own work. On a slower worker an urgent task takes about that much longer.
-const SIMILAR_LOSS_MS: u64 = 1_000;
+/// Work that an urgent task may destroy in addition so that it runs on a worker of the next faster class,
+/// in ms of its own work: less than the time by which it runs longer on a slower one.
+const SPEED_VALUE_MS: u64 = 500;
 
 /// An allocation for a step, and the runs to preempt for it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -167,10 +166,8 @@
             let on_rack = |worker: &WorkerCapacity<'_>| worker.state.spec.rack == *rack;
             reclaim_among(map, table, scope, request, count, on_rack)
         });
-        let cheapest = plans.min_by_key(|plan| {
-            let rank = map.slowest_rank(request, &plan.allocation);
-            (loss_level(plan.cost, request, count), rank, plan.cost)
-        });
+        let cheapest =
+            plans.min_by_key(|plan| weighted_cost(map, request, plan.cost, &plan.allocation));
         if let Some(plan) = cheapest {
             return Some(plan);
         }
@@ -215,8 +212,8 @@
             ))
         });
         let cheapest = options.min_by_key(|(cost, unused_accelerators, worker_index, _)| {
-            let rank = map.slowest_rank(request, &[(*worker_index, 1)]);
-            (loss_level(*cost, request, 1), rank, *cost, *unused_accelerators, *worker_index)
+            let weighted_cost = weighted_cost(map, request, *cost, &[(*worker_index, 1)]);
+            (weighted_cost, *unused_accelerators, *worker_index)
         });
         let Some((_, _, worker_index, choice)) = cheapest else { break };
         plan.cost += choice.cost;
@@ -243,13 +240,18 @@
     (found == count || (found > 0 && allows_partial)).then_some(plan)
 }
 
-/// Level within which losses of work for `count` tasks of a step are alike.
-fn loss_level(cost: u64, request: &StepRequest<'_>, count: u32) -> u64 {
-    if request.terms.priority != URGENT_PRIORITY {
-        return cost;
-    }
+/// Cost of an allocation for an urgent step, with the value of the speed that it lacks; only the loss for
+/// other steps.
+fn weighted_cost(
+    map: &CapacityMap<'_>,
+    request: &StepRequest<'_>,
+    cost: u64,
+    allocation: &[(usize, u32)],
+) -> u64 {
+    let count: u32 = allocation.iter().map(|(_, count)| count).sum();
     let own_weight = request.spec.held_resources().weight().saturating_mul(u64::from(count));
-    cost / (own_weight.saturating_mul(SIMILAR_LOSS_MS) / 1_000).max(1)
+    let rank = u64::from(map.slowest_rank(request, allocation));
+    cost.saturating_add(own_weight.saturating_mul(rank * SPEED_VALUE_MS) / 1_000)
 }
 
 fn per_worker_limit(worker: &WorkerCapacity<'_>, request: &StepRequest<'_>) -> u32 {
--- a/crates/taskgraph/src/speed_profile.rs
+++ b/crates/taskgraph/src/speed_profile.rs
@@ -7,7 +7,7 @@
 //! The first tasks to end are the short ones, so a comparison of the ends alone would favour whoever
 //! ended. Instead all runs of a step that started early enough are compared at once, when they have
 //! either ended or run for a common time, the step's horizon. Which runs are compared thus depends on
-//! when they started only.
+//! when they started only. `docs/design/speed-profiles.md` compares this with other ways.
 
 use std::collections::BTreeMap;
 
@@ -49,8 +49,8 @@
 const PRIOR_WEIGHT: u64 = 6_000;
 /// Weight above which older runs count less, in thousandths of a run: about ten minutes of runs.
 const MAX_WEIGHT: u64 = 64_000;
-/// Relative run time from which an instance is slower than the others, in thousandths. Half-way to
-/// 1.25; with the prior, about 3 % of equal instances exceed it after ten runs and none after sixty.
+/// Relative run time from which an instance is slower than the others, in thousandths: half-way to 1.25.
+/// On simulated loads about 5 % of equal instances are beyond this limit or the next after a minute.
 const SLOWER_PERMILLE: u64 = 1_110;
 /// Relative run time up to which an instance is faster than the others, in thousandths.
 const FASTER_PERMILLE: u64 = 900;
