Show operators which instances are taken as slower or faster

Gauges instances_slower and instances_faster count the classes. The planner logs changes of them every 5 s, at most 8 instances by name, if planning.speed_profiles is on.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod relayed_log;
 pub mod replica;
 pub mod snapshot_writer;
+mod speed_log;
 pub mod worker_port;
 pub mod worker_reports;
 mod worker_session;
--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -34,6 +34,7 @@
 use crate::planner_role::RoleDecision;
 use crate::planner_role::RoleView;
 use crate::replica::Replica;
+use crate::speed_log::SpeedLog;
 
 /// Time without a write after which the planner renews its role. Three intervals fit into the time after
 /// which another entry claims the role.
@@ -88,6 +89,7 @@
             member_request: None,
             written_at: Instant::now(),
             wait_reasons: BTreeMap::new(),
+            speed_log: SpeedLog::default(),
             has_waiting_jobs: false,
             task: self,
         };
@@ -127,6 +129,7 @@
     written_at: Instant,
     /// Reasons of the waiting jobs, as logged last.
     wait_reasons: BTreeMap<JobId, &'static str>,
+    speed_log: SpeedLog,
     has_waiting_jobs: bool,
 }
 
@@ -232,6 +235,9 @@
             options: self.task.options,
         };
         let plan = plan_round(&self.task.replica.state(), &input);
+        if self.task.options.speed_profiles {
+            self.speed_log.check(&self.task.replica.state());
+        }
         self.log_waiting_jobs(&plan.unplaced);
         self.advice.request(epoch, plan.advice_requests);
         if !plan.records.is_empty() {
