--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -36,6 +36,7 @@
 use crate::planner_role::RoleDecision;
 use crate::planner_role::RoleView;
 use crate::replica::Replica;
+use crate::speed_log::SpeedLog;
 
 /// Time without a write after which the planner renews its role. Three intervals fit into the time after
 /// which another entry claims the role.
@@ -93,6 +94,7 @@
             written_at: Instant::now(),
             wait_reasons: BTreeMap::new(),
             report: LoadReport::default(),
+            speed_log: SpeedLog::default(),
             has_waiting_jobs: false,
             task: self,
         };
@@ -133,6 +135,7 @@
     /// Reasons of the waiting jobs, as logged last.
     wait_reasons: BTreeMap<JobId, &'static str>,
     report: LoadReport,
+    speed_log: SpeedLog,
     has_waiting_jobs: bool,
 }
 
@@ -245,6 +248,9 @@
             self.report.count_ended_jobs(&state, &self.task.counters);
             plan_round(&state, &input)
         };
+        if self.task.options.speed_profiles {
+            self.speed_log.check(&self.task.replica.state());
+        }
         self.log_waiting_jobs(&plan.unplaced);
         self.report.log_delayed_steps(&plan.delayed, &self.task.counters);
         self.advice.request(epoch, plan.advice_requests);
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -242,6 +242,7 @@
             EndKind::Done => {
                 let terms = job.terms.clone();
                 self.record_duration(&terms, spec, end, held);
+                self.record_run_time(worker, end, held);
                 self.complete_task(step, index, spec);
             }
             EndKind::Failed => {
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -28,6 +28,7 @@
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
 use crate::refusal::StaleEpochSnafu;
+use crate::speed_profile::SpeedProfiles;
 use crate::step_advice::StepAdvice;
 use crate::step_queue::waiting_urgent_accelerators;
 use crate::task_key::RunKey;
@@ -190,6 +191,9 @@
     /// Preemptions of active jobs.
     #[serde(deserialize_with = "decode_or_default")]
     pub preemptions: PreemptionHistory,
+    /// Learned speeds of instances.
+    #[serde(deserialize_with = "decode_or_default")]
+    pub speed_profiles: SpeedProfiles,
 }
 
 impl GraphState {
@@ -233,6 +237,7 @@
         if jump_ms > 0 {
             self.ended.iter_mut().for_each(|(kept_from_ms, _)| *kept_from_ms += jump_ms);
             self.early_cancellations.prolong(jump_ms);
+            self.speed_profiles.record_clock_jump(self.clock_ms);
         }
     }
 
@@ -380,6 +385,7 @@
         self.active.remove(&job);
         self.remove_advice(job);
         self.preemptions.forget_job(job);
+        self.speed_profiles.remove_job(job);
         self.ended.push_back((clock_ms, job));
     }
 
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod room_forecast;
 pub mod run_table;
 pub mod slow_worker_migration;
+pub mod speed_profile;
 pub mod speed_watch;
 pub mod step_advice;
 pub mod step_queue;
--- a/crates/taskgraph/src/reclaim.rs
+++ b/crates/taskgraph/src/reclaim.rs
@@ -4,6 +4,8 @@
 //! The cost of a run is its work since the last checkpoint, weighted by its resources. A gang is
 //! preempted as a whole, at the total cost of its members. Where earlier preemptions count,
 //! [`crate::reclaim_search`] chooses in place of the greedy choice below.
+//! Where learned speeds of instances are used, urgent work takes the faster of workers where it destroys
+//! about as much work.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -33,6 +35,10 @@
 /// preempted.
 const IDLE_TIME_MS: u64 = 500;
 
+/// Work that an urgent task may destroy in addition so that it runs on a worker of the next faster class,
+/// in ms of its own work: less than the time by which it runs longer on a slower one.
+const SPEED_VALUE_MS: u64 = 500;
+
 /// An allocation for a step, and the runs to preempt for it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReclaimPlan {
@@ -249,7 +255,9 @@
             let on_rack = |worker: &WorkerCapacity<'_>| worker.state.spec.rack == *rack;
             plan_among(&on_rack)
         });
-        if let Some((_, plan)) = plans.min_by_key(|(rank, _)| *rank) {
+        let cheapest =
+            plans.min_by_key(|(rank, plan)| weighted_cost(map, request, *rank, &plan.allocation));
+        if let Some((_, plan)) = cheapest {
             return Some(plan);
         }
     }
@@ -290,7 +298,8 @@
             ))
         });
         let cheapest = options.min_by_key(|(cost, unused_accelerators, worker_index, _)| {
-            (*cost, *unused_accelerators, *worker_index)
+            let weighted_cost = weighted_cost(map, request, *cost, &[(*worker_index, 1)]);
+            (weighted_cost, *unused_accelerators, *worker_index)
         });
         let Some((_, _, worker_index, choice)) = cheapest else { break };
         plan.cost += choice.cost;
@@ -317,6 +326,20 @@
     (found == count || (found > 0 && allows_partial)).then_some(plan)
 }
 
+/// Cost of an allocation for an urgent step, with the value of the speed that it lacks; only the loss for
+/// other steps.
+fn weighted_cost(
+    map: &CapacityMap<'_>,
+    request: &StepRequest<'_>,
+    cost: u64,
+    allocation: &[(usize, u32)],
+) -> u64 {
+    let count: u32 = allocation.iter().map(|(_, count)| count).sum();
+    let own_weight = request.spec.held_resources().weight().saturating_mul(u64::from(count));
+    let rank = u64::from(map.slowest_rank(request, allocation));
+    cost.saturating_add(own_weight.saturating_mul(rank * SPEED_VALUE_MS) / 1_000)
+}
+
 pub(crate) fn per_worker_limit(worker: &WorkerCapacity<'_>, request: &StepRequest<'_>) -> u32 {
     worker.fit_count_in(worker.state.spec.resources, request)
 }
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -19,6 +19,7 @@
 mod run_table;
 mod single_runs;
 mod slow_workers;
+mod speed_profiles;
 mod team_shares;
 mod throttling;
 mod waiting_cost;
--- a/crates/taskgraph/tests/graph/restored_states.rs
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -133,6 +133,7 @@
         codec::encode(&state.evacuations).unwrap(),
         codec::encode(&state.estimate_errors).unwrap(),
         codec::encode(&state.preemptions).unwrap(),
+        codec::encode(&state.speed_profiles).unwrap(),
     ];
     // Each encoding begins with a byte for the format version.
     let added_bytes: usize = added.iter().map(|field| field.len() - 1).sum();
@@ -140,6 +141,7 @@
     state.evacuations = Default::default();
     state.estimate_errors = Default::default();
     state.preemptions = Default::default();
+    state.speed_profiles = Default::default();
     assert_eq!(codec::decode::<GraphState>(earlier).unwrap(), state);
     let cut = &earlier[..earlier.len() - 1];
     assert!(codec::decode::<GraphState>(cut).is_err(), "no other part of the state may be missing");
