--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -13,8 +13,6 @@
     pub cost_order: bool,
     /// Whether teams below their share of a service precede those above it.
     pub team_shares: bool,
-    /// Whether tasks are packed so that room for the shapes of other active jobs is kept.
-    pub shape_packing: bool,
     /// Whether learned speeds of instances count in the choice of workers.
     pub speed_profiles: bool,
     /// Whether jobs that can't be done in useful time are rejected on submission.
