--- a/crates/cuminbarrow/tests/request_floods/agent_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/agent_floods.rs
@@ -1,11 +1,11 @@
 //! Floods against the report address of an agent.
 
-use crate::flood::Crowd;
+use crate::flood::FloodClients;
 use crate::flood::FloodRequest;
 use crate::served_process::Role;
 use crate::served_process::ServedProcess;
 
-/// Number of clients of a crowd.
+/// Number of clients of a flood.
 const CLIENTS: usize = 200;
 /// Length of each report, in bytes. Legal ones have up to 4 MiB.
 const REPORT_BYTES: usize = 1_000_000;
@@ -14,9 +14,9 @@
 
 fn flood_agent(name: &str, request: &FloodRequest) {
     let mut agent = ServedProcess::start(Role::Agent);
-    let crowd = Crowd::send(agent.address, CLIENTS, request);
+    let flood = FloodClients::send(agent.address, CLIENTS, request);
     agent.assert_unharmed(name);
-    drop(crowd);
+    drop(flood);
     agent.assert_serves();
 }
 
--- a/crates/cuminbarrow/tests/request_floods/entry_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/entry_floods.rs
@@ -4,14 +4,14 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use crate::flood::Crowd;
+use crate::flood::FloodClients;
 use crate::flood::FloodRequest;
 use crate::served_process::Role;
 use crate::served_process::ServedProcess;
 use crate::served_process::read_status;
 use crate::wire_fixtures::job;
 
-/// Number of clients of a crowd.
+/// Number of clients of a flood.
 const CLIENTS: usize = 300;
 /// Largest legal body, in bytes.
 const MAX_BODY_BYTES: usize = 262_144;
@@ -20,9 +20,9 @@
 
 fn flood_entry(name: &str, clients: usize, request: &FloodRequest) {
     let mut entry = ServedProcess::start(Role::Entry);
-    let crowd = Crowd::send(entry.address, clients, request);
+    let flood = FloodClients::send(entry.address, clients, request);
     entry.assert_unharmed(name);
-    drop(crowd);
+    drop(flood);
     entry.assert_serves();
 }
 
@@ -31,7 +31,7 @@
 fn refusals_are_counted_and_memory_is_released() {
     let mut entry = ServedProcess::start(Role::Entry);
     let request = FloodRequest::with_length("POST", JOB_PATH, MAX_BODY_BYTES, 1);
-    drop(Crowd::send(entry.address, CLIENTS, &request));
+    drop(FloodClients::send(entry.address, CLIENTS, &request));
     entry.assert_unharmed("entry, metrics");
     let metrics = entry.metrics_text();
     let value = |name: &str| {
@@ -79,7 +79,7 @@
     let chunks = FloodRequest::in_chunks("POST", JOB_PATH, 26_000, 10);
     for round in 0..3 {
         for request in [&short, &chunks] {
-            drop(Crowd::send(entry.address, CLIENTS, request));
+            drop(FloodClients::send(entry.address, CLIENTS, request));
         }
         entry.assert_unharmed(&format!("entry, round {round}"));
     }
@@ -110,9 +110,9 @@
 fn slow_readers_of_metrics() {
     let mut entry = ServedProcess::start(Role::Entry);
     let request = FloodRequest::pipelined("/metrics", 2_000);
-    let crowd = Crowd::send(entry.metrics, 100, &request);
+    let flood = FloodClients::send(entry.metrics, 100, &request);
     entry.assert_unharmed("entry, slow readers of metrics");
-    drop(crowd);
+    drop(flood);
 }
 
 /// Guards against small bodies whose parsed form is many times as large.
--- a/crates/cuminbarrow/tests/request_floods/flood.rs
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -1,4 +1,4 @@
-//! A crowd of clients that all send the same and keep their connections open.
+//! Clients that all send the same and keep their connections open.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 /// Receive buffer of clients that read no answers, in bytes.
 const SLOW_RECEIVE_BYTES: u32 = 4_096;
 
-/// What each client of a crowd sends.
+/// What each client of a flood sends.
 #[derive(Clone)]
 pub(crate) struct FloodRequest {
     pub(crate) head: String,
@@ -60,12 +60,12 @@
 }
 
 /// Clients that keep their connections open until they are dropped.
-pub(crate) struct Crowd {
+pub(crate) struct FloodClients {
     _runtime: Runtime,
     _streams: Vec<TcpStream>,
 }
 
-impl Crowd {
+impl FloodClients {
     /// Lets `clients` connect and send at once, and returns when each has sent or given up. None reads
     /// an answer.
     pub(crate) fn send(address: SocketAddr, clients: usize, request: &FloodRequest) -> Self {
--- a/crates/cuminbarrow/tests/request_floods/served_process.rs
+++ b/crates/cuminbarrow/tests/request_floods/served_process.rs
@@ -37,7 +37,7 @@
 const OTHER_DESCRIPTORS: usize = 64;
 /// Limit of the waits for a process to serve.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time for the process to read what a crowd has sent, so that the peak is measured after it.
+/// Time for the process to read what a flood has sent, so that the peak is measured after it.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Omits the limits from the settings, to show the fault on a release that does not know them.
 const OMIT_LIMITS: &str = "CUMINBARROW_FLOOD_OMIT_LIMITS";
--- a/crates/requests/src/body_ledger.rs
+++ b/crates/requests/src/body_ledger.rs
@@ -62,7 +62,7 @@
         now_ms: u64,
         bytes: u64,
     ) -> Result<(BodyId, Vec<BodyId>), BudgetExhausted> {
-        let aborted = self.make_room(now_ms, None, bytes)?;
+        let aborted = self.reclaim_bytes(now_ms, None, bytes)?;
         let id = self.next_id;
         self.next_id += 1;
         self.insert(id, HeldBody { bytes, meter: ProgressMeter::new(now_ms), is_complete: false });
@@ -80,7 +80,7 @@
         bytes: u64,
     ) -> Result<Vec<BodyId>, BudgetExhausted> {
         let body = *self.bodies.get(&id).ok_or(BudgetExhausted)?;
-        let aborted = self.make_room(now_ms, Some(id), bytes)?;
+        let aborted = self.reclaim_bytes(now_ms, Some(id), bytes)?;
         self.close(id);
         self.insert(id, HeldBody { bytes, ..body });
         Ok(aborted)
@@ -131,7 +131,7 @@
     }
 
     /// Aborts as few bodies as give room for `bytes`, which replace the reservation of `replaced`.
-    fn make_room(
+    fn reclaim_bytes(
         &mut self,
         now_ms: u64,
         replaced: Option<BodyId>,
--- a/crates/taskgraph/src/admission.rs
+++ b/crates/taskgraph/src/admission.rs
@@ -4,7 +4,7 @@
 //! over, or one team's flood. If every job is accepted, each waits until its result is of no use to
 //! anyone. So a job is rejected at once if it can't be done in useful time even by a forecast that
 //! errs in its favour; see [`crate::admission_forecast`]. A wrong rejection is worse than a late job,
-//! so nothing is rejected while half of the service is unused or the job's first step has room.
+//! so nothing is rejected while half of the service is unused or the job's first step has capacity.
 
 use std::collections::BTreeMap;
 
@@ -144,7 +144,7 @@
         return None;
     }
     let mut first_steps = spec.steps.iter().filter(|step| step.depends_on.is_empty());
-    if first_steps.any(|step| load.has_room_for(step)) {
+    if first_steps.any(|step| load.has_capacity_for(step)) {
         return None;
     }
     let late_ms = forecast.finish_ms - forecast.limit_ms;
--- a/crates/taskgraph/src/admission_forecast.rs
+++ b/crates/taskgraph/src/admission_forecast.rs
@@ -112,7 +112,7 @@
     }
 
     /// Whether free capacity suffices for a whole step.
-    pub(crate) fn has_room_for(&self, spec: &StepSpec) -> bool {
+    pub(crate) fn has_capacity_for(&self, spec: &StepSpec) -> bool {
         let each = spec.held_resources();
         let limit = if spec.max_per_worker == 0 { u32::MAX } else { spec.max_per_worker };
         let workers = self
--- a/crates/taskgraph/src/load_order.rs
+++ b/crates/taskgraph/src/load_order.rs
@@ -1,6 +1,6 @@
-//! Order of waiting steps while a service has too little room for them.
+//! Order of waiting steps while a service has too little capacity for them.
 //!
-//! Answers a full service: as long as what waits fits into the room that is free or about to be, the
+//! Answers a full service: as long as what waits fits into the capacity that is free or about to be, the
 //! order of [`crate::step_queue`] remains.
 
 use std::collections::BTreeMap;
@@ -9,14 +9,14 @@
 
 use smol_str::SmolStr;
 
+use crate::capacity_forecast::CapacityForecast;
+use crate::capacity_forecast::HeldCapacity;
+use crate::capacity_forecast::WHOLE_CAPACITY;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::plan_round::PlannerInput;
 use crate::remaining_work::ServiceLoad;
-use crate::room_forecast::HeldRoom;
-use crate::room_forecast::RoomForecast;
-use crate::room_forecast::WHOLE_ROOM;
 use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
 use crate::task_key::StepKey;
@@ -27,7 +27,7 @@
 use crate::waiting_cost::WaitingWork;
 use crate::waiting_cost::waiting_costs;
 
-/// Room counts as free if a run is expected to end within this time, in ms. It is the longest time
+/// Capacity counts as free if a run is expected to end within this time, in ms. It is the longest time
 /// between two rounds while jobs wait.
 const SOON_MS: u64 = 250;
 
@@ -66,7 +66,7 @@
                 write!(formatter, "earliest_ms={earliest_ms} work_ms={work_ms}")
             }
             Self::Share(TeamShare { share, used }) => {
-                let permille = |room| u128::from(room) * 1_000 / u128::from(WHOLE_ROOM);
+                let permille = |capacity| u128::from(capacity) * 1_000 / u128::from(WHOLE_CAPACITY);
                 let (used, share) = (permille(*used), permille(*share));
                 write!(formatter, "used_permille={used} share_permille={share}")
             }
@@ -77,7 +77,7 @@
 /// Position of a step among those of its priority, lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LoadRank {
-    /// Class: the timeliness, or the class by cost where room is short.
+    /// Class: the timeliness, or the class by cost where capacity is short.
     pub(crate) class: u8,
     /// Whether the step's team is above its share.
     is_above_share: bool,
@@ -86,14 +86,14 @@
 }
 
 impl LoadRank {
-    /// Position while there is room for everything.
+    /// Position while there is capacity for everything.
     pub fn without_load(timeliness: Timeliness, objective_at_ms: u64) -> Self {
         let key = u128::from(objective_at_ms);
         Self { class: timeliness as u8, is_above_share: false, key }
     }
 }
 
-/// Sets the ranks of the steps of each service in which room is short. Steps covered by a guarantee
+/// Sets the ranks of the steps of each service in which capacity is short. Steps covered by a guarantee
 /// and those that are too late keep their ranks. Returns the steps that are put behind others.
 pub fn rank_under_load(
     state: &GraphState,
@@ -133,11 +133,11 @@
     delayed
 }
 
-/// Whether the waiting tasks need more room than is free or expected to be soon.
+/// Whether the waiting tasks need more capacity than is free or expected to be soon.
 fn is_short(load: &mut ServiceLoad<'_>, steps: &[&mut WaitingStep<'_>]) -> bool {
-    let needed = steps.iter().map(|step| load.needed_room(step)).fold(0, u64::saturating_add);
+    let needed = steps.iter().map(|step| load.needed_capacity(step)).fold(0, u64::saturating_add);
     let held = load.running.iter().map(|run| run.held).collect();
-    needed > RoomForecast::new(held).free_room(SOON_MS)
+    needed > CapacityForecast::new(held).free_capacity(SOON_MS)
 }
 
 /// Shares of the teams that use the service or wait for it.
@@ -153,7 +153,7 @@
     }
     for step in steps {
         let demand = demands.entry(step.job.terms.team.clone()).or_default();
-        demand.waiting = demand.waiting.saturating_add(load.needed_room(step));
+        demand.waiting = demand.waiting.saturating_add(load.needed_capacity(step));
     }
     TeamShares::new(&demands, &input.guarantees)
 }
@@ -169,7 +169,7 @@
     steps.sort_by_key(|step| step.position());
     let mut shares_before = Vec::with_capacity(steps.len());
     for step in steps.iter_mut() {
-        let size = load.needed_room(step);
+        let size = load.needed_capacity(step);
         let share = shares.take(&step.job.terms.team, size);
         step.rank.is_above_share = share.is_above(size) && !step.is_guaranteed;
         shares_before.push(share);
@@ -214,12 +214,12 @@
     }
     for (priority, results) in results {
         let held = load.running.iter().filter(|run| is_held_against(priority, run.priority));
-        let held: Vec<HeldRoom> = held.map(|run| run.held).collect();
-        let forecast = RoomForecast::new(held);
+        let held: Vec<HeldCapacity> = held.map(|run| run.held).collect();
+        let forecast = CapacityForecast::new(held);
         let works: Vec<WaitingWork> = results.values().copied().collect();
         let late = load.running.iter().filter(|run| run.is_late && run.priority == priority);
-        let late_room = late.map(|run| run.held.size).fold(0, u64::saturating_add);
-        let costs = waiting_costs(&forecast, work_ahead, late_room, &works, now_ms);
+        let late_capacity = late.map(|run| run.held.size).fold(0, u64::saturating_add);
+        let costs = waiting_costs(&forecast, work_ahead, late_capacity, &works, now_ms);
         work_ahead += works.iter().map(|work| work.work).sum::<u128>();
         let costs: BTreeMap<(JobId, u32), _> =
             results.keys().copied().zip(works.iter().zip(costs)).collect();
@@ -245,7 +245,7 @@
     !step.is_guaranteed && !step.spec.long_running
 }
 
-/// Whether a run holds its room against waiting work of this priority. Urgent work may preempt less
+/// Whether a run holds its capacity against waiting work of this priority. Urgent work may preempt less
 /// urgent work.
 fn is_held_against(waiting_priority: u8, running_priority: u8) -> bool {
     waiting_priority != URGENT_PRIORITY || running_priority <= waiting_priority
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -35,7 +35,7 @@
 use crate::step_queue::guaranteed_jobs;
 use crate::step_queue::waiting_steps;
 use crate::task_key::RunKey;
-use crate::urgent_room::UrgentRoom;
+use crate::urgent_reserve::UrgentReserve;
 use crate::worker::StopCause;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerStatus;
@@ -71,7 +71,7 @@
     pub records: Vec<GraphRecord>,
     /// Steps that were left waiting.
     pub unplaced: Vec<UnplacedStep>,
-    /// Steps that are put behind others because room is short.
+    /// Steps that are put behind others because capacity is short.
     pub delayed: Vec<DelayedStep>,
     /// Requests to the services that advise queues.
     pub advice_requests: Vec<AdviceRequest>,
@@ -188,10 +188,10 @@
             StepRequest { failed_workers: &[], ..request }
         };
         let count = waiting.round_count();
-        let placeable_count = self.urgent_room(state).placeable_count(waiting, count);
+        let placeable_count = self.urgent_reserve(state).placeable_count(waiting, count);
         if placeable_count == 0 {
             let fits = waiting.is_enough(&self.find_allocation(waiting, &request, count), count);
-            let kept = self.urgent_room(state).reason(waiting).filter(|_| fits);
+            let kept = self.urgent_reserve(state).reason(waiting).filter(|_| fits);
             let reason = kept.unwrap_or("no room");
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
@@ -247,9 +247,14 @@
         limit.is_some_and(|limit| self.reclaim(waiting, &request, count, limit))
     }
 
-    /// Room that the step must leave to urgent work.
-    fn urgent_room<'a>(&'a self, state: &'a GraphState) -> UrgentRoom<'a> {
-        UrgentRoom { state, map: &self.map, uses_history: self.uses_history, now_ms: self.now_ms }
+    /// Capacity that the step must leave to urgent work.
+    fn urgent_reserve<'a>(&'a self, state: &'a GraphState) -> UrgentReserve<'a> {
+        UrgentReserve {
+            state,
+            map: &self.map,
+            uses_history: self.uses_history,
+            now_ms: self.now_ms,
+        }
     }
 
     /// Workers on which the step failed; none if that would exclude more than half of the ready
--- a/crates/taskgraph/src/reclaim_search.rs
+++ b/crates/taskgraph/src/reclaim_search.rs
@@ -61,7 +61,7 @@
     by_density: Vec<usize>,
 }
 
-/// Victims on one worker that make room for a number of tasks.
+/// Victims on one worker that free capacity for a number of tasks.
 #[derive(Clone, Default)]
 struct VictimChoice {
     groups: Vec<usize>,
--- a/crates/taskgraph/src/remaining_work.rs
+++ b/crates/taskgraph/src/remaining_work.rs
@@ -4,25 +4,25 @@
 
 use smol_str::SmolStr;
 
+use crate::capacity_forecast::HeldCapacity;
+use crate::capacity_forecast::ServiceShape;
 use crate::graph_state::GraphState;
 use crate::job_state::JobState;
-use crate::room_forecast::HeldRoom;
-use crate::room_forecast::ServiceShape;
 use crate::step_queue::TOO_LATE_FACTOR;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::waiting_count;
 use crate::task_key::StepKey;
 use crate::waiting_cost::WaitingWork;
 
-/// A run that holds room of a service.
+/// A run that holds capacity of a service.
 #[derive(Clone, Debug)]
 pub struct RunningWork<'a> {
     /// Priority of the job.
     pub priority: u8,
     /// Team of the job.
     pub team: &'a SmolStr,
-    /// Room that the run holds, and for how long.
-    pub held: HeldRoom,
+    /// Capacity that the run holds, and for how long.
+    pub held: HeldCapacity,
     /// Whether the run was asked to stop.
     pub is_stopping: bool,
     /// Whether the run was placed after the job had missed its objective.
@@ -62,7 +62,7 @@
                 None => 0,
             };
             let size = load.shape.size(&known.resources);
-            let held = HeldRoom { remaining_ms, size };
+            let held = HeldCapacity { remaining_ms, size };
             let (priority, team) = (job.terms.priority, &job.terms.team);
             let is_stopping = known.stop_cause.is_some();
             let is_late = known.placed_ms > job.objective_at_ms(step.occurrence);
@@ -75,13 +75,13 @@
         load
     }
 
-    /// Room that the waiting tasks of a step need at once.
-    pub fn needed_room(&mut self, waiting: &WaitingStep<'_>) -> u64 {
+    /// Capacity that the waiting tasks of a step need at once.
+    pub fn needed_capacity(&mut self, waiting: &WaitingStep<'_>) -> u64 {
         let size = self.shape.size(&waiting.spec.held_resources());
         size.saturating_mul(u64::from(waiting.count))
     }
 
-    /// Room that must be free at once for a step to begin.
+    /// Capacity that must be free at once for a step to begin.
     pub fn first_size(&mut self, waiting: &WaitingStep<'_>) -> u64 {
         let size = self.shape.size(&waiting.spec.held_resources());
         if waiting.spec.gang { size.saturating_mul(u64::from(waiting.count)) } else { size }
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Work of an occurrence that is not placed, in room times ms, and the length of the longest
+    /// Work of an occurrence that is not placed, in capacity times ms, and the length of the longest
     /// chain of its steps that are not done, in ms.
     fn remaining(&mut self, state: &GraphState, key: StepKey, job: &JobState) -> (u128, u64) {
         let mut work = 0;
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -3,7 +3,7 @@
 //! Urgent jobs within their team's guarantee go first, by acceptance. The others follow by
 //! priority. Within one priority, jobs that can still meet their latency objective precede late
 //! ones, and both are ordered by the time at which they miss it. Jobs that are too late to be
-//! useful come last and fill the remaining capacity. Where room is short, [`crate::load_order`] decides
+//! useful come last and fill the remaining capacity. Where capacity is short, [`crate::load_order`] decides
 //! within a priority if the settings enable it.
 
 use std::collections::BTreeMap;
@@ -154,7 +154,7 @@
 }
 
 /// Steps that can be placed now, in the order in which to place them, and those that are put behind
-/// others because room is short.
+/// others because capacity is short.
 pub fn waiting_steps<'a>(
     state: &'a GraphState,
     guaranteed: &BTreeMap<JobId, bool>,
--- a/crates/taskgraph/src/team_shares.rs
+++ b/crates/taskgraph/src/team_shares.rs
@@ -8,30 +8,30 @@
 
 use smol_str::SmolStr;
 
-use crate::room_forecast::WHOLE_ROOM;
+use crate::capacity_forecast::WHOLE_CAPACITY;
 
-/// Room of a service that one team uses and asks for.
+/// Capacity of a service that one team uses and asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TeamDemand {
-    /// Room that its runs hold.
+    /// Capacity that its runs hold.
     pub used: u64,
-    /// Room that its waiting tasks need.
+    /// Capacity that its waiting tasks need.
     pub waiting: u64,
 }
 
 /// Share and use of one team.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TeamShare {
-    /// Room that the team may use before others are preferred.
+    /// Capacity that the team may use before others are preferred.
     pub share: u64,
-    /// Room that the team uses, with what precedes in the order.
+    /// Capacity that the team uses, with what precedes in the order.
     pub used: u64,
 }
 
 impl TeamShare {
     /// Whether teams below their share precede a step of this one. A step that is wider than the share
     /// begins while the team uses nothing. To go by the use alone would let each wide step of a
-    /// flood take the room that the others are left with.
+    /// flood take the capacity that the others are left with.
     pub fn is_above(&self, size: u64) -> bool {
         self.used > 0 && self.used.saturating_add(size) > self.share
     }
@@ -57,20 +57,20 @@
             demands.iter().map(|(team, demand)| (team, weight(team), *demand)).collect();
         // Teams that need the smallest part of their share come first and leave the rest to the others.
         by_demand.sort_by_key(|(team, weight, demand)| (demand.total() / *weight, *team));
-        let mut room = WHOLE_ROOM;
+        let mut capacity = WHOLE_CAPACITY;
         let mut weights: u64 = by_demand.iter().map(|(_, weight, _)| weight).sum();
         let mut teams = BTreeMap::new();
         for (team, weight, demand) in by_demand {
-            let part = u128::from(room) * u128::from(weight) / u128::from(weights.max(1));
+            let part = u128::from(capacity) * u128::from(weight) / u128::from(weights.max(1));
             let share = u64::try_from(part).unwrap_or(u64::MAX).min(demand.total());
-            room -= share;
+            capacity -= share;
             weights -= weight;
             teams.insert(team.clone(), TeamShare { share, used: demand.used });
         }
         Self { teams }
     }
 
-    /// Counts the room of a waiting step as used, and returns the team's share and use before it.
+    /// Counts the capacity of a waiting step as used, and returns the team's share and use before it.
     pub fn take(&mut self, team: &SmolStr, size: u64) -> TeamShare {
         let Some(known) = self.teams.get_mut(team) else { return TeamShare::default() };
         let before = *known;
--- a/crates/taskgraph/src/urgent_room.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -1,4 +1,4 @@
-//! Room that other work leaves free for urgent work.
+//! Capacity that other work leaves free for urgent work.
 //!
 //! Answers the load of bursts of urgent jobs that come every few seconds: work that takes the capacity of
 //! the last burst is stopped by the next one. Background work leaves what urgent work needed at once while
@@ -22,8 +22,8 @@
 /// made such preemptions five times as frequent in a trial.
 const MIN_REMAINING_PERCENT: u64 = 80;
 
-/// Room for urgent work, at one moment of a round.
-pub(crate) struct UrgentRoom<'a> {
+/// Capacity for urgent work, at one moment of a round.
+pub(crate) struct UrgentReserve<'a> {
     pub(crate) state: &'a GraphState,
     pub(crate) map: &'a CapacityMap<'a>,
     /// Whether earlier preemptions count.
@@ -31,8 +31,8 @@
     pub(crate) now_ms: u64,
 }
 
-impl UrgentRoom<'_> {
-    /// Number of the step's tasks that may be placed now, because tasks placed in the room would only be
+impl UrgentReserve<'_> {
+    /// Number of the step's tasks that may be placed now, because tasks placed in the capacity would only be
     /// stopped and their work lost.
     pub(crate) fn placeable_count(&self, waiting: &WaitingStep<'_>, count: u32) -> u32 {
         let each = waiting.spec.resources.accelerators;
@@ -46,7 +46,7 @@
         if waiting.spec.gang && placeable_count < count { 0 } else { placeable_count }
     }
 
-    /// Why the step may leave room free; `None` if there is none to leave.
+    /// Why the step may leave capacity free; `None` if there is none to leave.
     pub(crate) fn reason(&self, waiting: &WaitingStep<'_>) -> Option<&'static str> {
         let retention_ms = self.retention_ms(waiting)?;
         if self.reserved_accelerators(waiting, retention_ms) == 0 {
@@ -63,7 +63,7 @@
         })
     }
 
-    /// For how long the step leaves the room that urgent work needed, in ms; `None` if it leaves none.
+    /// For how long the step leaves the capacity that urgent work needed, in ms; `None` if it leaves none.
     fn retention_ms(&self, waiting: &WaitingStep<'_>) -> Option<u64> {
         let priority = waiting.job.terms.priority;
         let is_background = priority >= BACKGROUND_PRIORITY;
--- a/crates/taskgraph/src/waiting_cost.rs
+++ b/crates/taskgraph/src/waiting_cost.rs
@@ -1,6 +1,6 @@
 //! Order of waiting work within one priority, by what its waiting costs callers.
 //!
-//! Answers a load that exceeds the room of a service: a job of 200 tasks that is late in any case
+//! Answers a load that exceeds the capacity of a service: a job of 200 tasks that is late in any case
 //! in front of ten small ones, or a burst of which only a part can be on time. The largest set of
 //! jobs that can be on time goes first, by objective (the rule of Moore and Hodgson). What is left
 //! is late, and its results lose worth from now on, so the work that buys the most worth goes first
@@ -10,8 +10,8 @@
 
 use std::collections::BinaryHeap;
 
-use crate::room_forecast::RoomForecast;
-use crate::room_forecast::WHOLE_ROOM;
+use crate::capacity_forecast::CapacityForecast;
+use crate::capacity_forecast::WHOLE_CAPACITY;
 
 /// Largest part of a service that aged work may hold in front of work that can be on time, in percent.
 /// An aged result has half of its worth left, so more than this would cost callers more than it gives.
@@ -25,11 +25,11 @@
     pub objective_at_ms: u64,
     /// Time by which the result loses its last worth, in ms since the Unix epoch.
     pub useless_at_ms: u64,
-    /// Work that is not placed yet, in room times ms.
+    /// Work that is not placed yet, in capacity times ms.
     pub work: u128,
     /// Shortest time from the next placement to the result, with the whole service, in ms.
     pub path_ms: u64,
-    /// Room that must be free at once for the next placement.
+    /// Capacity that must be free at once for the next placement.
     pub first_size: u64,
     /// Whether a task was placed before, so that delaying the job may waste work.
     pub is_begun: bool,
@@ -40,26 +40,26 @@
 impl WaitingWork {
     /// Time that the whole service needs for the work, in ms.
     pub fn whole_service_ms(&self) -> u64 {
-        u64::try_from(self.work / u128::from(WHOLE_ROOM)).unwrap_or(u64::MAX)
+        u64::try_from(self.work / u128::from(WHOLE_CAPACITY)).unwrap_or(u64::MAX)
     }
 
-    /// Whether a late result would lose half of its worth if it is not placed now, and needs more room
+    /// Whether a late result would lose half of its worth if it is not placed now, and needs more capacity
     /// than late work holds.
-    fn is_aged(&self, late_room: u64, now_ms: u64) -> bool {
+    fn is_aged(&self, late_capacity: u64, now_ms: u64) -> bool {
         let work_ms = self.whole_service_ms().saturating_mul(100) / MAX_AGED_PERCENT;
         let end_ms = now_ms.saturating_add(work_ms.max(self.path_ms));
         let half_worth_at_ms = u64::midpoint(self.objective_at_ms, self.useless_at_ms);
         let left_ms = self.useless_at_ms.saturating_sub(now_ms).max(1);
         now_ms > self.objective_at_ms
             && (half_worth_at_ms..=self.useless_at_ms).contains(&end_ms)
-            && u128::from(late_room) < self.work.div_ceil(u128::from(left_ms))
+            && u128::from(late_capacity) < self.work.div_ceil(u128::from(left_ms))
     }
 }
 
 /// Place of a result among those of its priority; the first variant is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CostClass {
-    /// It has waited long, and aged work holds less room than it needs.
+    /// It has waited long, and aged work holds less capacity than it needs.
     Aged,
     /// It is among those that can be on time together.
     OnTime,
@@ -80,12 +80,12 @@
     pub earliest_ms: u64,
 }
 
-/// Decides on the results of one priority. `work_ahead` is the work of more urgent results, in room
-/// times ms, and `late_room` what runs of this priority hold that were placed after their objective.
+/// Decides on the results of one priority. `work_ahead` is the work of more urgent results, in capacity
+/// times ms, and `late_capacity` what runs of this priority hold that were placed after their objective.
 pub fn waiting_costs(
-    forecast: &RoomForecast,
+    forecast: &CapacityForecast,
     work_ahead: u128,
-    late_room: u64,
+    late_capacity: u64,
     works: &[WaitingWork],
     now_ms: u64,
 ) -> Vec<WaitingCost> {
@@ -112,7 +112,7 @@
         }
     }
     let late = works.iter().zip(&mut costs).filter(|(_, cost)| cost.class == CostClass::Late);
-    let aged = late.filter(|(work, _)| work.is_aged(late_room, now_ms));
+    let aged = late.filter(|(work, _)| work.is_aged(late_capacity, now_ms));
     if let Some((_, cost)) = aged.min_by_key(|(work, _)| work.useless_at_ms) {
         cost.class = CostClass::Aged;
     }
@@ -121,7 +121,7 @@
 
 /// Decision on a result as if no other of its priority waited.
 fn cost_alone(
-    forecast: &RoomForecast,
+    forecast: &CapacityForecast,
     work_ahead: u128,
     work: &WaitingWork,
     now_ms: u64,
--- a/crates/taskgraph/tests/graph/admission.rs
+++ b/crates/taskgraph/tests/graph/admission.rs
@@ -180,7 +180,7 @@
 /// The service is full but for accelerators that only narrow tasks can use, or for a rack that another
 /// label excludes. Jobs that fit there are accepted, however long the others' queue is.
 #[test]
-fn job_whose_shape_has_room_is_accepted() {
+fn job_whose_shape_has_capacity_is_accepted() {
     let mut service = FullService::new(true, 4_000);
     for id in 100..140 {
         service.submit(0, id, gang(1, 6));
@@ -262,7 +262,7 @@
 }
 
 /// Callers that come back when they were told to get in before newcomers, at the entry that rejected
-/// them and at another one. There are newcomers for four times the room, and they always call first.
+/// them and at another one. There are newcomers for four times the capacity, and they always call first.
 #[test]
 fn returning_callers_precede_newcomers() {
     for entry in 0..2 {
--- a/crates/taskgraph/tests/graph/evacuation.rs
+++ b/crates/taskgraph/tests/graph/evacuation.rs
@@ -211,7 +211,7 @@
     let same_rack = StepSpec { same_rack: true, ..gang(2, 8) };
     graph.plan();
     assert_eq!(data_centres_of(&graph, job), only("dc-1"));
-    // The other rack has no room for it at present, and it would fit on the evacuated one.
+    // The other rack has no capacity for it at present, and it would fit on the evacuated one.
     let waiting = graph.submit(2, 1, vec![same_rack]);
     graph.plan();
     assert_eq!(graph.runs_of(waiting), []);
--- a/crates/taskgraph/tests/graph/preemption_history.rs
+++ b/crates/taskgraph/tests/graph/preemption_history.rs
@@ -214,10 +214,10 @@
     (graph, sweep)
 }
 
-/// A gang of medium priority comes between two bursts. Guards against one that takes the room of the next
+/// A gang of medium priority comes between two bursts. Guards against one that takes the capacity of the next
 /// burst, and against one that waits until it is at risk.
 #[test]
-fn medium_gang_leaves_the_room_of_a_burst_while_it_has_time() {
+fn medium_gang_leaves_the_capacity_of_a_burst_while_it_has_time() {
     let (mut graph, _) = service_after_a_burst(3, saving(tasks(32, 1)));
     let medium = graph.submit(3, 1, vec![StepSpec { estimate_ms: 6_000, ..gang(3, 4) }]);
     let plan = graph.plan();
@@ -244,10 +244,10 @@
     assert_eq!(graph.runs_of(medium).len(), 3);
 }
 
-/// The next burst comes after 15 s and needs more than the room that may be kept, while background work can
-/// wait for 25 s. Guards against background work that takes the room in between or leaves it for good.
+/// The next burst comes after 15 s and needs more than the capacity that may be kept, while background work can
+/// wait for 25 s. Guards against background work that takes the capacity in between or leaves it for good.
 #[test]
-fn burst_bigger_than_the_room_stops_only_what_the_room_lacks() {
+fn burst_beyond_the_capacity_stops_only_what_is_missing() {
     let (mut graph, sweep) = service_after_a_burst(6, saving(tasks(32, 1)));
     graph.now_ms += 15_000;
     graph.plan();
--- a/crates/taskgraph/tests/graph/team_shares.rs
+++ b/crates/taskgraph/tests/graph/team_shares.rs
@@ -74,7 +74,7 @@
     assert_eq!((off[30], on[30]), (JobOutcome::Late, JobOutcome::OnTime));
 }
 
-/// Guards against shares that leave room idle: a team alone may use all, and so may a team above its share
+/// Guards against shares that leave capacity idle: a team alone may use all, and so may a team above its share
 /// while what other teams wait with does not fit.
 #[test]
 fn team_above_its_share_uses_what_no_other_can() {
--- a/crates/taskgraph/tests/graph/waiting_cost.rs
+++ b/crates/taskgraph/tests/graph/waiting_cost.rs
@@ -1,11 +1,11 @@
 //! Loads that exceed the service, with the order by the cost of waiting and without it.
 
+use cuminbarrow_taskgraph::capacity_forecast::CapacityForecast;
+use cuminbarrow_taskgraph::capacity_forecast::WHOLE_CAPACITY;
 use cuminbarrow_taskgraph::estimate_errors::EstimateErrors;
 use cuminbarrow_taskgraph::job_outcomes::JobOutcome;
 use cuminbarrow_taskgraph::job_spec::StepSpec;
 use cuminbarrow_taskgraph::planning_options::PlanningOptions;
-use cuminbarrow_taskgraph::room_forecast::RoomForecast;
-use cuminbarrow_taskgraph::room_forecast::WHOLE_ROOM;
 use cuminbarrow_taskgraph::waiting_cost::CostClass;
 use cuminbarrow_taskgraph::waiting_cost::WaitingWork;
 use cuminbarrow_taskgraph::waiting_cost::waiting_costs;
@@ -85,9 +85,9 @@
     assert_eq!(delayed, [(wide, "can't be useful"), (sweep, "can't be useful")]);
 }
 
-/// Guards against an order that changes while there is room for everything.
+/// Guards against an order that changes while there is capacity for everything.
 #[test]
-fn nothing_is_delayed_while_there_is_room() {
+fn nothing_is_delayed_while_there_is_capacity() {
     let mut graph = GraphBuilder::new(1, 2);
     graph.options = cost_order();
     graph.submit(1, 1, vec![tasks(12, 1)]);
@@ -99,14 +99,14 @@
 
 /// Work in ms of the whole service, with an objective at 1,000 ms.
 fn work(work_ms: u128, useless_at_ms: u64) -> WaitingWork {
-    let work = work_ms * u128::from(WHOLE_ROOM);
+    let work = work_ms * u128::from(WHOLE_CAPACITY);
     WaitingWork { objective_at_ms: 1_000, useless_at_ms, work, ..WaitingWork::default() }
 }
 
-/// Guards against a new job that is begun in place of one that holds room elsewhere or was stopped.
+/// Guards against a new job that is begun in place of one that holds capacity elsewhere or was stopped.
 #[test]
 fn begun_job_is_finished_rather_than_a_new_one_begun() {
-    let forecast = RoomForecast::new(Vec::new());
+    let forecast = CapacityForecast::new(Vec::new());
     let begun = WaitingWork { is_begun: true, ..work(700, 3_000) };
     for works in [[work(700, 3_000), begun], [begun, work(700, 3_000)]] {
         let costs = waiting_costs(&forecast, 0, 0, &works, 0);
@@ -144,7 +144,7 @@
     assert_eq!(predicted(&[], 2_000), None);
 }
 
-/// Guards against aging that takes the room of what can be on time, while twice as much arrives as the
+/// Guards against aging that takes the capacity of what can be on time, while twice as much arrives as the
 /// service can do.
 #[test]
 fn late_jobs_of_a_lasting_flood_are_served_beside_those_on_time() {
@@ -163,7 +163,7 @@
 #[test]
 fn least_late_work_for_the_worth_it_saves_goes_first() {
     let works = [work(200, 9_000), work(100, 9_000), work(100, 5_000)];
-    let costs = waiting_costs(&RoomForecast::new(Vec::new()), 0, 0, &works, 2_000);
+    let costs = waiting_costs(&CapacityForecast::new(Vec::new()), 0, 0, &works, 2_000);
     assert!(costs.iter().all(|cost| cost.class == CostClass::Late), "{costs:?}");
     assert!(costs.is_sorted_by(|before, after| before.key > after.key), "{costs:?}");
 }
