Let tasks of a lost worker take the room that is kept for bursts

The step after it began too late.

Change: waiting tasks whose runs ended in another way than by preemption are placed although room is kept, where preemption_history is on. A test fails without it.

--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -43,9 +43,25 @@
         let free: u32 = usable.map(|worker| worker.free.accelerators).sum();
         let reserved = self.reserved_accelerators(waiting, retention_ms);
         let placeable_count = (free.saturating_sub(reserved) / each).min(count);
+        let placeable_count = placeable_count.max(self.lost_count(waiting).min(free / each));
         if waiting.spec.gang && placeable_count < count { 0 } else { placeable_count }
     }
 
+    /// Number of the step's waiting tasks whose runs ended in another way than by preemption, such as with
+    /// their worker. They don't wait: such a task may have ended unknown to the log, and holds back the steps
+    /// after it.
+    fn lost_count(&self, waiting: &WaitingStep<'_>) -> u32 {
+        let Some(known) = waiting.state().filter(|_| self.uses_history && !waiting.spec.gang)
+        else {
+            return 0;
+        };
+        let has_run = |index: &u32| {
+            known.tasks.get(*index as usize).is_some_and(|task| task.last_run > 0)
+                && self.state.preemptions.count(waiting.key.task(*index)) == 0
+        };
+        u32::try_from(waiting.tasks().filter(has_run).count()).unwrap_or(u32::MAX)
+    }
+
     /// Why the step may leave capacity free; `None` if there is none to leave.
     pub(crate) fn reason(&self, waiting: &WaitingStep<'_>) -> Option<&'static str> {
         let retention_ms = self.retention_ms(waiting)?;
--- a/crates/taskgraph/tests/graph/preemption_history.rs
+++ b/crates/taskgraph/tests/graph/preemption_history.rs
@@ -11,9 +11,11 @@
 use cuminbarrow_taskgraph::plan_round::plan_round;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::record::RemovalCause;
 use cuminbarrow_taskgraph::task_key::RunKey;
 use cuminbarrow_taskgraph::task_key::TaskKey;
 use cuminbarrow_taskgraph::worker::StopCause;
+use cuminbarrow_taskgraph::worker::WorkerKey;
 
 use crate::graph_builder::GraphBuilder;
 use crate::graph_builder::gang;
@@ -261,6 +263,23 @@
     assert_eq!(graph.runs_of(sweep).len(), 32);
 }
 
+/// Guards against tasks that wait for a burst although they are to run again only since their worker was lost:
+/// the steps after them wait too.
+#[test]
+fn tasks_of_a_lost_worker_do_not_wait_for_urgent_work() {
+    let (mut graph, sweep) = service_after_a_burst(3, saving(tasks(32, 1)));
+    graph.plan();
+    let runs = graph.runs_of(sweep);
+    let on = |worker: WorkerKey| runs.iter().filter(|(_, known)| *known == worker).count();
+    let worker = (0..4).map(WorkerKey).max_by_key(|worker| on(*worker)).unwrap();
+    let cause = RemovalCause::Lapsed;
+    graph.apply(GraphRecord::WorkerRemoved { worker, cause, suspicion_offset: 0 }).unwrap();
+    let held = runs.len() - on(worker);
+    graph.plan();
+    let free = 3 * 8 - held;
+    assert_eq!(graph.runs_of(sweep).len(), held + on(worker).min(free));
+}
+
 /// A job that was preempted after most of its time would be late, while others arrive. Guards against
 /// putting it behind each of them.
 #[test]
