Lower the default limits of requests to fit processes with less memory

A process with less than 124 MB refused to start unless its limits were set.

With 128 MB and more the limits are the same.

--- a/crates/requests/src/request_limits.rs
+++ b/crates/requests/src/request_limits.rs
@@ -73,6 +73,33 @@
 }
 
 impl RequestLimits {
+    /// The default limits, lowered where the process has too little memory for them.
+    pub fn fitting(memory_mb: u64) -> Self {
+        let defaults = Self::default();
+        let available = memory_mb.saturating_mul(MB) / 2;
+        if defaults.peak_bytes() <= available {
+            return defaults;
+        }
+        // A quarter for connections and the rest for bodies, a third of which is for small ones.
+        let connections = available / 4 / defaults.connection_bytes();
+        let connections = usize::try_from(connections).unwrap_or(usize::MAX);
+        let connections =
+            connections.saturating_sub(PROBE_LISTENERS as usize * defaults.probe_connections);
+        let body_bytes = available / 4 * 3 / BODY_COPIES;
+        Self {
+            connections: connections.clamp(1, defaults.connections),
+            body_bytes: body_bytes.min(defaults.body_bytes),
+            small_part_bytes: (body_bytes / 3).min(defaults.small_part_bytes),
+            ..defaults
+        }
+    }
+
+    /// Most memory that a connection takes, in bytes.
+    fn connection_bytes(&self) -> u64 {
+        // The HTTP library makes room for another full read in a buffer that is not yet full.
+        2 * self.buffer_bytes as u64 + CONNECTION_STATE_BYTES
+    }
+
     /// Checks the limits against each other, the process's memory and its largest body.
     ///
     /// # Errors
@@ -131,11 +158,9 @@
     /// Most memory that requests take, in bytes.
     pub fn peak_bytes(&self) -> u64 {
         let connections = self.connections as u64 + PROBE_LISTENERS * self.probe_connections as u64;
-        // The HTTP library makes room for another full read in a buffer that is not yet full.
-        let connection_bytes = 2 * self.buffer_bytes as u64 + CONNECTION_STATE_BYTES;
         self.body_bytes
             .saturating_mul(BODY_COPIES)
-            .saturating_add(connections.saturating_mul(connection_bytes))
+            .saturating_add(connections.saturating_mul(self.connection_bytes()))
     }
 
     /// Largest body that the limits admit, in bytes.
--- a/crates/requests/tests/request_limits.rs
+++ b/crates/requests/tests/request_limits.rs
@@ -17,6 +17,16 @@
     assert_eq!(RequestLimits::default().check(128, LARGEST_BODY), Ok(()));
 }
 
+/// Guards against a process that does not start since the defaults need more memory than it has.
+#[test]
+fn limits_that_are_not_set_fit_smaller_processes() {
+    for memory_mb in [48, 64, 96, 124, 128, 160, 512] {
+        let limits = RequestLimits::fitting(memory_mb);
+        assert_eq!(limits.check(memory_mb, LARGEST_BODY), Ok(()), "{memory_mb} MB");
+    }
+    assert_eq!(RequestLimits::fitting(128), RequestLimits::default());
+}
+
 #[test]
 fn contradictions_are_refused_by_name() {
     assert_eq!(error_of("{}", 64), "memory_mb");
