Check lowered and explicit limits of requests in the test of the settings

Change: 64 MB is valid without limits; the same limits stated in the settings are refused with the same text, and so is a memory too small for any.

--- a/crates/cuminbarrow/tests/integration/settings_files.rs
+++ b/crates/cuminbarrow/tests/integration/settings_files.rs
@@ -78,6 +78,8 @@
     for text in [
         "",
         "memory_mb: 64\n",
+        "memory_mb: 16\n",
+        "memory_mb: 64\nrequests: { connections: 512 }\n",
         "requests: { body_bytes: 5000000 }\n",
         "requests: { connections: 5000 }\n",
         "requests: { buffer_bytes: 8192 }\n",
@@ -90,6 +92,8 @@
     std::fs::remove_dir_all(&folder).unwrap();
     expect![[r#"
         agent.yaml: the settings are valid
+        agent.yaml: the settings are valid
+        error: agent.yaml: requests.body_bytes: must be at least 4893354: small_part_bytes and the largest body of 4194304
         error: agent.yaml: memory_mb: half of 64 MB is less than the 64 MB that requests may take: lower requests.body_bytes or requests.connections
         error: agent.yaml: requests.body_bytes: must be at least 8388608: small_part_bytes and the largest body of 4194304
         error: agent.yaml: memory_mb: half of 128 MB is less than the 292 MB that requests may take: lower requests.body_bytes or requests.connections
