--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod job;
 pub mod keys;
+pub mod placement_preview;
 pub mod resources;
 pub mod shape;
 pub mod sheet;
