Compute the reserve for urgent work once for each waiting step

Cause: for a step that is held back, UrgentReserve computed the reserve twice, once for the number of tasks and once for the reason, each with several passes over all workers. UrgentReserve::is_half_in_use and ServiceLoad::is_half_used of the admission forecast were two versions of one sum over different workers.

Change: UrgentReserve::allowance yields the number of tasks and the reason together. A new module, service_capacity, holds the sum and its comparison with half of the capacity; the two selections of workers have names: usable_workers (ready, neither evacuated nor quarantined) and staying_workers (neither draining nor evacuated). No decision changes.

--- a/crates/taskgraph/src/admission_forecast.rs
+++ b/crates/taskgraph/src/admission_forecast.rs
@@ -20,11 +20,11 @@
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
 use crate::job_state::StepState;
-use crate::resource_amounts::ResourceAmounts;
+use crate::service_capacity::ServiceUsage;
+use crate::service_capacity::staying_workers;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::WorkerState;
-use crate::worker::WorkerStatus;
 use crate::worker_class::WorkerClass;
 
 /// Index of the class of all workers of the service.
@@ -77,16 +77,9 @@
 }
 
 impl<'a> ServiceLoad<'a> {
-    /// Workers of a service, without any work yet. Suspected workers count, because they are back or
-    /// removed within seconds, and so do quarantined ones.
+    /// Workers that stay in a service, without any work yet.
     pub(crate) fn new(state: &'a GraphState, service: &str, now_ms: u64) -> Self {
-        let workers: Vec<&WorkerState> = state
-            .workers
-            .values()
-            .filter(|worker| worker.spec.service == service)
-            .filter(|worker| !matches!(worker.status, WorkerStatus::Draining { .. }))
-            .filter(|worker| !state.is_evacuated(worker))
-            .collect();
+        let workers: Vec<&WorkerState> = staying_workers(state, service).collect();
         let classes = vec![WorkerClass::of(&workers, None)];
         let (class_of_label, ahead, teams) = Default::default();
         Self { state, workers, classes, class_of_label, ahead, teams, now_ms }
@@ -95,20 +88,7 @@
     /// Whether at least half of the service is in use, by accelerators if it has any, otherwise by
     /// processor time.
     pub(crate) fn is_half_used(&self) -> bool {
-        let total = self
-            .workers
-            .iter()
-            .fold(ResourceAmounts::default(), |sum, worker| sum.plus(&worker.spec.resources));
-        let used = self
-            .workers
-            .iter()
-            .fold(ResourceAmounts::default(), |sum, worker| sum.plus(&worker.used));
-        let (used, total) = if total.accelerators > 0 {
-            (used.accelerators, total.accelerators)
-        } else {
-            (used.cpu_millis, total.cpu_millis)
-        };
-        total > 0 && u64::from(used) * 2 >= u64::from(total)
+        ServiceUsage::of_workers(&self.workers).is_half_used()
     }
 
     /// Whether free capacity suffices for a whole step.
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -188,15 +188,14 @@
             StepRequest { failed_workers: &[], ..request }
         };
         let count = waiting.round_count();
-        let placeable_count = self.urgent_reserve(state).placeable_count(waiting, count);
-        if placeable_count == 0 {
+        let allowance = self.urgent_reserve(state).allowance(waiting, count);
+        if allowance.placeable_count == 0 {
             let fits = waiting.is_enough(&self.find_allocation(waiting, &request, count), count);
-            let kept = self.urgent_reserve(state).reason(waiting).filter(|_| fits);
-            let reason = kept.unwrap_or("no room");
+            let reason = allowance.held_back.filter(|_| fits).unwrap_or("no room");
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
         }
-        let count = placeable_count;
+        let count = allowance.placeable_count;
         if waiting.spec.gang
             && self.map.has_slow_workers()
             && self.place_avoiding_slow_workers(waiting, &request, count)
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -6,12 +6,12 @@
 //! and medium work leaves it too while it has time.
 
 use crate::capacity_map::CapacityMap;
-use crate::capacity_map::WorkerCapacity;
 use crate::graph_state::GraphState;
 use crate::graph_state::MAX_RECLAIM_RETENTION_MS;
 use crate::graph_state::RECLAIM_RETENTION_MS;
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::service_capacity::ServiceUsage;
 use crate::step_queue::WaitingStep;
 
 /// Maximum part of a service's accelerators that is reserved for urgent work, in percent. Work must
@@ -22,6 +22,15 @@
 /// made such preemptions five times as frequent in a trial.
 const MIN_REMAINING_PERCENT: u64 = 80;
 
+/// What a step may take beside the capacity that it leaves to urgent work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StepAllowance {
+    /// Number of the step's tasks that may be placed now.
+    pub(crate) placeable_count: u32,
+    /// Why none may be placed, if that is due to the capacity left.
+    pub(crate) held_back: Option<&'static str>,
+}
+
 /// Capacity for urgent work, at one moment of a round.
 pub(crate) struct UrgentReserve<'a> {
     pub(crate) state: &'a GraphState,
@@ -32,19 +41,25 @@
 }
 
 impl UrgentReserve<'_> {
-    /// Number of the step's tasks that may be placed now, because tasks placed in the capacity would only be
-    /// stopped and their work lost.
-    pub(crate) fn placeable_count(&self, waiting: &WaitingStep<'_>, count: u32) -> u32 {
+    /// What the step may take. Tasks placed in the reserved capacity would only be stopped and their work
+    /// lost.
+    pub(crate) fn allowance(&self, waiting: &WaitingStep<'_>, count: u32) -> StepAllowance {
+        let whole = StepAllowance { placeable_count: count, held_back: None };
         let each = waiting.spec.resources.accelerators;
-        let Some(retention_ms) = self.retention_ms(waiting).filter(|_| each > 0) else {
-            return count;
-        };
-        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
-        let free: u32 = usable.map(|worker| worker.free.accelerators).sum();
-        let reserved = self.reserved_accelerators(waiting, retention_ms);
+        if each == 0 || !self.may_leave_capacity(waiting) {
+            return whole;
+        }
+        let usage = ServiceUsage::of_usable(self.map, &waiting.job.terms.service);
+        let Some(retention_ms) = self.retention_ms(waiting, &usage) else { return whole };
+        let reserved = self.reserved_accelerators(waiting, &usage, retention_ms);
+        let free = usage.free().accelerators;
         let placeable_count = (free.saturating_sub(reserved) / each).min(count);
         let placeable_count = placeable_count.max(self.lost_count(waiting).min(free / each));
-        if waiting.spec.gang && placeable_count < count { 0 } else { placeable_count }
+        if placeable_count == 0 || (waiting.spec.gang && placeable_count < count) {
+            let held_back = (reserved > 0).then(|| self.reason(waiting));
+            return StepAllowance { placeable_count: 0, held_back };
+        }
+        StepAllowance { placeable_count, held_back: None }
     }
 
     /// Number of the step's waiting tasks whose runs ended in another way than by preemption, such as with
@@ -62,13 +77,9 @@
         u32::try_from(waiting.tasks().filter(has_run).count()).unwrap_or(u32::MAX)
     }
 
-    /// Why the step may leave capacity free; `None` if there is none to leave.
-    pub(crate) fn reason(&self, waiting: &WaitingStep<'_>) -> Option<&'static str> {
-        let retention_ms = self.retention_ms(waiting)?;
-        if self.reserved_accelerators(waiting, retention_ms) == 0 {
-            return None;
-        }
-        Some(if !self.uses_history {
+    /// Why the step leaves capacity free.
+    fn reason(&self, waiting: &WaitingStep<'_>) -> &'static str {
+        if !self.uses_history {
             "room is kept for urgent work"
         } else if self.was_preempted_recently(waiting) {
             "room is kept for urgent work: the job was preempted recently"
@@ -76,18 +87,23 @@
             "room is kept for urgent work: a stop would lose all work"
         } else {
             "room is kept for urgent work"
-        })
+        }
     }
 
-    /// For how long the step leaves the capacity that urgent work needed, in ms; `None` if it leaves none.
-    fn retention_ms(&self, waiting: &WaitingStep<'_>) -> Option<u64> {
+    /// Whether steps of this priority leave capacity free at all.
+    fn may_leave_capacity(&self, waiting: &WaitingStep<'_>) -> bool {
         let priority = waiting.job.terms.priority;
-        let is_background = priority >= BACKGROUND_PRIORITY;
+        priority >= BACKGROUND_PRIORITY || (self.uses_history && priority != URGENT_PRIORITY)
+    }
+
+    /// For how long the step leaves the capacity that urgent work needed, in ms; `None` if it leaves none.
+    fn retention_ms(&self, waiting: &WaitingStep<'_>, usage: &ServiceUsage) -> Option<u64> {
+        let is_background = waiting.job.terms.priority >= BACKGROUND_PRIORITY;
         let usual_ms = is_background.then_some(RECLAIM_RETENTION_MS);
-        let can_wait = self.uses_history
-            && priority != URGENT_PRIORITY
-            && waiting.spec.runs_to_completion()
-            && self.is_half_in_use(waiting);
+        // While less than half of a service is in use, no job may wait longer than usual. Without any
+        // accelerators that can be used, none waits for the reserve.
+        let is_half_used = usage.total.accelerators == 0 || usage.is_half_used();
+        let can_wait = self.uses_history && waiting.spec.runs_to_completion() && is_half_used;
         if !can_wait || (!is_background && !self.has_time(waiting)) {
             return usual_ms;
         }
@@ -106,33 +122,22 @@
         preemptions.is_some_and(|job| self.now_ms < job.last_ms + RECLAIM_RETENTION_MS)
     }
 
-    /// Whether at least half of the service's accelerators are in use; otherwise no job may wait.
-    fn is_half_in_use(&self, waiting: &WaitingStep<'_>) -> bool {
-        let (mut free, mut all) = (0, 0);
-        for worker in self.workers_of(waiting).filter(|worker| worker.is_usable()) {
-            free += worker.free.accelerators;
-            all += worker.state.spec.resources.accelerators;
-        }
-        free * 2 <= all
-    }
-
     /// Accelerators of the step's service that must be left free: as many as urgent work needed at once
     /// recently, less those that it holds.
-    fn reserved_accelerators(&self, waiting: &WaitingStep<'_>, retention_ms: u64) -> u32 {
+    fn reserved_accelerators(
+        &self,
+        waiting: &WaitingStep<'_>,
+        usage: &ServiceUsage,
+        retention_ms: u64,
+    ) -> u32 {
         let service = &waiting.job.terms.service;
         let needed = self.state.urgent_need_within(service, retention_ms, self.now_ms);
         if needed == 0 {
             return 0;
         }
-        let in_use: u32 = self.workers_of(waiting).map(|worker| worker.urgent_accelerators).sum();
-        let usable = self.workers_of(waiting).filter(|worker| worker.is_usable());
-        let all: u32 = usable.map(|worker| worker.state.spec.resources.accelerators).sum();
-        needed.saturating_sub(in_use).min(all * MAX_RESERVED_PERCENT / 100)
-    }
-
-    /// Workers of the step's service.
-    fn workers_of(&self, waiting: &WaitingStep<'_>) -> impl Iterator<Item = &WorkerCapacity<'_>> {
-        let service = &waiting.job.terms.service;
-        self.map.workers.iter().filter(move |worker| worker.state.spec.service == *service)
+        let workers = self.map.workers.iter();
+        let of_service = workers.filter(|worker| worker.state.spec.service == *service);
+        let in_use: u32 = of_service.map(|worker| worker.urgent_accelerators).sum();
+        needed.saturating_sub(in_use).min(usage.total.accelerators * MAX_RESERVED_PERCENT / 100)
     }
 }
