Split the state by topic: processes, run times, demand of urgent work

RunDuration moved from graph_state to run_durations; no other crate names it. No field and no behaviour changes.

--- a/crates/taskgraph/src/estimate_errors.rs
+++ b/crates/taskgraph/src/estimate_errors.rs
@@ -11,10 +11,10 @@
 use smol_str::SmolStr;
 
 use crate::graph_state::GraphState;
-use crate::graph_state::MIN_DURATION_SAMPLES;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
 use crate::job_terms::JobTerms;
+use crate::run_durations::MIN_DURATION_SAMPLES;
 
 /// Maximum number of teams and queues for which errors are kept.
 const MAX_ENTRIES: usize = 1_024;
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -12,25 +12,21 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
-use snafu::ensure;
 
 use crate::early_cancellations::EarlyCancellations;
 use crate::estimate_errors::EstimateErrors;
 use crate::evacuations::Evacuations;
 use crate::job_id::JobId;
-use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
-use crate::job_terms::URGENT_PRIORITY;
 use crate::optional_tail::decode_or_default;
 use crate::preemption_history::PreemptionHistory;
 use crate::record::GraphRecord;
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
-use crate::refusal::StaleEpochSnafu;
+use crate::run_durations::RunDuration;
 use crate::speed_profile::SpeedProfiles;
 use crate::step_advice::StepAdvice;
-use crate::step_queue::waiting_urgent_accelerators;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::StopCause;
@@ -49,10 +45,6 @@
 const WRITER_RETENTION_BATCHES: u64 = 50_000;
 /// Number of batches between two removals of writers.
 const WRITER_CLEANUP_INTERVAL_BATCHES: u64 = 1_000;
-/// Maximum number of known processes. Beyond it the oldest is removed, such as that of an instance
-/// that disappeared without a record.
-const MAX_PROCESSES: usize = 1_024;
-
 /// A running process of this system.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProcessState {
@@ -70,39 +62,6 @@
     pub since_offset: u64,
 }
 
-/// How long capacity is reserved for urgent work that has reclaimed some, in ms. Tasks run for up to
-/// about ten seconds, so capacity that is reclaimed again within that time is of no use to background
-/// work.
-pub(crate) const RECLAIM_RETENTION_MS: u64 = 10_000;
-/// How long it is known what urgent work needed when it reclaimed capacity, in ms. Work that can wait for
-/// longer than [`RECLAIM_RETENTION_MS`] leaves the capacity free for up to that time.
-pub(crate) const MAX_RECLAIM_RETENTION_MS: u64 = 4 * RECLAIM_RETENTION_MS;
-
-/// Number of runs after which a queue's mean run time is used in place of estimates.
-pub(crate) const MIN_DURATION_SAMPLES: u32 = 3;
-
-/// Run time of a queue's tasks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunDuration {
-    /// Number of runs measured.
-    pub count: u32,
-    /// Moving average, in ms.
-    pub mean_ms: u32,
-}
-
-impl RunDuration {
-    /// Inverse weight of a new value in the moving average.
-    const SMOOTHING_DIVISOR: i64 = 8;
-
-    pub(crate) fn record(&mut self, run_ms: u64) {
-        let run_ms = i64::try_from(run_ms).unwrap_or(i64::MAX).min(i64::from(u32::MAX));
-        let mean_ms = i64::from(self.mean_ms);
-        let weight = Self::SMOOTHING_DIVISOR.min(i64::from(self.count) + 1);
-        self.mean_ms = u32::try_from(mean_ms + (run_ms - mean_ms) / weight).unwrap_or(u32::MAX);
-        self.count = self.count.saturating_add(1);
-    }
-}
-
 /// A worker that was reported as slow.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlowWorker {
@@ -279,11 +238,7 @@
                 };
                 Ok(self.process_up(*incarnation, process))
             }
-            GraphRecord::ProcessDown { incarnation } => {
-                self.processes.remove(incarnation);
-                self.processes_changed_offset = self.offset;
-                Ok(GraphEffect::Done)
-            }
+            GraphRecord::ProcessDown { incarnation } => Ok(self.process_down(*incarnation)),
             GraphRecord::JobAccepted { job, spec, terms } => {
                 Ok(self.job_accepted(*job, spec, terms))
             }
@@ -314,19 +269,9 @@
                 Ok(self.checkpoints_saved(*worker, saved))
             }
             GraphRecord::PlannerClaimed { epoch, instance } => {
-                ensure!(
-                    *epoch == self.planner.epoch + 1,
-                    StaleEpochSnafu { epoch: *epoch, current: self.planner.epoch }
-                );
-                self.planner = PlannerState { epoch: *epoch, instance: Some(*instance) };
-                self.planner_last_offset = self.offset;
-                Ok(GraphEffect::Done)
-            }
-            GraphRecord::PlannerReleased { epoch } => {
-                self.check_epoch(*epoch)?;
-                self.planner.instance = None;
-                Ok(GraphEffect::Done)
+                self.planner_claimed(*epoch, *instance)
             }
+            GraphRecord::PlannerReleased { epoch } => self.planner_released(*epoch),
             GraphRecord::RunsStalled { worker, runs } => Ok(self.runs_stalled(*worker, runs)),
             GraphRecord::SnapshotTaken { offset } => {
                 self.snapshot_offset = self.snapshot_offset.max(*offset);
@@ -352,28 +297,6 @@
         }
     }
 
-    fn check_epoch(&self, epoch: u64) -> Result<(), GraphRefusal> {
-        let current = self.planner.epoch;
-        ensure!(epoch == current, StaleEpochSnafu { epoch, current });
-        Ok(())
-    }
-
-    /// Adds a process. It replaces an earlier process of the same role on the same instance.
-    fn process_up(&mut self, incarnation: u64, process: ProcessState) -> GraphEffect {
-        let is_same =
-            |other: &ProcessState| other.role == process.role && other.instance == process.instance;
-        self.processes_changed_offset = self.offset;
-        self.processes.retain(|_, other| !is_same(other));
-        self.processes.insert(incarnation, process);
-        if self.processes.len() > MAX_PROCESSES {
-            let oldest = self.processes.iter().min_by_key(|(_, process)| process.since_offset);
-            if let Some(oldest) = oldest.map(|(incarnation, _)| *incarnation) {
-                self.processes.remove(&oldest);
-            }
-        }
-        GraphEffect::Done
-    }
-
     /// Ends a job and drops the data that only an active job needs.
     pub(crate) fn end_job(&mut self, job: JobId, phase: JobPhase) {
         let clock_ms = self.clock_ms;
@@ -389,62 +312,6 @@
         self.ended.push_back((clock_ms, job));
     }
 
-    /// Records how much urgent work needs of a service, if capacity is being reclaimed for it.
-    pub(crate) fn record_reclaim(&mut self, service: SmolStr) {
-        let Some(needed) = self.urgent_need(&service) else { return };
-        let oldest_ms = self.clock_ms.saturating_sub(MAX_RECLAIM_RETENTION_MS);
-        let reclaims = self.reclaims.entry(service).or_default();
-        reclaims.push_back((self.clock_ms, needed));
-        while reclaims.front().is_some_and(|(at_ms, _)| *at_ms < oldest_ms) {
-            reclaims.pop_front();
-        }
-    }
-
-    /// Accelerators that urgent work holds, and those that are being reclaimed, as far as urgent work
-    /// waits for them; `None` if none are being reclaimed for it.
-    fn urgent_need(&self, service: &str) -> Option<u32> {
-        let workers = self.workers.values().filter(|worker| worker.spec.service == service);
-        let (mut held, mut reclaimed) = (0_u32, 0_u32);
-        for (run, known) in workers.flat_map(|worker| &worker.runs) {
-            let accelerators = known.resources.accelerators;
-            if known.stop_cause == Some(StopCause::Reclaimed) {
-                reclaimed = reclaimed.saturating_add(accelerators);
-            } else if self.is_urgent(run.task.step.job) {
-                held = held.saturating_add(accelerators);
-            }
-        }
-        let awaited = reclaimed.min(waiting_urgent_accelerators(self, service));
-        (awaited > 0).then(|| held.saturating_add(awaited))
-    }
-
-    /// Whether a job, which may have ended recently, is urgent.
-    pub(crate) fn is_urgent(&self, job: JobId) -> bool {
-        self.jobs.get(&job).is_some_and(|job| job.terms.priority == URGENT_PRIORITY)
-    }
-
-    /// Most accelerators of a service that urgent work has needed at once when it reclaimed capacity within
-    /// the last `retention_ms`.
-    pub fn urgent_need_within(&self, service: &str, retention_ms: u64, now_ms: u64) -> u32 {
-        let oldest_ms = now_ms.saturating_sub(retention_ms);
-        let reclaims = self.reclaims.get(service).into_iter().flatten();
-        let recent = reclaims.filter(|(at_ms, _)| *at_ms >= oldest_ms);
-        recent.map(|(_, accelerators)| *accelerators).max().unwrap_or(0)
-    }
-
-    /// Expected run time of one of a step's tasks, in ms: the mean of the queue once enough runs
-    /// have been measured, otherwise the estimate.
-    pub fn typical_run_ms(&self, job: &JobState, spec: &StepSpec) -> u64 {
-        let mean_ms = self.measured_run_ms(&job.terms.queue);
-        mean_ms.unwrap_or_else(|| u64::from(spec.estimate_ms))
-    }
-
-    /// Mean run time of a queue's tasks, in ms; `None` until enough runs have been measured.
-    pub(crate) fn measured_run_ms(&self, queue: &str) -> Option<u64> {
-        let known = self.durations.get(queue);
-        let known = known.filter(|known| known.count >= MIN_DURATION_SAMPLES);
-        known.map(|known| u64::from(known.mean_ms))
-    }
-
     /// Worker on which a run holds resources.
     pub fn worker_of(&self, run: RunKey) -> Option<WorkerKey> {
         let step = run.task.step;
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -7,12 +7,12 @@
 
 use crate::capacity_map::CapacityMap;
 use crate::graph_state::GraphState;
-use crate::graph_state::MAX_RECLAIM_RETENTION_MS;
-use crate::graph_state::RECLAIM_RETENTION_MS;
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::service_capacity::ServiceUsage;
 use crate::step_queue::WaitingStep;
+use crate::urgent_demand::MAX_RECLAIM_RETENTION_MS;
+use crate::urgent_demand::RECLAIM_RETENTION_MS;
 
 /// Maximum part of a service's accelerators that is reserved for urgent work, in percent. Work must
 /// not wait while less than half of a service is in use.
