Move the runs that may be preempted out of reclaim.rs

VictimTable moved from reclaim to victim_table; no other crate names it.

Measured: the 174 tests of the crate's graph suite and planner_memory pass unchanged.

--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod throttle_control;
 mod urgent_demand;
 mod urgent_reserve;
+pub mod victim_table;
 pub mod waiting_cost;
 pub mod worker;
 mod worker_class;
--- a/crates/taskgraph/src/preemption_history.rs
+++ b/crates/taskgraph/src/preemption_history.rs
@@ -15,10 +15,10 @@
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_terms::JobTerms;
-use crate::reclaim::lost_time;
-use crate::reclaim::lost_work;
 use crate::task_key::RunKey;
 use crate::task_key::TaskKey;
+use crate::victim_table::lost_time;
+use crate::victim_table::lost_work;
 
 /// Maximum number of tasks of a job whose preemptions are counted. Urgent work stops fewer tasks of one
 /// job than that; beyond it, a task counts as never preempted.
--- a/crates/taskgraph/src/reclaim_search.rs
+++ b/crates/taskgraph/src/reclaim_search.rs
@@ -14,10 +14,10 @@
 use crate::reclaim::PreemptionScope;
 use crate::reclaim::ReclaimPlan;
 use crate::reclaim::ReclaimTerms;
-use crate::reclaim::VictimTable;
 use crate::reclaim::per_worker_limit;
 use crate::resource_amounts::ResourceAmounts;
 use crate::task_key::RunKey;
+use crate::victim_table::VictimTable;
 use crate::worker::WorkerKey;
 
 /// Maximum number of gangs with which a plan is begun, the cheapest for what they free first. Each costs
