Name the two expectations of run times apart

Cause: job_claim::expected_run_ms and GraphState::expected_run_ms had one name. They differ intentionally: the first is the shortest plausible time, in favour of the caller whose job may be rejected; the second is the closest prediction.

Change: the first, which is private to the crate, is job_claim::shortest_run_ms. No decision changes.

--- a/crates/taskgraph/src/admission_forecast.rs
+++ b/crates/taskgraph/src/admission_forecast.rs
@@ -13,7 +13,7 @@
 use crate::graph_state::GraphState;
 use crate::job_claim::JobClaim;
 use crate::job_claim::ResourceWork;
-use crate::job_claim::expected_run_ms;
+use crate::job_claim::shortest_run_ms;
 use crate::job_claim::useless_after_ms;
 use crate::job_claim::work_of;
 use crate::job_id::JobId;
@@ -180,7 +180,7 @@
         spec: &StepSpec,
         known: Option<&StepState>,
     ) -> u64 {
-        let run_ms = expected_run_ms(self.state, &job.terms.queue, spec);
+        let run_ms = shortest_run_ms(self.state, &job.terms.queue, spec);
         let Some(known) = known else { return run_ms.saturating_mul(u64::from(spec.count)) };
         let tasks = (0..).zip(&known.tasks).take(MAX_COUNTED_TASKS);
         let remaining = tasks.filter(|(_, task)| !task.is_done);
--- a/crates/taskgraph/src/job_claim.rs
+++ b/crates/taskgraph/src/job_claim.rs
@@ -66,8 +66,8 @@
 }
 
 /// Shortest plausible run time of a step's tasks, in ms: the estimate, or the queue's measured mean if
-/// that is less.
-pub(crate) fn expected_run_ms(state: &GraphState, queue: &str, spec: &StepSpec) -> u64 {
+/// that is less. It errs in the caller's favour; [`GraphState::expected_run_ms`] predicts without favour.
+pub(crate) fn shortest_run_ms(state: &GraphState, queue: &str, spec: &StepSpec) -> u64 {
     let estimate_ms = u64::from(spec.estimate_ms);
     let mean_ms = state.measured_run_ms(queue);
     mean_ms.map_or(estimate_ms / UNMEASURED_DIVISOR, |mean_ms| estimate_ms.min(mean_ms))
@@ -122,7 +122,7 @@
         let mut tails_ms: Vec<u64> = vec![0; spec.steps.len()];
         let mut parts: Vec<ClaimPart> = Vec::new();
         for (index, step) in spec.steps.iter().enumerate().rev() {
-            let run_ms = expected_run_ms(state, &terms.queue, step);
+            let run_ms = shortest_run_ms(state, &terms.queue, step);
             let tail_ms = tails_ms.get(index).copied().unwrap_or(0).saturating_add(run_ms);
             for earlier in &step.depends_on {
                 if let Some(earlier) = tails_ms.get_mut(usize::from(*earlier)) {
