Share the sums over workers between the forecasts of capacity

Cause: ServiceShape, which the load of remaining_work.rs uses, and WorkerClass, which that of the admission forecast uses, both counted workers by size and summed up how many tasks they hold.

Change: WorkerSizes in service_capacity.rs counts and sums for both. The selections of workers that both loads use are there too: workers_of, ready_workers, staying_workers. The two loads stay two types, since one holds runs and the other the work ahead of a submission. No decision changes.

--- a/crates/taskgraph/src/capacity_forecast.rs
+++ b/crates/taskgraph/src/capacity_forecast.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use crate::resource_amounts::ResourceAmounts;
+use crate::service_capacity::WorkerSizes;
 use crate::worker::WorkerState;
 
 /// Capacity of a whole service.
@@ -18,28 +19,20 @@
 /// Shapes of a service's usable workers.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceShape {
-    workers: Vec<(ResourceAmounts, u32)>,
+    sizes: WorkerSizes,
     slots: HashMap<ResourceAmounts, u32>,
 }
 
 impl ServiceShape {
     /// Adds a worker to which tasks may be placed.
     pub fn add_worker(&mut self, worker: &WorkerState) {
-        let resources = worker.spec.resources;
-        match self.workers.iter_mut().find(|(known, _)| *known == resources) {
-            Some((_, count)) => *count += 1,
-            None => self.workers.push((resources, 1)),
-        }
+        self.sizes.add(worker.spec.resources);
     }
 
     /// Number of tasks with these resources that the service holds at once.
     pub fn slots(&mut self, each: &ResourceAmounts) -> u32 {
-        let workers = &self.workers;
-        *self.slots.entry(*each).or_insert_with(|| {
-            let fits =
-                workers.iter().map(|(all, count)| all.fit_count(each).saturating_mul(*count));
-            fits.fold(0, u32::saturating_add)
-        })
+        let sizes = &self.sizes;
+        *self.slots.entry(*each).or_insert_with(|| sizes.slots(each, u32::MAX))
     }
 
     /// Capacity that a task with these resources takes; 0 if no worker holds one.
--- a/crates/taskgraph/src/remaining_work.rs
+++ b/crates/taskgraph/src/remaining_work.rs
@@ -8,6 +8,8 @@
 use crate::capacity_forecast::ServiceShape;
 use crate::graph_state::GraphState;
 use crate::job_state::JobState;
+use crate::service_capacity::ready_workers;
+use crate::service_capacity::workers_of;
 use crate::step_queue::TOO_LATE_FACTOR;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::waiting_count;
@@ -44,11 +46,8 @@
     /// Load of a service. The times until runs end follow from the queues' measured run times.
     pub fn new(state: &'a GraphState, service: &str, now_ms: u64) -> Self {
         let mut load = Self::default();
-        let workers = || state.workers.values().filter(|worker| worker.spec.service == service);
-        workers()
-            .filter(|worker| worker.is_ready() && !state.is_evacuated(worker))
-            .for_each(|worker| load.shape.add_worker(worker));
-        for (run, known) in workers().flat_map(|worker| &worker.runs) {
+        ready_workers(state, service).for_each(|worker| load.shape.add_worker(worker));
+        for (run, known) in workers_of(state, service).flat_map(|worker| &worker.runs) {
             let step = run.task.step;
             let Some(job) = state.jobs.get(&step.job) else { continue };
             let spec = job.step_spec(step.step);
--- a/crates/taskgraph/src/service_capacity.rs
+++ b/crates/taskgraph/src/service_capacity.rs
@@ -1,4 +1,4 @@
-//! Capacity of a service's workers, and how much of it is in use.
+//! Capacity of a service's workers, how many tasks it holds, and how much of it is in use.
 
 use crate::capacity_map::CapacityMap;
 use crate::capacity_map::WorkerCapacity;
@@ -17,20 +17,56 @@
     workers.filter(|worker| worker.is_usable())
 }
 
+/// Workers of a service to which the log permits placements: ready and not evacuated. Quarantined ones
+/// count, because they are back within seconds.
+pub(crate) fn ready_workers<'a>(
+    state: &'a GraphState,
+    service: &str,
+) -> impl Iterator<Item = &'a WorkerState> {
+    workers_of(state, service).filter(|worker| worker.is_ready() && !state.is_evacuated(worker))
+}
+
 /// Workers that stay in a service: neither draining nor evacuated. Suspected workers count, because
 /// they are back or removed within seconds, and so do quarantined ones.
 pub(crate) fn staying_workers<'a>(
     state: &'a GraphState,
     service: &str,
 ) -> impl Iterator<Item = &'a WorkerState> {
-    state
-        .workers
-        .values()
-        .filter(move |worker| worker.spec.service == service)
+    workers_of(state, service)
         .filter(|worker| !matches!(worker.status, WorkerStatus::Draining { .. }))
         .filter(|worker| !state.is_evacuated(worker))
 }
 
+/// All workers of a service.
+pub(crate) fn workers_of<'a>(
+    state: &'a GraphState,
+    service: &str,
+) -> impl Iterator<Item = &'a WorkerState> {
+    state.workers.values().filter(move |worker| worker.spec.service == service)
+}
+
+/// Distinct sizes of workers, with their numbers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkerSizes(Vec<(ResourceAmounts, u32)>);
+
+impl WorkerSizes {
+    /// Counts a worker of this size.
+    pub(crate) fn add(&mut self, size: ResourceAmounts) {
+        match self.0.iter_mut().find(|(known, _)| *known == size) {
+            Some((_, count)) => *count += 1,
+            None => self.0.push((size, 1)),
+        }
+    }
+
+    /// Number of tasks with these resources that the workers hold when empty, at most `limit` on each.
+    pub(crate) fn slots(&self, each: &ResourceAmounts, limit: u32) -> u32 {
+        let sizes = self.0.iter();
+        let slots =
+            sizes.map(|(size, count)| size.fit_count(each).min(limit).saturating_mul(*count));
+        slots.fold(0, u32::saturating_add)
+    }
+}
+
 /// Sums over a selection of a service's workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ServiceUsage {
--- a/crates/taskgraph/src/worker_class.rs
+++ b/crates/taskgraph/src/worker_class.rs
@@ -5,7 +5,7 @@
 use crate::job_claim::ResourceWork;
 use crate::job_claim::work_of;
 use crate::job_spec::StepSpec;
-use crate::resource_amounts::ResourceAmounts;
+use crate::service_capacity::WorkerSizes;
 use crate::worker::WorkerState;
 
 /// Workers of a service with one label, or all of them.
@@ -13,8 +13,7 @@
 pub(crate) struct WorkerClass {
     /// Sum of the workers' resources.
     pub(crate) total: ResourceWork,
-    /// Distinct sizes of workers, with their numbers.
-    sizes: Vec<(ResourceAmounts, u32)>,
+    sizes: WorkerSizes,
 }
 
 impl WorkerClass {
@@ -23,23 +22,15 @@
         for worker in workers.iter().filter(|worker| worker.has_label(label)) {
             let resources = worker.spec.resources;
             class.total = class.total.plus(&work_of(&resources, 1));
-            match class.sizes.iter_mut().find(|(size, _)| *size == resources) {
-                Some((_, count)) => *count += 1,
-                None => class.sizes.push((resources, 1)),
-            }
+            class.sizes.add(resources);
         }
         class
     }
 
     /// Whether the step could be placed if the workers were empty.
     pub(crate) fn fits(&self, spec: &StepSpec) -> bool {
-        let each = spec.held_resources();
-        let fitting = self.sizes.iter().map(|(size, count)| {
-            let fit_count = size.fit_count(&each);
-            let limit = if spec.max_per_worker == 0 { u32::MAX } else { spec.max_per_worker };
-            fit_count.min(limit).saturating_mul(*count)
-        });
-        let fit_count = fitting.fold(0, u32::saturating_add);
-        fit_count >= if spec.gang { spec.count } else { 1 }
+        let limit = if spec.max_per_worker == 0 { u32::MAX } else { spec.max_per_worker };
+        let slots = self.sizes.slots(&spec.held_resources(), limit);
+        slots >= if spec.gang { spec.count } else { 1 }
     }
 }
