Put workers on probation after a quarantine

A quarantine ends after 8 s, and the next tasks placed on the worker test it. If a member of a gang is among them and the worker still fails everything, the runs of all members are lost, and again 8 s later.

With `planning.probation`, a worker whose quarantine has ended gets one independent task at a time until a run has completed there. Urgent steps take such a worker only if the others have no capacity, neither free nor to be preempted; other independent tasks take it first, so that it is known soon whether it works. A gang that the other workers could not hold even if they were empty may use it. Probation ends after 16 s without a completed run, and quarantined workers and those on probation are together at most a third of a service. Nothing is stored: failures and times are in the state already. Without the switch, plans are as before.

--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -18,12 +18,12 @@
 
 /// Number of consecutive failed or stalled runs after which a worker is quarantined. A single
 /// failure may be the task's own fault.
-const QUARANTINE_FAILURES: u32 = 2;
+pub(crate) const QUARANTINE_FAILURES: u32 = 2;
 /// Duration of a quarantine, in ms. The next task placed afterwards tests the worker.
-const QUARANTINE_DURATION_MS: u64 = 8_000;
+pub(crate) const QUARANTINE_DURATION_MS: u64 = 8_000;
 /// At most one in this many workers may be quarantined at once, so that failing jobs can't take the
 /// whole fleet out of use.
-const MAX_QUARANTINED_DIVISOR: usize = 3;
+pub(crate) const MAX_QUARANTINED_DIVISOR: usize = 3;
 
 /// Number of runs on a worker beyond which tasks are placed there only if their job has no run at all.
 /// An agent starts and lists each run by itself, on a small share of a processor; workers that are full
@@ -45,6 +45,8 @@
     pub avoids_slow_workers: bool,
     /// Whether no task of the step's job is placed.
     pub is_first: bool,
+    /// Whether workers on probation count as others.
+    pub uses_probation: bool,
     /// Advice on the workers that may run the step; `None` if all may.
     pub advice: Option<AdviceView<'a>>,
 }
@@ -84,6 +86,8 @@
     pub releasing: ResourceAmounts,
     /// Whether the worker failed too many runs recently.
     pub is_quarantined: bool,
+    /// Whether the worker is on probation after a quarantine; never unless probation is used.
+    pub is_on_probation: bool,
     /// Whether the worker was recently reported as slow.
     pub is_slow: bool,
     /// Whether the worker's data centre is evacuated.
@@ -93,7 +97,7 @@
     /// Accelerators that urgent work holds, or that this round has allocated to it.
     pub urgent_accelerators: u32,
     /// Tasks that this round has placed on the worker, by step.
-    placed: Vec<(StepKey, u32)>,
+    pub(crate) placed: Vec<(StepKey, u32)>,
 }
 
 impl WorkerCapacity<'_> {
@@ -128,6 +132,7 @@
             return 0;
         }
         let count = available.fit_count(&request.spec.held_resources());
+        let count = count.min(self.probation_limit(request));
         let limit = request.spec.max_per_worker;
         if limit == 0 {
             count
@@ -260,7 +265,7 @@
     where
         F: Fn(&WorkerCapacity<'_>) -> bool,
     {
-        let mut candidates: Vec<(bool, u8, u32, u32, usize, u32)> = self
+        let mut candidates: Vec<(u8, bool, u8, u32, u32, usize, u32)> = self
             .workers
             .iter()
             .enumerate()
@@ -269,7 +274,8 @@
                 let ResourceAmounts { accelerators, cpu_millis, .. } = worker.free;
                 let fit_count = worker.fit_count(request);
                 let rank = worker.speed_rank(request);
-                (worker.is_slow, rank, accelerators, cpu_millis, worker_index, fit_count)
+                let probation = worker.probation_rank(request);
+                (probation, worker.is_slow, rank, accelerators, cpu_millis, worker_index, fit_count)
             })
             .filter(|(.., fit_count)| *fit_count > 0)
             .collect();
@@ -354,6 +360,7 @@
         free: worker.free(),
         releasing,
         is_quarantined: false,
+        is_on_probation: false,
         is_slow: false,
         is_evacuated: false,
         speed: SpeedClass::default(),
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -16,15 +16,13 @@
 use crate::capacity_map::StepRequest;
 use crate::capacity_map::WorkerCapacity;
 use crate::capacity_map::is_complete;
-use crate::ending_runs::latest_wait_ms;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_state::TaskState;
 use crate::load_order::DelayedStep;
 use crate::loss_limit::max_loss;
 use crate::planning_options::PlanningOptions;
-use crate::reclaim::PreemptionScope;
-use crate::reclaim::ReclaimTerms;
+use crate::probation_exemption::reclaim_terms;
 use crate::reclaim::VictimTable;
 use crate::reclaim::plan_reclaim;
 use crate::record::GraphRecord;
@@ -85,7 +83,10 @@
     if input.options.speed_profiles {
         map.use_speed_profiles(state);
     }
-    let mut round = Round {
+    if input.options.probation {
+        map.use_probation(input.now_ms);
+    }
+    let mut round = PlanningRound {
         plan: Plan::default(),
         map,
         victims: VictimTable::new(state, &guaranteed, input.options, input.now_ms),
@@ -104,19 +105,20 @@
     round.plan
 }
 
-struct Round<'a> {
+/// A round in the making.
+pub(crate) struct PlanningRound<'a> {
     plan: Plan,
-    map: CapacityMap<'a>,
-    victims: VictimTable,
+    pub(crate) map: CapacityMap<'a>,
+    pub(crate) victims: VictimTable,
     /// Steps that no worker can run, in any occurrence.
     unfit_steps: BTreeSet<(JobId, u16)>,
     /// Whether earlier preemptions count.
     uses_history: bool,
     epoch: u64,
-    now_ms: u64,
+    pub(crate) now_ms: u64,
 }
 
-impl Round<'_> {
+impl PlanningRound<'_> {
     /// Stops runs that won't finish before their draining worker leaves, so that they restart
     /// elsewhere sooner.
     fn stop_on_draining_workers(&mut self, state: &GraphState) {
@@ -167,6 +169,7 @@
             terms: &waiting.job.terms,
             failed_workers: &failed_workers,
             avoids_slow_workers: false,
+            uses_probation: false,
             is_first: self.map.is_unplaced(waiting.key.job),
             advice: waiting
                 .job
@@ -182,6 +185,8 @@
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
             return;
         }
+        let uses_probation = self.uses_probation(waiting, &request);
+        let request = StepRequest { uses_probation, ..request };
         let request = if self.fits_when_empty(&request) {
             request
         } else {
@@ -271,7 +276,7 @@
 
     /// Whether the workers that the request allows could hold one task, or the whole gang, if they
     /// were empty.
-    fn fits_when_empty(&self, request: &StepRequest<'_>) -> bool {
+    pub(crate) fn fits_when_empty(&self, request: &StepRequest<'_>) -> bool {
         let workers = self.map.workers.iter().filter(|worker| worker.is_ready());
         let fits = workers.map(|worker| worker.fit_count_in(worker.state.spec.resources, request));
         let needed = if request.spec.gang { request.spec.count } else { 1 };
@@ -279,7 +284,7 @@
     }
 
     /// Chooses an allocation, as worker indices in the capacity map with their numbers of tasks.
-    fn find_allocation(
+    pub(crate) fn find_allocation(
         &self,
         waiting: &WaitingStep<'_>,
         request: &StepRequest<'_>,
@@ -359,13 +364,7 @@
         count: u32,
         limit: u64,
     ) -> bool {
-        let scope = if waiting.is_guaranteed {
-            PreemptionScope::AllUnguaranteed
-        } else {
-            PreemptionScope::LessUrgentThan(waiting.job.terms.priority)
-        };
-        let terms =
-            ReclaimTerms { scope, max_loss: limit, latest_wait_ms: latest_wait_ms(waiting) };
+        let terms = reclaim_terms(waiting, limit);
         let found = plan_reclaim(&self.map, &self.victims, terms, request, count);
         let Some(found) = found else { return false };
         for run in found.victims.iter().chain(&found.awaited) {
--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -17,4 +17,6 @@
     pub speed_profiles: bool,
     /// Whether jobs that can't be done in useful time are rejected on submission.
     pub admission: bool,
+    /// Whether workers are on probation after a quarantine until a run has completed there.
+    pub probation: bool,
 }
--- a/crates/taskgraph/src/slow_worker_migration.rs
+++ b/crates/taskgraph/src/slow_worker_migration.rs
@@ -108,6 +108,7 @@
         failed_workers: &failed_workers,
         is_first: false,
         avoids_slow_workers: true,
+        uses_probation: false,
         advice: None,
     };
     let count = if slow.spec.gang { slow.spec.count } else { 1 };
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -23,3 +23,4 @@
 mod team_shares;
 mod throttling;
 mod waiting_cost;
+mod worker_probation;
--- /dev/null
+++ b/crates/taskgraph/tests/graph/worker_probation.rs
@@ -0,0 +1,128 @@
+//! Loads on a service with a worker that fails everything.
+
+use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::record::EndKind;
+use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::worker::WorkerKey;
+
+use crate::graph_builder::GraphBuilder;
+use crate::graph_builder::gang;
+use crate::graph_builder::tasks;
+
+const FAILING: WorkerKey = WorkerKey(0);
+
+/// A rack of workers, the first of which failed two runs and has just ended its quarantine.
+fn after_quarantine(workers: u32) -> GraphBuilder {
+    let mut graph = GraphBuilder::new(1, workers);
+    graph.options.probation = true;
+    let job = graph.submit(100, 2, vec![tasks(2, 1)]);
+    graph.plan();
+    graph.end_all(job, EndKind::Failed);
+    graph.now_ms += 8_000;
+    graph
+}
+
+fn count_on_failing(graph: &GraphBuilder, job: JobId) -> usize {
+    graph.runs_of(job).iter().filter(|(_, worker)| *worker == FAILING).count()
+}
+
+/// Runs that members of urgent gangs lose with a worker that fails every run within 500 ms. A gang of 4
+/// takes 2 s and comes each second, beside background tasks of 4 s.
+fn gang_runs_lost(has_probation: bool) -> usize {
+    let mut graph = GraphBuilder::new(1, 6);
+    graph.options.probation = has_probation;
+    let mut lost = 0;
+    for tick in 0..120_u64 {
+        if tick % 2 == 0 {
+            graph.submit(1_000 + tick, 0, vec![gang(4, 2)]);
+        }
+        if tick % 4 == 0 {
+            graph.submit(2_000 + tick, 2, vec![tasks(4, 1)]);
+        }
+        graph.plan_across_stops();
+        graph.now_ms += 500;
+        for (run, worker) in graph.runs() {
+            let Some(held) = graph.state.workers[&worker].runs.get(&run) else { continue };
+            let is_gang = run.task.step.job.0 < 2_000;
+            let is_due = graph.now_ms >= held.placed_ms + if is_gang { 2_000 } else { 4_000 };
+            if worker == FAILING {
+                lost += if is_gang { graph.runs_of(run.task.step.job).len() } else { 0 };
+                graph.end(run, worker, EndKind::Failed).unwrap();
+                graph.obey_stops();
+            } else if is_due {
+                graph.end(run, worker, EndKind::Done).unwrap();
+            }
+        }
+    }
+    lost
+}
+
+/// Guards against gangs that test a worker after each of its quarantines, and lose all their runs there.
+#[test]
+fn failing_worker_costs_gangs_less_with_probation() {
+    let (before, after) = (gang_runs_lost(false), gang_runs_lost(true));
+    println!("runs of gangs lost in 60 s: {before} without probation, {after} with it");
+    assert!(after * 2 <= before, "{before}, now {after}");
+}
+
+/// Guards against a second task that is placed before the first has shown that the worker works, and
+/// against a probation that outlasts a completed run.
+#[test]
+fn one_task_tests_the_worker() {
+    let mut graph = after_quarantine(3);
+    let medium = graph.submit(1, 1, vec![gang(16, 1)]);
+    let background = graph.submit(2, 2, vec![tasks(8, 1)]);
+    graph.plan();
+    assert_eq!((count_on_failing(&graph, medium), count_on_failing(&graph, background)), (0, 1));
+    let (run, worker) = *graph.runs_of(background).iter().find(|(_, on)| *on == FAILING).unwrap();
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, background), 1);
+    graph.end(run, worker, EndKind::Done).unwrap();
+    let gang = graph.submit(3, 1, vec![gang(1, 2)]);
+    graph.plan();
+    assert_eq!((count_on_failing(&graph, background), count_on_failing(&graph, gang)), (6, 1));
+}
+
+/// Guards against urgent work that waits, or that takes a worker on probation before others.
+#[test]
+fn urgent_gang_takes_the_worker_last() {
+    let mut graph = after_quarantine(3);
+    let first = graph.submit(1, 0, vec![gang(16, 1)]);
+    graph.plan();
+    assert_eq!((graph.runs_of(first).len(), count_on_failing(&graph, first)), (16, 0));
+    let second = graph.submit(2, 0, vec![gang(2, 4)]);
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, second), 2, "no other worker has capacity");
+}
+
+/// Guards against gangs that can't run, because they need the worker or because jobs of their own fault
+/// have put most of a service on probation.
+#[test]
+fn probation_does_not_starve_gangs() {
+    let mut graph = after_quarantine(3);
+    let wide = graph.submit(1, 1, vec![gang(3, 8)]);
+    graph.plan();
+    assert_eq!(graph.runs_of(wide).len(), 3);
+    let mut graph = GraphBuilder::new(1, 6);
+    graph.options.probation = true;
+    let bad = graph.submit(1, 1, vec![tasks(48, 1)]);
+    graph.plan();
+    graph.end_all(bad, EndKind::Failed);
+    graph.apply(GraphRecord::JobCancelled { job: bad }).unwrap();
+    graph.now_ms += 8_000;
+    let medium = graph.submit(2, 1, vec![gang(4, 8)]);
+    graph.plan();
+    assert_eq!(graph.runs_of(medium).len(), 4, "at most a third is on probation");
+}
+
+/// Guards against a worker that gets nothing for good while only gangs wait.
+#[test]
+fn probation_ends_without_a_run() {
+    let mut graph = after_quarantine(3);
+    graph.submit(1, 1, vec![gang(2, 8)]);
+    graph.plan();
+    graph.now_ms += 16_000;
+    let medium = graph.submit(2, 1, vec![gang(1, 8)]);
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, medium), 1);
+}
