Let reports of workers' health count beside failed runs

A worker that fails everything may say so when it is asked, and nothing used that: two failed runs quarantine it for 8 s, and then it is tested again, whatever it says.

A record `HealthChanged` holds what an agent was told, the state keeps the latest response of workers that were unhealthy, and it counts for 8 s. With `planning.worker_health`, a worker that reports itself as unhealthy is quarantined after one failed run, for as long as it says so and up to 32 s after the failure; at most a third of a service is in quarantine. A response alone excludes no worker, since it may be false: gangs and urgent steps prefer others only where these are equal in speed and free capacity.

--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -70,6 +70,7 @@
     fn transfer_runs(&mut self, earlier: WorkerKey, next: WorkerKey) {
         let Some(removed) = self.workers.remove(&earlier) else { return };
         self.slow_workers.remove(&earlier);
+        self.worker_health.forget(earlier);
         let runs: Vec<RunKey> = removed.runs.keys().copied().collect();
         if let Some(worker) = self.workers.get_mut(&next) {
             worker.inherit(removed);
@@ -195,5 +196,6 @@
             self.speed_profiles.record_presence(instance, false, self.clock_ms);
         }
         self.slow_workers.remove(&worker);
+        self.worker_health.forget(worker);
     }
 }
--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -15,6 +15,7 @@
 use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerState;
+use crate::worker_health::HealthReport;
 
 /// Number of consecutive failed or stalled runs after which a worker is quarantined. A single
 /// failure may be the task's own fault.
@@ -88,6 +89,10 @@
     pub is_quarantined: bool,
     /// Whether the worker is on probation after a quarantine; never unless probation is used.
     pub is_on_probation: bool,
+    /// Latest response of the worker to a health check; `None` unless health is used.
+    pub health: Option<HealthReport>,
+    /// Whether the worker counts as unhealthy; never unless health is used.
+    pub is_unhealthy: bool,
     /// Whether the worker was recently reported as slow.
     pub is_slow: bool,
     /// Whether the worker's data centre is evacuated.
@@ -265,17 +270,21 @@
     where
         F: Fn(&WorkerCapacity<'_>) -> bool,
     {
-        let mut candidates: Vec<(u8, bool, u8, u32, u32, usize, u32)> = self
+        let mut candidates: Vec<(PackRank, usize, u32)> = self
             .workers
             .iter()
             .enumerate()
             .filter(|(_, worker)| is_eligible(worker))
             .map(|(worker_index, worker)| {
-                let ResourceAmounts { accelerators, cpu_millis, .. } = worker.free;
-                let fit_count = worker.fit_count(request);
-                let rank = worker.speed_rank(request);
-                let probation = worker.probation_rank(request);
-                (probation, worker.is_slow, rank, accelerators, cpu_millis, worker_index, fit_count)
+                let rank = PackRank {
+                    probation: worker.probation_rank(request),
+                    is_slow: worker.is_slow,
+                    speed: worker.speed_rank(request),
+                    accelerators: worker.free.accelerators,
+                    cpu_millis: worker.free.cpu_millis,
+                    is_doubtful: worker.is_doubtful(request),
+                };
+                (rank, worker_index, worker.fit_count(request))
             })
             .filter(|(.., fit_count)| *fit_count > 0)
             .collect();
@@ -351,6 +360,19 @@
     }
 }
 
+/// Order in which a step's tasks fill workers; compared field by field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PackRank {
+    probation: u8,
+    is_slow: bool,
+    speed: u8,
+    /// Free accelerators.
+    accelerators: u32,
+    /// Free processor time.
+    cpu_millis: u32,
+    is_doubtful: bool,
+}
+
 fn capacity_of(key: WorkerKey, worker: &WorkerState) -> WorkerCapacity<'_> {
     let stopping = worker.runs.values().filter(|run| run.stop_cause.is_some());
     let releasing = stopping.fold(ResourceAmounts::default(), |sum, run| sum.plus(&run.resources));
@@ -361,6 +383,8 @@
         releasing,
         is_quarantined: false,
         is_on_probation: false,
+        health: None,
+        is_unhealthy: false,
         is_slow: false,
         is_evacuated: false,
         speed: SpeedClass::default(),
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -36,6 +36,7 @@
 use crate::worker::StopCause;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerState;
+use crate::worker_health::WorkerHealth;
 
 /// How long an ended job is kept, in ms. Callers may query its state for 120 s; the rest allows for
 /// clock jumps.
@@ -194,6 +195,13 @@
     /// Learned speeds of instances.
     #[serde(deserialize_with = "decode_or_default")]
     pub speed_profiles: SpeedProfiles,
+    /// Responses of workers to health checks. While there are none, a snapshot ends before this field, as
+    /// that of a deployment without health checks always does.
+    #[serde(
+        deserialize_with = "decode_or_default",
+        skip_serializing_if = "WorkerHealth::is_empty"
+    )]
+    pub worker_health: WorkerHealth,
 }
 
 impl GraphState {
@@ -349,6 +357,9 @@
             GraphRecord::EvacuationsRead { as_of, data_centres } => {
                 self.evacuations_read(*as_of, data_centres)
             }
+            GraphRecord::HealthChanged { worker, is_healthy } => {
+                self.health_changed(writer, *worker, *is_healthy)
+            }
         }
     }
 
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -59,4 +59,6 @@
 pub mod waiting_cost;
 pub mod worker;
 mod worker_class;
+pub mod worker_health;
 pub mod worker_probation;
+pub mod worker_quarantine;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -83,9 +83,7 @@
     if input.options.speed_profiles {
         map.use_speed_profiles(state);
     }
-    if input.options.probation {
-        map.use_probation(input.now_ms);
-    }
+    map.use_doubts(state, input.options, input.now_ms);
     let mut round = PlanningRound {
         plan: Plan::default(),
         map,
--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -19,4 +19,6 @@
     pub admission: bool,
     /// Whether workers are on probation after a quarantine until a run has completed there.
     pub probation: bool,
+    /// Whether a worker's own reports of its health count beside its failed runs.
+    pub worker_health: bool,
 }
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -282,4 +282,11 @@
         /// Names of all evacuated data centres.
         data_centres: BTreeSet<SmolStr>,
     },
+    /// The response of a worker to its agent's health checks changed, or is still that it is unhealthy.
+    HealthChanged {
+        /// Key of the worker.
+        worker: WorkerKey,
+        /// Whether the worker considers itself healthy.
+        is_healthy: bool,
+    },
 }
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -58,7 +58,9 @@
     /// Applies a record as written by the process that is entitled to write it.
     pub(crate) fn apply(&mut self, record: GraphRecord) -> GraphOutcome {
         let worker = match &record {
-            GraphRecord::RunsEnded { worker, .. } => Some(worker),
+            GraphRecord::RunsEnded { worker, .. } | GraphRecord::HealthChanged { worker, .. } => {
+                Some(worker)
+            }
             GraphRecord::WorkerRemoved { worker, suspicion_offset: 0, .. } => Some(worker),
             _ => None,
         };
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -23,4 +23,5 @@
 mod team_shares;
 mod throttling;
 mod waiting_cost;
+mod worker_health;
 mod worker_probation;
--- a/crates/taskgraph/tests/graph/restored_states.rs
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -66,6 +66,8 @@
     graph.apply(GraphRecord::WorkerDraining { worker: drained, until_ms }).unwrap();
     graph.apply(GraphRecord::WorkerSuspected { epoch: 1, worker: held_by, agent: 7 }).unwrap();
     graph.apply(GraphRecord::SnapshotTaken { offset: 3 }).unwrap();
+    let unhealthy = GraphRecord::HealthChanged { worker: drained, is_healthy: false };
+    graph.apply(unhealthy).unwrap();
     graph
 }
 
@@ -134,10 +136,14 @@
         codec::encode(&state.estimate_errors).unwrap(),
         codec::encode(&state.preemptions).unwrap(),
         codec::encode(&state.speed_profiles).unwrap(),
+        codec::encode(&state.worker_health).unwrap(),
     ];
     // Each encoding begins with a byte for the format version.
     let added_bytes: usize = added.iter().map(|field| field.len() - 1).sum();
     let earlier = &bytes[..bytes.len() - added_bytes];
+    state.worker_health = Default::default();
+    let unchecked = &bytes[..bytes.len() - (added[4].len() - 1)];
+    assert_eq!(codec::encode(&state).unwrap(), unchecked, "without checks, the field is absent");
     state.evacuations = Default::default();
     state.estimate_errors = Default::default();
     state.preemptions = Default::default();
--- a/crates/taskgraph/tests/graph/worker_probation.rs
+++ b/crates/taskgraph/tests/graph/worker_probation.rs
@@ -1,6 +1,7 @@
 //! Loads on a service with a worker that fails everything.
 
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::worker::WorkerKey;
@@ -9,7 +10,7 @@
 use crate::graph_builder::gang;
 use crate::graph_builder::tasks;
 
-const FAILING: WorkerKey = WorkerKey(0);
+pub(crate) const FAILING: WorkerKey = WorkerKey(0);
 
 /// A rack of workers, the first of which failed two runs and has just ended its quarantine.
 fn after_quarantine(workers: u32) -> GraphBuilder {
@@ -26,11 +27,11 @@
     graph.runs_of(job).iter().filter(|(_, worker)| *worker == FAILING).count()
 }
 
-/// Runs that members of urgent gangs lose with a worker that fails every run within 500 ms. A gang of 4
-/// takes 2 s and comes each second, beside background tasks of 4 s.
-fn gang_runs_lost(has_probation: bool) -> usize {
+/// Runs that urgent gangs lose in 60 s with a worker that fails every run within 500 ms, and says so if
+/// `is_honest`. A gang of 4 takes 2 s and comes each second, beside background tasks of 4 s.
+pub(crate) fn gang_runs_lost(options: PlanningOptions, is_honest: bool) -> usize {
     let mut graph = GraphBuilder::new(1, 6);
-    graph.options.probation = has_probation;
+    graph.options = options;
     let mut lost = 0;
     for tick in 0..120_u64 {
         if tick % 2 == 0 {
@@ -39,6 +40,9 @@
         if tick % 4 == 0 {
             graph.submit(2_000 + tick, 2, vec![tasks(4, 1)]);
         }
+        if tick % 8 == 0 && is_honest {
+            graph.apply(GraphRecord::HealthChanged { worker: FAILING, is_healthy: false }).unwrap();
+        }
         graph.plan_across_stops();
         graph.now_ms += 500;
         for (run, worker) in graph.runs() {
@@ -60,7 +64,9 @@
 /// Guards against gangs that test a worker after each of its quarantines, and lose all their runs there.
 #[test]
 fn failing_worker_costs_gangs_less_with_probation() {
-    let (before, after) = (gang_runs_lost(false), gang_runs_lost(true));
+    let options = PlanningOptions { probation: true, ..PlanningOptions::default() };
+    let before = gang_runs_lost(PlanningOptions::default(), true);
+    let after = gang_runs_lost(options, true);
     println!("runs of gangs lost in 60 s: {before} without probation, {after} with it");
     assert!(after * 2 <= before, "{before}, now {after}");
 }
