--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -40,6 +40,8 @@
     pub queues: Vec<Queue>,
     /// All teams.
     pub teams: Vec<TeamAccess>,
+    /// Path of health checks at the workers of a service, for services that have one.
+    pub health_paths: BTreeMap<SmolStr, SmolStr>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
 }
--- a/crates/taskgraph/src/worker_health.rs
+++ b/crates/taskgraph/src/worker_health.rs
@@ -94,13 +94,12 @@
         Ok(GraphEffect::Done)
     }
 
-    /// Whether an agent checks the health of its worker: it has runs, has failed recently, or counts as
-    /// unhealthy.
+    /// Whether an agent checks the health of its worker: it has runs, or has failed recently.
     pub fn needs_health_check(&self, worker: WorkerKey) -> bool {
-        let Some(known) = self.workers.get(&worker) else { return false };
-        let is_unhealthy =
-            self.worker_health.report(worker).is_some_and(|last| last.is_unhealthy(self.clock_ms));
-        !known.runs.is_empty() || has_failed_recently(known, self.clock_ms) || is_unhealthy
+        let known = self.workers.get(&worker);
+        known.is_some_and(|known| {
+            !known.runs.is_empty() || has_failed_recently(known, self.clock_ms)
+        })
     }
 }
 
