--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -17,4 +17,8 @@
     pub speed_profiles: bool,
     /// Whether jobs that can't be done in useful time are rejected on submission.
     pub admission: bool,
+    /// Whether workers are on probation after a quarantine until a run has completed there.
+    pub probation: bool,
+    /// Whether a worker's own reports of its health count beside its failed runs.
+    pub worker_health: bool,
 }
