Reserve workers for waiting tasks that need a whole one

Cause: whenever a narrow background task ends, another takes its place. No worker is ever empty, so a medium-priority task of 8 accelerators waits until it is at risk and may preempt, or for good if its own work does not justify the loss.

Change: with planning.wide_reserve, such a waiting task reserves the worker that is expected to be empty first against less urgent work: at most a tenth of the service's workers, not while less than half of it is in use, and only where the worker is expected to be empty before the latest start for the objective. Gangs get all of their workers or none. Each round decides anew. The switch is a field of its own so that both parts can be measured apart; one setting is to control them.

Not measured on deployments.

--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -93,6 +93,8 @@
     pub speed: SpeedClass,
     /// Accelerators that urgent work holds, or that this round has allocated to it.
     pub urgent_accelerators: u32,
+    /// Priority of the waiting work that the worker is reserved for by this round.
+    pub reserved_for: Option<u8>,
     /// Tasks that this round has placed on the worker, by step.
     placed: Vec<(StepKey, u32)>,
 }
@@ -122,8 +124,25 @@
             && self.state.spec.resources.covers(&request.spec.held_resources())
     }
 
+    /// Whether this round has placed tasks on the worker.
+    pub(crate) fn has_new_tasks(&self) -> bool {
+        !self.placed.is_empty()
+    }
+
+    /// How many of the step's tasks would fit if the worker were empty and not reserved.
+    pub(crate) fn empty_fit_count(&self, request: &StepRequest<'_>) -> u32 {
+        self.unreserved_fit_count(self.state.spec.resources, request)
+    }
+
     /// How many of the step's tasks fit into `available` on this worker.
     pub fn fit_count_in(&self, available: ResourceAmounts, request: &StepRequest<'_>) -> u32 {
+        if self.is_reserved_against(request) {
+            return 0;
+        }
+        self.unreserved_fit_count(available, request)
+    }
+
+    fn unreserved_fit_count(&self, available: ResourceAmounts, request: &StepRequest<'_>) -> u32 {
         let is_avoided = request.avoids_slow_workers && self.is_slow;
         if is_avoided || !self.is_feasible(request) || request.failed_workers.contains(&self.key) {
             return 0;
@@ -368,6 +387,7 @@
         is_evacuated: false,
         speed: SpeedClass::default(),
         urgent_accelerators: 0,
+        reserved_for: None,
         placed: Vec::new(),
     }
 }
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -16,6 +16,7 @@
 use crate::capacity_map::StepRequest;
 use crate::capacity_map::WorkerCapacity;
 use crate::capacity_map::is_complete;
+use crate::draining_workers::draining_runs;
 use crate::ending_runs::latest_wait_ms;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
@@ -37,9 +38,9 @@
 use crate::step_queue::waiting_steps;
 use crate::task_key::RunKey;
 use crate::urgent_reserve::UrgentReserve;
+use crate::wide_reserve::WideReserve;
 use crate::worker::StopCause;
 use crate::worker::WorkerKey;
-use crate::worker::WorkerStatus;
 
 /// Maximum wait for the rack on which a step runs fastest, as a multiple of its estimate. Elsewhere
 /// the step takes three times as long, so waiting up to twice the estimate pays off.
@@ -95,10 +96,11 @@
         victims: VictimTable::new(state, &guaranteed, input.options, input.now_ms),
         unfit_steps: BTreeSet::new(),
         uses_history: input.options.preemption_history,
+        wide_reserve: input.options.wide_reserve.then(|| WideReserve::new(input.now_ms)),
         epoch,
         now_ms: input.now_ms,
     };
-    round.stop_on_draining_workers(state);
+    round.stop_runs(StopCause::Draining, &draining_runs(state, input.now_ms));
     let (queue, delayed) = waiting_steps(state, &guaranteed, input);
     round.plan.delayed = delayed;
     for waiting in queue {
@@ -116,34 +118,13 @@
     unfit_steps: BTreeSet<(JobId, u16)>,
     /// Whether earlier preemptions count.
     uses_history: bool,
+    /// Choice of the workers to reserve for wide tasks, if that is switched on.
+    wide_reserve: Option<WideReserve>,
     epoch: u64,
     now_ms: u64,
 }
 
 impl Round<'_> {
-    /// Stops runs that won't finish before their draining worker leaves, so that they restart
-    /// elsewhere sooner.
-    fn stop_on_draining_workers(&mut self, state: &GraphState) {
-        let mut runs = Vec::new();
-        for worker in state.workers.values() {
-            let WorkerStatus::Draining { until_ms } = worker.status else { continue };
-            for (run, held) in &worker.runs {
-                let job = state.jobs.get(&run.task.step.job).filter(|job| job.is_active());
-                let Some(job) = job.filter(|_| held.stop_cause.is_none()) else { continue };
-                let mean_ms =
-                    state.durations.get(&job.terms.queue).map_or(0, |duration| duration.mean_ms);
-                let ends_ms = held.placed_ms + u64::from(mean_ms);
-                let outlives_worker = ends_ms > until_ms.max(self.now_ms);
-                let is_long_running =
-                    job.step_spec(run.task.step.step).is_some_and(|spec| spec.long_running);
-                if outlives_worker || is_long_running {
-                    runs.push(*run);
-                }
-            }
-        }
-        self.stop_runs(StopCause::Draining, &runs);
-    }
-
     /// Stops runs on slow workers that finish sooner elsewhere, using capacity that no waiting step
     /// needs.
     fn stop_on_slow_workers(&mut self, state: &GraphState) {
@@ -198,6 +179,7 @@
             let kept = self.urgent_reserve(state).reason(waiting).filter(|_| fits);
             let reason = kept.unwrap_or("no room");
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.reserve_workers(state, waiting, &request, count);
             return;
         }
         let count = placeable_count;
@@ -227,8 +209,13 @@
         let is_reclaiming =
             limit.is_some_and(|limit| self.reclaim(waiting, &request, unplaced_count, limit));
         if !is_reclaiming {
-            let reason = if is_feasible { "no room" } else { self.map.unfit_reason(&request) };
+            let reason = if is_feasible {
+                self.map.full_reason(&request)
+            } else {
+                self.map.unfit_reason(&request)
+            };
             self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.reserve_workers(state, waiting, &request, unplaced_count);
         }
     }
 
@@ -261,6 +248,20 @@
         }
     }
 
+    /// Reserves workers for tasks that were not placed and need a whole one each.
+    fn reserve_workers(
+        &mut self,
+        state: &GraphState,
+        waiting: &WaitingStep<'_>,
+        request: &StepRequest<'_>,
+        count: u32,
+    ) {
+        let waits_for_rack = self.waits_for_rack(waiting);
+        let Some(reserve) = &mut self.wide_reserve else { return };
+        let chosen = reserve.choose(state, &self.map, waiting, request, waits_for_rack, count);
+        self.map.reserve(&chosen, waiting.job.terms.priority);
+    }
+
     /// Workers on which the step failed; none if that would exclude more than half of the ready
     /// workers.
     fn failed_workers(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerKey> {
@@ -277,7 +278,7 @@
     /// were empty.
     fn fits_when_empty(&self, request: &StepRequest<'_>) -> bool {
         let workers = self.map.workers.iter().filter(|worker| worker.is_ready());
-        let fits = workers.map(|worker| worker.fit_count_in(worker.state.spec.resources, request));
+        let fits = workers.map(|worker| worker.empty_fit_count(request));
         let needed = if request.spec.gang { request.spec.count } else { 1 };
         fits.fold(0_u32, u32::saturating_add) >= needed
     }
@@ -317,8 +318,7 @@
     fn fits_on_one_rack_when_empty(&self, request: &StepRequest<'_>, count: u32) -> bool {
         self.map.racks().into_iter().any(|rack| {
             let workers = self.map.workers.iter().filter(|worker| worker.state.spec.rack == *rack);
-            let fits =
-                workers.map(|worker| worker.fit_count_in(worker.state.spec.resources, request));
+            let fits = workers.map(|worker| worker.empty_fit_count(request));
             fits.fold(0_u32, u32::saturating_add) >= count
         })
     }
--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -19,4 +19,6 @@
     pub admission: bool,
     /// Whether tasks are placed where the shapes of other work lose the least capacity.
     pub shape_packing: bool,
+    /// Whether workers are reserved for waiting tasks that need a whole one.
+    pub wide_reserve: bool,
 }
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -24,3 +24,4 @@
 mod team_shares;
 mod throttling;
 mod waiting_cost;
+mod wide_reserve;
--- a/crates/taskgraph/tests/graph/played_load.rs
+++ b/crates/taskgraph/tests/graph/played_load.rs
@@ -21,6 +21,7 @@
     /// Time from the start of the play, in ms; a multiple of [`ROUND_MS`].
     pub(crate) at_ms: u64,
     pub(crate) team: &'static str,
+    pub(crate) priority: u8,
     pub(crate) steps: Vec<StepSpec>,
     /// True run time of each task, in percent of its estimate.
     pub(crate) run_percent: u64,
@@ -28,7 +29,7 @@
 
 impl Arrival {
     pub(crate) fn new(at_ms: u64, steps: Vec<StepSpec>) -> Self {
-        Self { at_ms, team: "team", steps, run_percent: 100 }
+        Self { at_ms, team: "team", priority: 1, steps, run_percent: 100 }
     }
 }
 
@@ -48,7 +49,7 @@
         graph.now_ms = START_MS + now_ms;
         for (id, arrival) in (0..).zip(arrivals).filter(|(_, arrival)| arrival.at_ms == now_ms) {
             let spec = JobSpec { steps: arrival.steps.clone(), ..JobSpec::default() };
-            let terms = JobTerms { team: arrival.team.into(), ..terms(1) };
+            let terms = JobTerms { team: arrival.team.into(), ..terms(arrival.priority) };
             graph.submit_on(id, spec, terms);
         }
         graph.obey_stops();
--- a/crates/taskgraph/tests/graph/shape_packing.rs
+++ b/crates/taskgraph/tests/graph/shape_packing.rs
@@ -76,8 +76,9 @@
 }
 
 /// Records of some rounds of a stream of jobs of equal tasks.
-fn records_of_stream(shape_packing: bool) -> Vec<GraphRecord> {
-    let mut graph = graph(2, 4, shape_packing);
+fn records_of_stream(is_on: bool) -> Vec<GraphRecord> {
+    let mut graph = graph(2, 4, is_on);
+    graph.options.wide_reserve = is_on;
     let mut records = Vec::new();
     for id in 0..20 {
         let (count, priority) = (1 + u32::try_from(id * 7 % 13).unwrap(), (id % 3) as u8);
@@ -94,7 +95,7 @@
     records
 }
 
-/// Guards against a change of plans where all tasks have one shape.
+/// Guards against a change of plans where all tasks have one shape and nothing wide waits.
 #[test]
 fn equal_tasks_are_placed_as_without_shapes() {
     assert_eq!(records_of_stream(true), records_of_stream(false));
