--- a/crates/taskgraph/src/capacity_map.rs
+++ b/crates/taskgraph/src/capacity_map.rs
@@ -10,6 +10,7 @@
 use crate::job_terms::JobTerms;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::resource_amounts::ResourceAmounts;
+use crate::shape_packing::ShapeMix;
 use crate::speed_profile::SpeedClass;
 use crate::step_advice::StepAdvice;
 use crate::task_key::StepKey;
@@ -101,6 +102,8 @@
     pub speed: SpeedClass,
     /// Accelerators that urgent work holds, or that this round has allocated to it.
     pub urgent_accelerators: u32,
+    /// Priority of the waiting work that the worker is reserved for by this round.
+    pub reserved_for: Option<u8>,
     /// Tasks that this round has placed on the worker, by step.
     pub(crate) placed: Vec<(StepKey, u32)>,
 }
@@ -130,8 +133,25 @@
             && self.state.spec.resources.covers(&request.spec.held_resources())
     }
 
+    /// Whether this round has placed tasks on the worker.
+    pub(crate) fn has_new_tasks(&self) -> bool {
+        !self.placed.is_empty()
+    }
+
+    /// How many of the step's tasks would fit if the worker were empty and not reserved.
+    pub(crate) fn empty_fit_count(&self, request: &StepRequest<'_>) -> u32 {
+        self.unreserved_fit_count(self.state.spec.resources, request)
+    }
+
     /// How many of the step's tasks fit into `available` on this worker.
     pub fn fit_count_in(&self, available: ResourceAmounts, request: &StepRequest<'_>) -> u32 {
+        if self.is_reserved_against(request) {
+            return 0;
+        }
+        self.unreserved_fit_count(available, request)
+    }
+
+    fn unreserved_fit_count(&self, available: ResourceAmounts, request: &StepRequest<'_>) -> u32 {
         let is_avoided = request.avoids_slow_workers && self.is_slow;
         if is_avoided || !self.is_feasible(request) || request.failed_workers.contains(&self.key) {
             return 0;
@@ -186,6 +206,8 @@
     pub workers: Vec<WorkerCapacity<'a>>,
     /// Jobs with a placed task.
     placed_jobs: BTreeSet<JobId>,
+    /// Shapes of active work, if they count in the choice of workers.
+    shapes: Option<ShapeMix>,
 }
 
 impl<'a> CapacityMap<'a> {
@@ -212,7 +234,7 @@
         }
         let runs = state.workers.values().flat_map(|worker| worker.runs.keys());
         let placed_jobs = runs.map(|run| run.task.step.job).collect();
-        Self { workers, placed_jobs }
+        Self { workers, placed_jobs, shapes: None }
     }
 
     /// Takes the learned speeds of instances into account.
@@ -223,6 +245,11 @@
         }
     }
 
+    /// Lets the shapes of active work decide between workers.
+    pub fn use_shapes(&mut self, shapes: ShapeMix) {
+        self.shapes = Some(shapes);
+    }
+
     /// Whether no task of a job is placed, not even by this round.
     pub fn is_unplaced(&self, job: JobId) -> bool {
         !self.placed_jobs.contains(&job)
@@ -260,7 +287,8 @@
 
     /// Best-fit allocation of up to `count` tasks of a step to the workers that satisfy
     /// `is_eligible`, as worker indices with their numbers of tasks. Workers of suitable speed and
-    /// with the least free capacity are filled first, and slow ones last.
+    /// with the least free capacity are filled first, and slow ones last. Where shapes count, the least
+    /// loss to them precedes the least free capacity.
     pub fn pack<F>(
         &self,
         request: &StepRequest<'_>,
@@ -270,12 +298,15 @@
     where
         F: Fn(&WorkerCapacity<'_>) -> bool,
     {
-        let mut candidates: Vec<(PackRank, usize, u32)> = self
-            .workers
-            .iter()
-            .enumerate()
-            .filter(|(_, worker)| is_eligible(worker))
-            .map(|(worker_index, worker)| {
+        let eligible = self.workers.iter().enumerate().filter(|(_, worker)| is_eligible(worker));
+        let fitting = eligible
+            .map(|(worker_index, worker)| (worker_index, worker, worker.fit_count(request)))
+            .filter(|(.., fit_count)| *fit_count > 0);
+        if let Some(shapes) = &self.shapes {
+            return shapes.pack(request, count, &fitting.collect::<Vec<_>>());
+        }
+        let mut candidates: Vec<(PackRank, usize, u32)> = fitting
+            .map(|(worker_index, worker, fit_count)| {
                 let rank = PackRank {
                     probation: worker.probation_rank(request),
                     is_slow: worker.is_slow,
@@ -284,9 +315,8 @@
                     cpu_millis: worker.free.cpu_millis,
                     is_doubtful: worker.is_doubtful(request),
                 };
-                (rank, worker_index, worker.fit_count(request))
+                (rank, worker_index, fit_count)
             })
-            .filter(|(.., fit_count)| *fit_count > 0)
             .collect();
         candidates.sort_unstable();
         let mut remaining = count;
@@ -389,6 +419,7 @@
         is_evacuated: false,
         speed: SpeedClass::default(),
         urgent_accelerators: 0,
+        reserved_for: None,
         placed: Vec::new(),
     }
 }
--- a/crates/taskgraph/src/planning_options.rs
+++ b/crates/taskgraph/src/planning_options.rs
@@ -21,4 +21,8 @@
     pub probation: bool,
     /// Whether a worker's own reports of its health count beside its failed runs.
     pub worker_health: bool,
+    /// Whether tasks are placed where the shapes of other work lose the least capacity.
+    pub shape_packing: bool,
+    /// Whether workers are reserved for waiting tasks that need a whole one.
+    pub wide_reserve: bool,
 }
--- a/crates/taskgraph/tests/graph/worker_health.rs
+++ b/crates/taskgraph/tests/graph/worker_health.rs
@@ -21,6 +21,8 @@
     admission: false,
     probation: false,
     worker_health: true,
+    shape_packing: false,
+    wide_reserve: false,
 };
 
 fn report(graph: &mut GraphBuilder, worker: WorkerKey, is_healthy: bool) {
