--- a/crates/taskgraph/tests/graph/random_histories.rs
+++ b/crates/taskgraph/tests/graph/random_histories.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
 use cuminbarrow_taskgraph::record::RemovalCause;
@@ -181,9 +182,12 @@
 
     #[test]
     fn invariants_hold_in_any_history(events in prop::collection::vec(event(), 1..80)) {
-        for preemption_history in [false, true] {
-            let mut graph = GraphBuilder::new(2, 3);
-            graph.options.preemption_history = preemption_history;
+        let history = PlanningOptions { preemption_history: true, ..PlanningOptions::default() };
+        let wide = PlanningOptions { shape_packing: true, wide_reserve: true, ..history };
+        // Workers are reserved from ten on.
+        for (options, workers) in [(PlanningOptions::default(), 3), (history, 3), (wide, 5)] {
+            let mut graph = GraphBuilder::new(2, workers);
+            graph.options = options;
             graph.guarantees.insert("team".into(), 16);
             let mut history = History { graph, jobs: 0, done: BTreeSet::new() };
             for event in events.clone() {
