Preview a job that has not been submitted

Cause: operators can see why an accepted job waits, but not where a job would be placed before they submit it.

Change: preview_job plans one round without the job and one with it on a copy of the state, asks admission control for its decision where it is on, and compares both rounds: placements, preemptions that only the job causes, the planner's reason for its wait, and the rule by which each worker takes no task of it. The forecast of the wait is that of the runs that hold the capacity and of the waiting steps before the job.

The tests fail if preemptions of the other round are counted, if the steps before the job are left out of the forecast, and if admission control is not asked.

--- a/crates/model/src/placement_preview.rs
+++ b/crates/model/src/placement_preview.rs
@@ -64,7 +64,7 @@
     pub preemptions: Vec<PreviewPreemption>,
     /// Workers that can't take a task of it now.
     pub exclusions: Vec<PreviewExclusion>,
-    /// Steps or jobs that wait and would be looked at before it.
+    /// Steps or jobs for the same workers that wait and would be looked at before it.
     pub waiting_before: u32,
     /// Expected time until its first task starts, in ms; absent where no forecast exists.
     pub expected_wait_ms: Option<u64>,
--- a/crates/taskgraph/src/ending_runs.rs
+++ b/crates/taskgraph/src/ending_runs.rs
@@ -18,7 +18,7 @@
 const MAX_OVERDUE_MS: u64 = STOP_MS / 2;
 /// Time from a decision to preempt until the stop reaches the worker, and from the end of the stop until
 /// the start does, in ms: two planning rounds and appends.
-const DISPATCH_MS: u64 = 300;
+pub(crate) const DISPATCH_MS: u64 = 300;
 /// Time from acceptance within which all tasks of a guaranteed job's first step have started, in ms.
 const GUARANTEED_START_MS: u64 = 2_700;
 
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -79,6 +79,11 @@
 
 /// Plans one round.
 pub fn plan_round(state: &GraphState, input: &PlannerInput) -> Plan {
+    finished_round(state, input).plan
+}
+
+/// Plans one round and returns it with the capacity that it leaves.
+pub(crate) fn finished_round<'a>(state: &'a GraphState, input: &PlannerInput) -> Round<'a> {
     let epoch = state.planner.epoch;
     let guaranteed = guaranteed_jobs(state, &input.guarantees);
     let mut map = CapacityMap::new(state, input.now_ms);
@@ -101,12 +106,13 @@
         round.place_step(state, &waiting);
     }
     round.stop_on_slow_workers(state);
-    round.plan
+    round
 }
 
-struct Round<'a> {
-    plan: Plan,
-    map: CapacityMap<'a>,
+/// A planning round, and what it has decided so far.
+pub(crate) struct Round<'a> {
+    pub(crate) plan: Plan,
+    pub(crate) map: CapacityMap<'a>,
     victims: VictimTable,
     /// Steps that no worker can run, in any occurrence.
     unfit_steps: BTreeSet<(JobId, u16)>,
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod graph_builder;
 mod job_outcomes;
+mod job_preview;
 mod leases;
 mod load_patterns;
 mod many_occurrences;
