Answer previews of jobs at an entry's metrics address

Cause: operators of the users' platform could not ask an entry where a job would be placed without submitting it.

The preview is made on a copy of the replica's state and of what admission control remembers, on a thread of its own.

--- a/crates/dispatch/src/admission_gate.rs
+++ b/crates/dispatch/src/admission_gate.rs
@@ -73,6 +73,13 @@
         self.memory().record_disturbance(replica.clock.now_ms());
     }
 
+    /// Copy of what the entry remembers, for a decision that changes nothing.
+    pub(crate) fn copy_memory(&self, memory_now_ms: u64) -> AdmissionMemory {
+        let mut memory = self.memory().clone();
+        memory.expire(memory_now_ms);
+        memory
+    }
+
     fn memory(&self) -> MutexGuard<'_, AdmissionMemory> {
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -100,8 +100,8 @@
 /// Serves job operations from this process's replica.
 #[derive(Clone)]
 pub struct JobService {
-    replica: Arc<Replica>,
-    gate: Option<Arc<AdmissionGate>>,
+    pub(crate) replica: Arc<Replica>,
+    pub(crate) gate: Option<Arc<AdmissionGate>>,
 }
 
 impl JobService {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod evacuation_view;
 pub mod failure_detector;
 pub mod group_commit_log;
+pub mod job_previewer;
 pub mod job_service;
 mod lease_grants;
 mod lease_obstacle;
