Answer previews of jobs at the product's entries

Cause: explain of the product's entries told of submitted jobs only.

Change: POST /v1/jobs/explain takes the body of POST /v1/jobs under the same permissions, without a key. A round of the settings' policy is planned without the job and one with it on a copy of the ledger's state. Refusals for full queues and impossible shapes are outcomes of the preview. The wait follows the expected ends of placed work, for which the policies offer the search that they use for large jobs.

--- a/crates/entry/src/api_explain.rs
+++ b/crates/entry/src/api_explain.rs
@@ -1,15 +1,20 @@
 //! `GET /v1/jobs/{team}/{key}/explain`: why a job waits, or where it is placed, and its past
-//! attempts.
+//! attempts. `POST /v1/jobs/explain`: the same of a job that has not been submitted.
+
+use std::time::Instant;
 
 use axum::Json;
+use axum::body::Bytes;
 use axum::extract::Path;
 use axum::extract::State;
+use axum::http::StatusCode;
 use cuminbarrow_ledger::job_state::JobState;
 use cuminbarrow_ledger::state::State as LedgerState;
 use cuminbarrow_ledger::worker_state::WorkerState;
 use cuminbarrow_ledger::worker_state::WorkerStatus;
 use cuminbarrow_model::keys::JobKey;
 use cuminbarrow_model::keys::WorkerKey;
+use cuminbarrow_model::placement_preview::PlacementPreview;
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_policy::placement_policy::WaitReason;
 use cuminbarrow_telemetry::wall_clock::wall_ms;
@@ -19,12 +24,16 @@
 
 use crate::access::CallerIdentity;
 use crate::api_error::ApiError;
+use crate::api_jobs::check_spec;
 use crate::api_jobs::find_job;
+use crate::api_jobs::parse_body;
 use crate::api_types::CandidateView;
 use crate::api_types::ExplainView;
 use crate::api_types::JobView;
 use crate::api_types::PastAttemptView;
+use crate::api_types::SubmitBody;
 use crate::entry_core::SharedCore;
+use crate::job_preview::preview_job;
 use crate::planner_loop::create_policy;
 
 /// Maximum number of workers listed as candidates.
@@ -65,9 +74,47 @@
     }))
 }
 
+/// Previews a job with the body and the permissions of its submission. Nothing is written.
+pub(crate) async fn explain_unsent(
+    State(core): State<SharedCore>,
+    identity: CallerIdentity,
+    body: Bytes,
+) -> Result<Json<PlacementPreview>, ApiError> {
+    let body: SubmitBody = parse_body(&body)?;
+    if !identity.may_act_for(&body.team) {
+        return Err(ApiError::forbidden());
+    }
+    check_spec(&body.job)?;
+    let Some(permit) = core.preview_gate.enter(Instant::now()) else {
+        let detail = "previews are made one at a time, and at most one a second";
+        return Err(ApiError::not_run(StatusCode::TOO_MANY_REQUESTS, "preview_limited", detail));
+    };
+    // The permit is held until the preview ends, also if its caller has gone.
+    let preview = tokio::task::spawn_blocking(move || {
+        let state = core.tail.state().clone();
+        let now_ms = wall_ms();
+        // The planner writes at least every few seconds, so the newest record tells the state's age.
+        let state_age_ms = (state.offset > 0).then(|| now_ms.saturating_sub(state.clock_ms));
+        let preview = preview_job(state, || create_policy(&core.settings), &body, now_ms);
+        drop(permit);
+        let instance = core.instance.to_smolstr();
+        preview.map(|preview| PlacementPreview { instance, state_age_ms, ..preview })
+    });
+    let preview = preview.await.map_err(|error| {
+        log::error!("a preview failed: {error}");
+        let detail = "the preview failed";
+        ApiError::not_run(StatusCode::INTERNAL_SERVER_ERROR, "preview_failed", detail)
+    })?;
+    Ok(Json(preview?))
+}
+
 /// Describes why the job waits. If capacity is kept free for a larger job that has waited too long,
 /// the text names that job.
-fn wait_text(state: &LedgerState, reason: WaitReason, starving_job: Option<JobKey>) -> String {
+pub(crate) fn wait_text(
+    state: &LedgerState,
+    reason: WaitReason,
+    starving_job: Option<JobKey>,
+) -> String {
     let larger = starving_job.and_then(|key| state.jobs.get(&key));
     match (reason, larger) {
         (WaitReason::BehindLargeJob, Some(larger)) => {
@@ -98,7 +145,8 @@
 fn candidates(state: &LedgerState, job: &JobState) -> Vec<CandidateView> {
     let views = state.workers().map(|(key, worker)| CandidateView {
         worker: worker.spec.name.clone(),
-        reason: placement_obstacle(state, job, key, worker),
+        reason: worker_obstacle(state, job, key, worker)
+            .unwrap_or(SmolStr::new_static("has room for a member")),
     });
     let mut views: Vec<CandidateView> = views.collect();
     views.sort_by(|left, right| left.worker.cmp(&right.worker));
@@ -121,36 +169,36 @@
     SmolStr::new(parts.join(", "))
 }
 
-/// Describes why the worker can't run one member of the job now, or that it can.
-fn placement_obstacle(
+/// Describes why the worker can't run one member of the job now; `None` if it can.
+pub(crate) fn worker_obstacle(
     state: &LedgerState,
     job: &JobState,
     key: WorkerKey,
     worker: &WorkerState,
-) -> SmolStr {
+) -> Option<SmolStr> {
     match worker.status {
-        WorkerStatus::Draining => return SmolStr::new_static("it is draining"),
-        WorkerStatus::Left => return SmolStr::new_static("it has left"),
-        WorkerStatus::Lost => return SmolStr::new_static("it is lost"),
+        WorkerStatus::Draining => return Some(SmolStr::new_static("it is draining")),
+        WorkerStatus::Left => return Some(SmolStr::new_static("it has left")),
+        WorkerStatus::Lost => return Some(SmolStr::new_static("it is lost")),
         WorkerStatus::Up => {}
     }
     if worker.quarantined_ms.is_some() {
-        return SmolStr::new_static("it is in quarantine");
+        return Some(SmolStr::new_static("it is in quarantine"));
     }
     if job.failed_workers.contains(&key) {
-        return SmolStr::new_static("the job failed there");
+        return Some(SmolStr::new_static("the job failed there"));
     }
     let per_member = &job.spec.shape.per_member;
     let free = worker.free_resources();
     if !free.amounts.covers(per_member) {
-        return shortage(&free.amounts, per_member);
+        return Some(shortage(&free.amounts, per_member));
     }
     if free.accelerators.contiguous_block(per_member.accelerators).is_none() {
         let count = free.accelerators.count();
-        return format_smolstr!(
+        return Some(format_smolstr!(
             "{count} accelerators free, not {} adjacent",
             per_member.accelerators
-        );
+        ));
     }
     let is_non_preemptible = !job.is_preemptible();
     let non_preemptible_free = worker.free_for_non_preemptible(job.team);
@@ -160,7 +208,7 @@
         let owners = worker.commitments.iter().filter(|commitment| commitment.team != job.team);
         let owners: Vec<SmolStr> =
             owners.map(|commitment| state.team_name(commitment.team)).collect();
-        return format_smolstr!("its room is promised to {}", owners.join(", "));
+        return Some(format_smolstr!("its room is promised to {}", owners.join(", ")));
     }
-    SmolStr::new_static("has room for a member")
+    None
 }
--- a/crates/entry/src/api_jobs.rs
+++ b/crates/entry/src/api_jobs.rs
@@ -93,7 +93,7 @@
     Ok(SmolStr::new(key))
 }
 
-fn check_spec(spec: &JobSpec) -> Result<(), ApiError> {
+pub(crate) fn check_spec(spec: &JobSpec) -> Result<(), ApiError> {
     let refuse = |detail: &str| Err(ApiError::not_run(StatusCode::BAD_REQUEST, "bad_job", detail));
     if spec.payload.len() > MAX_PAYLOAD_BYTES {
         return refuse("payload must have at most 1024 bytes");
--- a/crates/entry/src/entry_core.rs
+++ b/crates/entry/src/entry_core.rs
@@ -21,6 +21,7 @@
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::message::EntryMessage;
 use cuminbarrow_protocol::message::LogProgress;
+use cuminbarrow_requests::preview_gate::PreviewGate;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -52,6 +53,8 @@
     pub(crate) sessions: SessionTable,
     pub(crate) tokens: TokenTable,
     pub(crate) limiter: TeamRateLimiter,
+    /// Limits previews of jobs.
+    pub(crate) preview_gate: Arc<PreviewGate>,
     pub(crate) metrics: EntryMetrics,
     /// Wakes the planner loop after each applied batch.
     pub(crate) batch_notify: Notify,
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -174,6 +174,7 @@
     let writer = LogWriter::spawn(store, instance, wall_ms);
     Ok(Arc::new(EntryCore {
         limiter: TeamRateLimiter::new(settings.team_submissions_per_s),
+        preview_gate: Arc::default(),
         dialer: LinkDialer::new(settings.shared_key.clone(), counter),
         settings,
         instance,
@@ -252,6 +253,7 @@
     let permits = Arc::new(Semaphore::new(core.settings.max_requests));
     Router::new()
         .route("/v1/jobs", get(api_jobs::list).post(api_jobs::submit))
+        .route("/v1/jobs/explain", post(api_explain::explain_unsent))
         .route("/v1/jobs/{team}/{key}", get(api_jobs::show))
         .route("/v1/jobs/{team}/{key}/answer", get(api_jobs::answer))
         .route("/v1/jobs/{team}/{key}/cancel", post(api_jobs::cancel))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod entry_daemon;
 mod entry_metrics;
 pub mod entry_settings;
+mod job_preview;
 mod job_waiters;
 mod liveness_monitor;
 pub mod offset_gate;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod guaranteed;
 pub mod placement_policy;
 mod plan_round;
-mod planned_start;
+pub mod planned_start;
 pub mod policy_weights;
 mod queue_order;
 mod victim_selection;
--- a/crates/policy/src/planned_start.rs
+++ b/crates/policy/src/planned_start.rs
@@ -72,6 +72,12 @@
         .map(|(key, _)| key)
 }
 
+/// When a waiting job fits if placed work ends as expected and no other work begins, in ms since the Unix
+/// epoch; `None` if it does not fit then either.
+pub fn expected_start_ms(state: &State, job: JobKey, now_ms: u64) -> Option<u64> {
+    compute(state, job, now_ms).map(|planned_start| planned_start.start_ms)
+}
+
 /// Finds the earliest time, among the likely ends of placed work, at which the job fits. A
 /// binary search is valid because free capacity only grows as placed work ends.
 fn compute(state: &State, key: JobKey, now_ms: u64) -> Option<PlannedStart> {
