Explain jobs that have not been submitted with the client

Cause: previews could be requested by hand only.

The token is not sent to a metrics address. Errors of these entries are shown with their reason.

--- a/crates/cuminbarrow/src/api_client.rs
+++ b/crates/cuminbarrow/src/api_client.rs
@@ -17,6 +17,7 @@
 use cuminbarrow_resources::http_client::CallResponse;
 use cuminbarrow_resources::http_client::HttpClient;
 use http::Method;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -34,15 +35,21 @@
 /// showed, so no response shows an older state.
 pub struct ApiClient {
     entry_clients: Vec<HttpClient>,
-    token: String,
+    /// Absent for addresses that take none.
+    token: Option<String>,
     seen_offset: AtomicU64,
 }
 
 impl ApiClient {
     /// Creates a client of entries at URLs such as `http://127.0.0.1:7500`, tried in this order.
     pub fn new(entries: &[String], token: impl Into<String>) -> Self {
+        Self { token: Some(token.into()), ..Self::without_token(entries) }
+    }
+
+    /// Creates a client of addresses that take no token.
+    pub fn without_token(entries: &[String]) -> Self {
         let entry_clients = entries.iter().map(HttpClient::new).collect();
-        Self { entry_clients, token: token.into(), seen_offset: AtomicU64::new(0) }
+        Self { entry_clients, token: None, seen_offset: AtomicU64::new(0) }
     }
 
     /// Gets a resource as JSON.
@@ -77,6 +84,17 @@
         decode_json(&self.call(method, path, Some(encode_json(body)?), &[], REQUEST_TIMEOUT).await?)
     }
 
+    /// Posts a body as it is and decodes the JSON response.
+    ///
+    /// # Errors
+    /// [`ClientError`] if no entry accepts the request.
+    pub async fn post_bytes<T>(&self, path: &str, body: Vec<u8>) -> Result<T, ClientError>
+    where
+        T: DeserializeOwned,
+    {
+        decode_json(&self.call(Method::POST, path, Some(body), &[], REQUEST_TIMEOUT).await?)
+    }
+
     /// Posts an action without a request body; the response body is ignored.
     ///
     /// # Errors
@@ -177,9 +195,11 @@
         body: Option<Vec<u8>>,
         headers: &[(&'static str, String)],
     ) -> CallRequest {
-        let mut request =
-            CallRequest::get(path).with_header("authorization", format!("Bearer {}", self.token));
+        let mut request = CallRequest::get(path);
         request.method = method.clone();
+        if let Some(token) = &self.token {
+            request = request.with_header("authorization", format!("Bearer {token}"));
+        }
         let seen = self.seen_offset.load(Ordering::Relaxed);
         if seen > 0 {
             request = request.with_header(MIN_OFFSET_HEADER, seen.to_string());
@@ -231,8 +251,18 @@
     }
 }
 
+/// Error body of entries on the users' platform.
+#[derive(Deserialize)]
+struct PlatformError {
+    error: String,
+}
+
 /// The error described by an unsuccessful response.
 fn response_error(response: &CallResponse) -> ClientError {
+    if let Ok(PlatformError { error }) = serde_json::from_slice(&response.body) {
+        let error = ApiError::not_run(response.status, "refused", error);
+        return ClientError::Refused { error };
+    }
     match serde_json::from_slice::<ApiError>(&response.body) {
         Err(_) => ClientError::Malformed {
             reason: format!(
--- a/crates/cuminbarrow/src/command.rs
+++ b/crates/cuminbarrow/src/command.rs
@@ -49,7 +49,7 @@
     /// Show the whole path on an embedded platform, and exit
     #[bpaf(command)]
     Demo,
-    /// Tell why a job waits, or runs where it does
+    /// Tell why a job waits, or runs where it does, or where it would run
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Submit, list, show, wait for and cancel jobs
--- a/crates/cuminbarrow/src/command_explain.rs
+++ b/crates/cuminbarrow/src/command_explain.rs
@@ -1,4 +1,4 @@
-//! `cuminbarrow explain`: shows why a job waits, or why it runs where it does.
+//! `cuminbarrow explain`: shows why a job waits, or why it runs where it does, or where one would run.
 
 use bpaf::Bpaf;
 use cuminbarrow_entry::api_types::ExplainView;
@@ -11,21 +11,32 @@
 use crate::client_output::print_json;
 use crate::client_output::table;
 use crate::command_audit::time_text;
+use crate::command_preview::UnsentOptions;
+use crate::command_preview::unsent_options;
 
 /// Which job to explain.
 #[derive(Clone, Debug, Bpaf)]
-pub struct ExplainOptions {
-    /// Team that owns it
-    #[bpaf(argument("TEAM"))]
-    team: SmolStr,
-    /// Its idempotency key
-    #[bpaf(positional("JOB"))]
-    key: SmolStr,
+pub enum ExplainOptions {
+    /// One that has not been submitted
+    Unsent(#[bpaf(external(unsent_options))] UnsentOptions),
+    /// One that the entries know
+    Known {
+        /// Team that owns it
+        #[bpaf(argument("TEAM"))]
+        team: SmolStr,
+        /// Its idempotency key
+        #[bpaf(positional("JOB"))]
+        key: SmolStr,
+    },
 }
 
 impl ExplainOptions {
     pub(crate) async fn run(self, options: &ClientOptions) -> Result<(), ClientError> {
-        let path = format!("{}/explain", job_path(&self.team, &self.key));
+        let (team, key) = match self {
+            Self::Unsent(unsent) => return unsent.run(options).await,
+            Self::Known { team, key } => (team, key),
+        };
+        let path = format!("{}/explain", job_path(&team, &key));
         let view: ExplainView = options.client()?.get(&path).await?;
         if options.json {
             return print_json(&view);
--- a/crates/cuminbarrow/src/lib.rs
+++ b/crates/cuminbarrow/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command_demo;
 pub mod command_explain;
 pub mod command_job;
+pub mod command_preview;
 pub mod command_report;
 pub mod command_sheet;
 pub mod command_status;
--- a/crates/cuminbarrow/tests/integration/main.rs
+++ b/crates/cuminbarrow/tests/integration/main.rs
@@ -16,4 +16,5 @@
 mod settings_files;
 mod sheet_propagation;
 mod takeover;
+mod unsent_jobs;
 mod worker_drain;
