Copy the ledger's state a second time only where a preview needs it

Cause: a preview at the product's entries copied the state twice, also when the round places no other job.

Change: the second copy is made only for placements of other jobs. The test also checks what is stopped for a job of a team with a guarantee.

--- a/crates/cuminbarrow/tests/integration/unsent_jobs.rs
+++ b/crates/cuminbarrow/tests/integration/unsent_jobs.rs
@@ -14,13 +14,17 @@
 use cuminbarrow_entry::api_types::PhaseName;
 use cuminbarrow_entry::api_types::StatusView;
 use cuminbarrow_entry::api_types::SubmitBody;
+use cuminbarrow_model::team::Guarantee;
+use cuminbarrow_model::team::TeamSpec;
 use expect_test::expect;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::cluster_builder::Cluster;
 use crate::cluster_builder::ClusterBuilder;
 use crate::cluster_builder::eventually;
 use crate::cluster_builder::job_body;
+use crate::cluster_builder::plain_sheet;
 
 /// Path of a new file.
 fn unsent_file(name: &str, content: &[u8]) -> PathBuf {
@@ -42,8 +46,8 @@
     .await
 }
 
-/// Fails if the product's entry previews another outcome than that of the submission, submits the job, or
-/// serves a team without its permission.
+/// Fails if the product's entry previews another outcome than that of the submission, submits the job,
+/// hides what is stopped for it, or serves a team without its permission.
 #[tokio::test(flavor = "multi_thread")]
 async fn product_entry_previews_a_job_without_submitting_it() {
     let cluster = ClusterBuilder::new().agents(3).start().await;
@@ -63,11 +67,18 @@
     assert!(waits["expected_wait_ms"].is_u64() && waits["state_age_ms"].is_u64(), "{waits}");
     let status: StatusView = cluster.operator().get("/v1/status").await.unwrap();
     assert_eq!((status.pending, status.placed), (0, 1), "only the submitted job");
-    let mut foreign = job_body(1, 1, "x");
+    let (mut foreign, mut sheet) = (job_body(3, 8, "x"), plain_sheet(1, 100));
     foreign.team = "other".into();
     let body = serde_json::to_vec(&foreign).unwrap();
     let refused = caller.post_bytes::<Value>("/v1/jobs/explain", body).await.unwrap_err();
     assert!(refused.to_string().contains("forbidden"), "{refused}");
+    let guarantee = Guarantee { name: "all".into(), shape: foreign.job.shape, count: 1 };
+    let other = TeamSpec { name: "other".into(), guarantees: vec![guarantee], max_pending: 1 };
+    sheet.sheet.teams.push(other);
+    cluster.operator().apply_sheet(&sheet).await.unwrap();
+    let reclaims = preview(&cluster, "reclaims", &foreign).await;
+    let stopped = json!([{ "job": "1", "tasks": 3 }]);
+    assert_eq!(reclaims["preemptions"], stopped, "{reclaims}");
 }
 
 /// Fails if the client changes the file, drops the queue or team, sends its token to a metrics address, or
--- a/crates/entry/src/job_preview.rs
+++ b/crates/entry/src/job_preview.rs
@@ -232,8 +232,10 @@
                 if too_small && is_ready { TOO_SMALL.into() } else { rule }
             });
             let is_taken = || {
-                let later = after.worker(key);
-                later.is_some_and(|later| worker_obstacle(&after, self.known, key, later).is_some())
+                let later = after.as_ref().and_then(|after| Some((after, after.worker(key)?)));
+                later.is_some_and(|(after, later)| {
+                    worker_obstacle(after, self.known, key, later).is_some()
+                })
             };
             let rule = rule.or_else(|| {
                 (is_kept || is_taken()).then_some("its room is reserved for other jobs".into())
@@ -245,15 +247,20 @@
         by_rule.into_iter().map(exclusion_of).collect()
     }
 
-    fn state_after_others(&self) -> LedgerState {
-        let mut after = self.state.clone();
+    /// The state after the round's placements of other jobs; `None` if there are none.
+    fn state_after_others(&self) -> Option<LedgerState> {
         let others = self.plan.decisions.iter().filter(
             |decision| matches!(decision, Decision::Place { attempt, .. } if attempt.job != self.job),
         );
-        let epoch = after.planner.epoch;
-        let records = others.map(|decision| decision.clone().into_record(epoch)).collect();
+        let epoch = self.state.planner.epoch;
+        let records: Vec<Record> =
+            others.map(|decision| decision.clone().into_record(epoch)).collect();
+        if records.is_empty() {
+            return None;
+        }
+        let mut after = self.state.clone();
         apply(&mut after, 2, self.now_ms, records);
-        after
+        Some(after)
     }
 
     fn expected_wait_ms(&self) -> Option<u64> {
