--- a/crates/cuminbarrow/tests/request_floods/entry_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/entry_floods.rs
@@ -15,6 +15,8 @@
 const CLIENTS: usize = 300;
 /// Largest legal body, in bytes.
 const MAX_BODY_BYTES: usize = 262_144;
+/// Length of a large header field that fits into the smallest read buffer, in bytes.
+const LARGE_FIELD_BYTES: usize = 8_000;
 /// Path of a submission.
 const JOB_PATH: &str = "/q1/00000000000000b1";
 
@@ -92,6 +94,15 @@
     flood_entry("entry, slow readers", 100, &request);
 }
 
+/// Guards against read buffers that grow while a client sends requests and reads no answers: each
+/// read of the HTTP library is twice as large as the one before while reads fill its buffer.
+#[test]
+fn slow_readers_that_send_large_heads() {
+    let field = format!("x: {}", "x".repeat(LARGE_FIELD_BYTES));
+    let request = FloodRequest::pipelined_with_field("/q1/", &field, 400);
+    flood_entry("entry, slow readers with large heads", 100, &request);
+}
+
 /// Guards against read buffers that grow with a header that does not end.
 #[test]
 fn heads_that_do_not_end() {
--- a/crates/cuminbarrow/tests/request_floods/flood.rs
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -50,7 +50,12 @@
 
     /// `count` requests without a body, one after another.
     pub(crate) fn pipelined(path: &str, count: usize) -> Self {
-        let request = head("GET", path, "accept: */*");
+        Self::pipelined_with_field(path, "accept: */*", count)
+    }
+
+    /// The same with another header field.
+    pub(crate) fn pipelined_with_field(path: &str, field: &str, count: usize) -> Self {
+        let request = head("GET", path, field);
         Self { head: String::new(), body: request.repeat(count).into_bytes() }
     }
 }
