Move the serving loop and the watched stream to crates/requests

The product's entry is to serve its HTTP API with the limits, the budget and the tables of the users' platform. The loop of platform/src/http_server.rs moves to crates/requests unchanged, but that it ends when the server closes and that a handler may answer before a body is read. GuardedStream and CountedStream differed only in what they note; ObservedStream is common to both. An empty list in three tests of the ledger gets a type, since serde_json makes its comparison ambiguous.

--- a/crates/protocol/src/byte_counter.rs
+++ b/crates/protocol/src/byte_counter.rs
@@ -1,17 +1,13 @@
 //! Byte counts of sockets, which include the transport's framing.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::task::Context;
 use std::task::Poll;
 
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
+use cuminbarrow_requests::observed_stream::ObservedStream;
+use cuminbarrow_requests::observed_stream::StreamObserver;
 
 /// Total bytes received and sent over a set of sockets.
 #[derive(Debug, Default)]
@@ -33,49 +29,28 @@
 }
 
 /// A TCP socket that adds the bytes it transfers to a [`ByteCounter`].
-pub(crate) struct CountedStream {
-    stream: TcpStream,
+pub(crate) type CountedStream = ObservedStream<CountObserver>;
+
+/// Adds transferred bytes to a counter.
+pub(crate) struct CountObserver {
     counter: Arc<ByteCounter>,
 }
 
-impl CountedStream {
-    pub(crate) fn new(stream: TcpStream, counter: Arc<ByteCounter>) -> Self {
-        Self { stream, counter }
+impl CountObserver {
+    pub(crate) fn new(counter: Arc<ByteCounter>) -> Self {
+        Self { counter }
     }
 }
 
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let count = buffer.filled().len() - before;
-        self.counter.received.fetch_add(count as u64, Ordering::Relaxed);
-        result
+impl StreamObserver for CountObserver {
+    fn received(&mut self, bytes: usize) -> io::Result<()> {
+        self.counter.received.fetch_add(bytes as u64, Ordering::Relaxed);
+        Ok(())
     }
-}
 
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        if let Poll::Ready(Ok(count)) = &result {
+    fn written(&mut self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(count)) = result {
             self.counter.sent.fetch_add(*count as u64, Ordering::Relaxed);
         }
-        result
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Semaphore;
 
 use crate::byte_counter::ByteCounter;
+use crate::byte_counter::CountObserver;
 use crate::byte_counter::CountedStream;
 use crate::shared_key::SharedKey;
 
@@ -259,7 +260,7 @@
     ) -> Result<(SendStream<Bytes>, RecvStream), LinkError> {
         let socket = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
         socket.set_nodelay(true).context(ConnectSnafu { address })?;
-        let socket = CountedStream::new(socket, Arc::clone(&self.counter));
+        let socket = CountedStream::new(socket, CountObserver::new(Arc::clone(&self.counter)));
         let (client, connection) = h2::client::handshake(socket).await.context(Http2Snafu)?;
         tokio::spawn(connection);
         let mut client = client.ready().await.context(Http2Snafu)?;
@@ -328,7 +329,7 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {error}");
     }
-    CountedStream::new(socket, Arc::clone(counter))
+    CountedStream::new(socket, CountObserver::new(Arc::clone(counter)))
 }
 
 async fn serve_socket<H>(socket: CountedStream, key: &SharedKey, handle: H) -> Result<(), LinkError>
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod connection_choice;
 pub mod connection_table;
 pub mod guarded_stream;
+pub mod http_server;
+pub mod observed_stream;
 pub mod progress_meter;
 pub mod request_counters;
 pub mod request_guard;
--- a/crates/requests/tests/body_ledger.rs
+++ b/crates/requests/tests/body_ledger.rs
@@ -42,7 +42,7 @@
     let (mut ledger, _) = stalled_flood();
     let small = |ledger: &mut BodyLedger| ledger.open(100, 16_384);
     for _ in 0..16 {
-        assert_eq!(small(&mut ledger).unwrap().1, []);
+        assert_eq!(small(&mut ledger).unwrap().1, Vec::<u64>::new());
     }
     assert_eq!(small(&mut ledger), Err(BudgetExhausted));
     assert_eq!(ledger.held_bytes(), 4 * LARGE);
@@ -70,7 +70,7 @@
     let (mut ledger, ids) = stalled_flood();
     ids.iter().for_each(|id| assert!(ledger.complete(*id)));
     assert_eq!(ledger.open(60_000, LARGE), Err(BudgetExhausted));
-    assert_eq!(ledger.abort_slow(60_000), []);
+    assert_eq!(ledger.abort_slow(60_000), Vec::<u64>::new());
 }
 
 /// Guards against aborting small bodies for a large one, to which they give no room.
@@ -107,7 +107,7 @@
 fn minimum_rate_applies_only_when_the_budget_is_short() {
     let mut ledger = BodyLedger::new(limits());
     let (first, _) = ledger.open(0, LARGE).unwrap();
-    assert_eq!(ledger.abort_slow(2_900), []);
+    assert_eq!(ledger.abort_slow(2_900), Vec::<u64>::new());
     let (slow, _) = ledger.open(2_000, LARGE).unwrap();
     let (small, _) = ledger.open(2_000, 300).unwrap();
     for step in 0..10 {
