Bound the memory and connections of requests at the product's entry and agent

Bodies were buffered whole by axum for up to 2,000 requests, and connections, headers, idle clients and clients that read nothing had no bound. A team's token was enough to send sheets of 32 MB. The entry now serves its router by the loop of crates/requests: a body is reserved before it is read, after the token, and for sheets the operator's role, have been checked. Probes get an address of their own, since on the callers' address a connection is accepted before its request is known.

An answer of more than 4 KB takes from the same budget until the client has read it, and is aborted like a body that makes no progress. Waits for a job are answered early when the listener is full. The product's agent serves its probes in the same way.

The test with 1,000 callers on two entries raises connections to 1,000: with the default of 512 its callers' connections give way to each other, as on the users' platform.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -15,12 +15,15 @@
 use cuminbarrow_protocol::message::AgentMessage;
 use cuminbarrow_protocol::message::EntryMessage;
 use cuminbarrow_protocol::message::GangMessage;
+use cuminbarrow_requests::request_guard::RequestGuard;
 use cuminbarrow_resources::worker_control::TaskEnd;
 use cuminbarrow_resources::worker_control::TaskReport;
 use cuminbarrow_resources::worker_control::WorkerControl;
 use cuminbarrow_telemetry::meter_registry::MeterError;
 use cuminbarrow_telemetry::meter_registry::MeterRegistry;
 use cuminbarrow_telemetry::probe_router::probe_router;
+use cuminbarrow_telemetry::probe_server;
+use cuminbarrow_telemetry::request_metrics;
 use smol_str::SmolStr;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -292,8 +295,11 @@
 async fn serve_probes(settings: &AgentSettings, registry: MeterRegistry) -> Result<(), AgentError> {
     let Some(address) = settings.probe_listen else { return Ok(()) };
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let guard = RequestGuard::new(settings.request_limits());
+    request_metrics::register(&registry, &guard);
+    tokio::spawn(Arc::clone(&guard).run());
     let router = probe_router(registry, Arc::new(|| None));
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    tokio::spawn(probe_server::serve(listener, router, guard));
     Ok(())
 }
 
--- a/crates/agent/src/agent_settings.rs
+++ b/crates/agent/src/agent_settings.rs
@@ -5,9 +5,13 @@
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_model::topology::Location;
 use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_requests::request_limits::AGENT_MEMORY_MB;
+use cuminbarrow_requests::request_limits::RequestLimits;
+use cuminbarrow_requests::request_limits::RequestLimitsError;
 use cuminbarrow_telemetry::log_settings::LogSettings;
 use serde::Deserialize;
 use smol_str::SmolStr;
+use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
 
@@ -16,6 +20,12 @@
 /// Why settings are invalid, although they parse.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum AgentSettingsError {
+    /// The limits of requests don't fit each other or the memory.
+    #[snafu(display("{source}"))]
+    Requests {
+        /// Cause.
+        source: RequestLimitsError,
+    },
     /// The list of entries is empty.
     #[snafu(display("entries: at least one address is needed"))]
     NoEntries,
@@ -55,6 +65,12 @@
     pub advertise: Option<SocketAddr>,
     /// Address to listen on for health probes and metrics.
     pub probe_listen: Option<SocketAddr>,
+    /// Memory that the process may use, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Limits of the probes that are served; the defaults that fit the memory if they are not set.
+    #[serde(default)]
+    pub requests: Option<RequestLimits>,
     /// Entries of this region, in order of preference.
     pub entries: Vec<SocketAddr>,
     /// URL of the platform's worker interface, such as `http://127.0.0.1:7400`.
@@ -90,10 +106,20 @@
         let (timeout_ms, heartbeat_ms) = (self.session_timeout_ms, self.heartbeat_ms);
         let tolerates_missed_heartbeat = heartbeat_ms * 2 <= timeout_ms;
         ensure!(tolerates_missed_heartbeat, TimeoutTooShortSnafu { timeout_ms, heartbeat_ms });
-        Ok(())
+        // Probes have no body.
+        self.request_limits().check(self.memory_mb, 0).context(RequestsSnafu)
+    }
+
+    /// Limits of the probes that are served.
+    pub(crate) fn request_limits(&self) -> RequestLimits {
+        RequestLimits::configured(self.requests.as_ref(), self.memory_mb)
     }
 }
 
+fn default_memory_mb() -> u64 {
+    AGENT_MEMORY_MB
+}
+
 fn default_heartbeat_ms() -> u64 {
     5_000
 }
--- a/crates/cuminbarrow/tests/integration/cluster_builder.rs
+++ b/crates/cuminbarrow/tests/integration/cluster_builder.rs
@@ -25,6 +25,7 @@
 use cuminbarrow_model::shape::Span;
 use cuminbarrow_model::sheet::Sheet;
 use cuminbarrow_model::team::TeamSpec;
+use cuminbarrow_requests::request_limits::RequestLimits;
 use cuminbarrow_resources::http_client::CallRequest;
 use cuminbarrow_resources::http_client::HttpClient;
 use cuminbarrow_standin::fault_proxy::FaultProxy;
@@ -120,6 +121,7 @@
     remote_entries: usize,
     has_region_reader: bool,
     session_timeout_ms: u64,
+    connections: usize,
 }
 
 impl ClusterBuilder {
@@ -130,9 +132,16 @@
             remote_entries: 0,
             has_region_reader: true,
             session_timeout_ms: 2_000,
+            connections: RequestLimits::default().connections,
         }
     }
 
+    /// Sets the limit of each entry's connections.
+    pub(crate) fn connections(mut self, connections: usize) -> Self {
+        self.connections = connections;
+        self
+    }
+
     /// Sets the entries' session timeout, in ms.
     pub(crate) fn session_timeout_ms(mut self, session_timeout_ms: u64) -> Self {
         self.session_timeout_ms = session_timeout_ms;
@@ -182,6 +191,7 @@
             region_link,
             has_region_reader: self.has_region_reader,
             session_timeout_ms: self.session_timeout_ms,
+            connections: self.connections,
             _platform_process: platform_process,
             entries: Vec::new(),
             entry_addresses: Vec::new(),
@@ -213,6 +223,7 @@
     pub(crate) region_link: FaultProxy,
     has_region_reader: bool,
     session_timeout_ms: u64,
+    connections: usize,
     _platform_process: Process,
     pub(crate) entries: Vec<Process>,
     entry_addresses: Vec<SocketAddr>,
@@ -261,10 +272,12 @@
             "region: {region}\nlisten: {listen}\nlink_listen: {link}\n\
              platform: http://{platform}\nlog_region: {log_region}\nshared_key: test\nsession_timeout_ms: {session_timeout_ms}\n\
              planner_timeout_ms: 1500\nteam_submissions_per_s: 100000\nlog: {{level: error}}\n\
-             peers: [{}]\nlog_timeout_ms: 1000\ntokens:\n\
+             peers: [{}]\nlog_timeout_ms: 1000\nmemory_mb: 512\n\
+             requests: {{connections: {}}}\ntokens:\n\
              - {{name: operator, token_sha256: \"{operator}\", role: operator}}\n\
              - {{name: caller, token_sha256: \"{team}\", role: team, team: {TEAM}}}\n",
-            peers.join(", ")
+            peers.join(", "),
+            self.connections
         );
         let file = self.folder.join(format!("entry-{}.yaml", self.entries.len()));
         std::fs::write(&file, settings).expect("the temporary folder can be written");
--- a/crates/cuminbarrow/tests/integration/many_callers.rs
+++ b/crates/cuminbarrow/tests/integration/many_callers.rs
@@ -16,7 +16,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_caller_gets_its_own_answer() {
-    let cluster = ClusterBuilder::new().start().await;
+    let cluster = ClusterBuilder::new().connections(CALLERS).start().await;
     let clients: Vec<_> = (0..2).map(|entry| Arc::new(cluster.client_of(entry, TEAM))).collect();
     let mut calls = Vec::new();
     for index in 0..CALLERS {
--- a/crates/cuminbarrow/tests/request_floods/flood.rs
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -24,7 +24,7 @@
 impl FloodRequest {
     /// A body of `length` bytes, of which the last `missing` are not sent.
     pub(crate) fn with_length(method: &str, path: &str, length: usize, missing: usize) -> Self {
-        let head = head(method, path, &format!("content-length: {length}"));
+        let head = request_head(method, path, &format!("content-length: {length}"));
         Self { head, body: vec![b' '; length - missing] }
     }
 
@@ -33,7 +33,7 @@
         let mut piece = format!("{chunk:x}\r\n").into_bytes();
         piece.extend(vec![b' '; chunk]);
         piece.extend(b"\r\n");
-        let head = head(method, path, "transfer-encoding: chunked");
+        let head = request_head(method, path, "transfer-encoding: chunked");
         Self { head, body: piece.repeat(count) }
     }
 
@@ -55,13 +55,28 @@
 
     /// The same with another header field.
     pub(crate) fn pipelined_with_field(path: &str, field: &str, count: usize) -> Self {
-        let request = head("GET", path, field);
+        let request = request_head("GET", path, field);
         Self { head: String::new(), body: request.repeat(count).into_bytes() }
     }
+
+    /// The same with the operator's token of the product.
+    pub(crate) fn of_operator(self) -> Self {
+        let replace = |text: &str| text.replace("Bearer caller", "Bearer operator");
+        // Bodies that are no heads are left as they are.
+        let body = match String::from_utf8(self.body) {
+            Ok(text) => replace(&text).into_bytes(),
+            Err(error) => error.into_bytes(),
+        };
+        Self { head: replace(&self.head), body }
+    }
 }
 
-fn head(method: &str, path: &str, field: &str) -> String {
-    format!("{method} {path} HTTP/1.1\r\nhost: queues.example\r\nkey: key-1\r\n{field}\r\n\r\n")
+/// Head of a request of a team's caller, on the users' platform and at the product.
+pub(crate) fn request_head(method: &str, path: &str, field: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: queues.example\r\nkey: key-1\r\n\
+         authorization: Bearer caller\r\nidempotency-key: flood\r\n{field}\r\n\r\n"
+    )
 }
 
 /// Clients that keep their connections open until they are dropped.
--- a/crates/cuminbarrow/tests/request_floods/main.rs
+++ b/crates/cuminbarrow/tests/request_floods/main.rs
@@ -10,6 +10,8 @@
 mod consumer_group;
 mod entry_floods;
 mod flood;
+mod product_floods;
+mod product_process;
 mod served_process;
 #[allow(dead_code, reason = "shared with the adapter's tests, which use the rest of it")]
 #[path = "../../../../platform/tests/adapter/store_standin.rs"]
--- a/crates/cuminbarrow/tests/request_floods/served_process.rs
+++ b/crates/cuminbarrow/tests/request_floods/served_process.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -19,11 +20,14 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::flood::request_head;
+use crate::product_process;
+use crate::product_process::ProductBackend;
 use crate::store_standin::StoreStandin;
 use crate::wire_fixtures::configuration;
 use crate::wire_fixtures::job;
 
-/// Lowered limit of the bodies that an entry holds, in bytes.
+/// Lowered limit of the bodies that an entry of the users' platform or of the product holds, in bytes.
 const ENTRY_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// Lowered limit of the bodies that an agent holds, in bytes. A single one may have 4 MiB.
 const AGENT_BODY_BYTES: u64 = 6 * 1024 * 1024;
@@ -35,6 +39,8 @@
 const OTHER_BYTES: u64 = 10 * 1024 * 1024;
 /// Descriptors that a process uses beside its callers' connections.
 const OTHER_DESCRIPTORS: usize = 64;
+/// Key of links between processes.
+pub(crate) const SHARED_KEY: &str = "key";
 /// Limit of the waits for a process to serve.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for the process to read what a flood has sent, so that the peak is measured after it.
@@ -42,38 +48,53 @@
 /// Omits the limits from the settings, to show the fault on a release that does not know them.
 const OMIT_LIMITS: &str = "CUMINBARROW_FLOOD_OMIT_LIMITS";
 
-/// Role of a process under test.
+/// Role of a process under test, on the users' platform or of the product.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Role {
     Entry,
     Agent,
+    ProductEntry,
+    ProductAgent,
+}
+
+/// Services that a process under test calls.
+pub(crate) enum Backend {
+    Store { _store: StoreStandin },
+    Product { _backend: ProductBackend },
 }
 
 impl Role {
     fn body_bytes(self) -> u64 {
         match self {
-            Self::Entry => ENTRY_BODY_BYTES,
             Self::Agent => AGENT_BODY_BYTES,
+            Self::Entry | Self::ProductAgent | Self::ProductEntry => ENTRY_BODY_BYTES,
         }
     }
 
-    /// Growth of the resident memory that the limits allow, in bytes: bodies count twice, once as
-    /// received and once for what is derived from them.
+    fn is_product(self) -> bool {
+        matches!(self, Self::ProductAgent | Self::ProductEntry)
+    }
+
+    /// Growth of the resident memory that the limits allow, in bytes. Bodies count twice: as received,
+    /// and for what is derived from them. At the product's entry they count a third time, as in the check of
+    /// the limits, since answers take from the same budget.
     fn max_growth_bytes(self) -> u64 {
-        2 * self.body_bytes() + CONNECTIONS * CONNECTION_BYTES + OTHER_BYTES
+        let copies = if self.is_product() { 3 } else { 2 };
+        copies * self.body_bytes() + CONNECTIONS * CONNECTION_BYTES + OTHER_BYTES
     }
 }
 
 /// A running process with the store that it uses.
 pub(crate) struct ServedProcess {
-    /// Address under test: of callers for an entry, of reports for an agent.
+    /// Address under test: of callers for an entry, of reports for an agent, of probes for the
+    /// product's agent.
     pub(crate) address: SocketAddr,
     pub(crate) metrics: SocketAddr,
     child: Child,
     role: Role,
     settings: PathBuf,
     resident_before: u64,
-    _store: StoreStandin,
+    _backend: Backend,
     _serial: MutexGuard<'static, ()>,
 }
 
@@ -83,34 +104,12 @@
     pub(crate) fn start(role: Role) -> Self {
         static SERIAL: Mutex<()> = Mutex::new(());
         let serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
-        let store = StoreStandin::start();
-        store.configure(&configuration(1));
-        let address = free_address();
-        let metrics = free_address();
-        let mut settings = json!({
-            "instance": "instance-1", "region": "region", "data_centre": "dc",
-            "listen_metrics": metrics, "store": { "address": store.add_endpoint().address },
-            "shared_key": "key", "max_lease_ms": 2_500,
-        });
-        let (program, own) = match role {
-            Role::Entry => {
-                let link = free_address();
-                (
-                    env!("CARGO_BIN_EXE_cuminbarrow-platform-entry"),
-                    json!({
-                        "listen_callers": address, "listen_ready": free_address(), "ip": link.ip(),
-                        "link_ports": [link.port()], "grace_ms": 1_000,
-                    }),
-                )
-            }
-            Role::Agent => (
-                env!("CARGO_BIN_EXE_cuminbarrow-platform-agent"),
-                json!({
-                    "listen_reports": address, "worker": free_address(),
-                }),
-            ),
+        let (address, metrics, links) = (free_address(), free_address(), free_address());
+        let (backend, program, mut settings) = if role.is_product() {
+            product_process::start_backend(role, address, links)
+        } else {
+            platform_settings(role, address, metrics, links)
         };
-        extend(&mut settings, &own);
         if std::env::var_os(OMIT_LIMITS).is_none() {
             extend(
                 &mut settings,
@@ -122,17 +121,12 @@
                     },
                 }),
             );
+            if role == Role::ProductEntry {
+                extend(&mut settings, &json!({ "probe_listen": metrics }));
+            }
         }
-        let path = std::env::temp_dir().join(format!("cuminbarrow-flood-{}", address.ip()));
-        // JSON is a subset of YAML.
-        std::fs::write(&path, settings.to_string()).unwrap();
-        let child = Command::new(program)
-            .arg("--config")
-            .arg(&path)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        let path = write_settings(&settings);
+        let child = spawn_process(program, &path);
         let mut process = Self {
             address,
             metrics,
@@ -140,9 +134,12 @@
             role,
             settings: path,
             resident_before: 0,
-            _store: store,
+            _backend: backend,
             _serial: serial,
         };
+        if role == Role::ProductEntry {
+            product_process::apply_sheet(&process, 0, 0);
+        }
         process.assert_serves();
         process.resident_before = process.status_bytes("VmRSS:");
         process
@@ -181,8 +178,10 @@
             let status = match self.role {
                 Role::Entry => self.submit_small_job(),
                 Role::Agent => self.call("DELETE", "/cuminbarrow/instances/w1", b""),
+                Role::ProductEntry => product_process::submit(self, "ordinary"),
+                Role::ProductAgent => self.call("GET", "/ready", b""),
             };
-            if status == Some(200) {
+            if matches!(status, Some(200 | 201)) {
                 return;
             }
             assert!(started.elapsed() < SERVE_TIMEOUT, "no ordinary answer, last {status:?}");
@@ -197,13 +196,13 @@
 
     /// Sends a whole request and returns the status of its answer, if there is one.
     pub(crate) fn call(&self, method: &str, path: &str, body: &[u8]) -> Option<u16> {
+        self.send(&request_head(method, path, &format!("content-length: {}", body.len())), body)
+    }
+
+    /// Like [`ServedProcess::call`], with a head that the caller writes.
+    pub(crate) fn send(&self, head: &str, body: &[u8]) -> Option<u16> {
         let mut stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(3)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: queues.example\r\nkey: key-1\r\n\
-             content-length: {}\r\n\r\n",
-            body.len()
-        );
         stream.write_all(&[head.as_bytes(), body].concat()).ok()?;
         read_status(&mut stream)
     }
@@ -233,6 +232,38 @@
     }
 }
 
+/// Program and settings of a process on the users' platform, and the store that it uses.
+fn platform_settings(
+    role: Role,
+    address: SocketAddr,
+    metrics: SocketAddr,
+    links: SocketAddr,
+) -> (Backend, &'static str, Value) {
+    let store = StoreStandin::start();
+    store.configure(&configuration(1));
+    let mut settings = json!({
+        "instance": "instance-1", "region": "region", "data_centre": "dc",
+        "listen_metrics": metrics, "store": { "address": store.add_endpoint().address },
+        "shared_key": SHARED_KEY, "max_lease_ms": 2_500,
+    });
+    let (program, own) = if role == Role::Entry {
+        (
+            env!("CARGO_BIN_EXE_cuminbarrow-platform-entry"),
+            json!({
+                "listen_callers": address, "listen_ready": free_address(), "ip": links.ip(),
+                "link_ports": [links.port()], "grace_ms": 1_000,
+            }),
+        )
+    } else {
+        (
+            env!("CARGO_BIN_EXE_cuminbarrow-platform-agent"),
+            json!({ "listen_reports": address, "worker": free_address() }),
+        )
+    };
+    extend(&mut settings, &own);
+    (Backend::Store { _store: store }, program, settings)
+}
+
 /// Reads the status of an answer, if there is one.
 pub(crate) fn read_status(stream: &mut TcpStream) -> Option<u16> {
     let mut start = [0; 12];
@@ -245,9 +276,24 @@
     settings.as_object_mut().unwrap().extend(more);
 }
 
+/// Writes a process's settings to a file.
+pub(crate) fn write_settings(settings: &Value) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("cuminbarrow-flood-{}", free_address().ip()));
+    // JSON is a subset of YAML.
+    std::fs::write(&path, settings.to_string()).unwrap();
+    path
+}
+
+/// Starts a program with the settings in a file.
+pub(crate) fn spawn_process(program: &str, settings: &Path) -> Child {
+    let mut command = Command::new(program);
+    command.arg("--config").arg(settings).stdout(Stdio::null()).stderr(Stdio::null());
+    command.spawn().unwrap()
+}
+
 /// An address that nothing else uses: each call returns another loopback IP address. The adapter's tests
 /// use those up to 127.200.
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the HTTP API, all in the same JSON format, modelled on RFC 9457 problem details.
 
-use axum::Json;
+use axum::body::Body;
+use axum::body::Bytes;
 use axum::http::HeaderValue;
 use axum::http::StatusCode;
 use axum::http::header::CONTENT_TYPE;
@@ -9,6 +10,7 @@
 use axum::response::Response;
 use cuminbarrow_ledger::log_writer::WriteError;
 use cuminbarrow_ledger::refusal::Refusal;
+use http_body_util::Full;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -109,12 +111,16 @@
     }
 }
 
-impl IntoResponse for ApiError {
-    fn into_response(self) -> Response {
+impl ApiError {
+    /// Builds the response with this error as its body.
+    pub(crate) fn into_reply(self) -> axum::http::Response<Full<Bytes>> {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_REQUEST);
         let is_retryable =
             matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
-        let mut response = (status, Json(self)).into_response();
+        // The error has only texts and numbers, which always have a JSON form.
+        let body = serde_json::to_vec(&self).unwrap_or_default();
+        let mut response = axum::http::Response::new(Full::new(Bytes::from(body)));
+        *response.status_mut() = status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         if is_retryable {
@@ -123,3 +129,9 @@
         response
     }
 }
+
+impl IntoResponse for ApiError {
+    fn into_response(self) -> Response {
+        self.into_reply().map(Body::new)
+    }
+}
--- a/crates/entry/src/api_jobs.rs
+++ b/crates/entry/src/api_jobs.rs
@@ -1,8 +1,10 @@
 //! HTTP handlers for jobs: submit, list, show, wait, cancel and answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use axum::Extension;
 use axum::Json;
 use axum::body::Bytes;
 use axum::extract::Path;
@@ -17,6 +19,7 @@
 use cuminbarrow_model::job::JobOutcome;
 use cuminbarrow_model::job::JobSpec;
 use cuminbarrow_model::keys::JobKey;
+use cuminbarrow_requests::connection_table::ConnectionTable;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
@@ -186,13 +189,15 @@
     timeout_ms: Option<u64>,
 }
 
-/// Returns the job's view once the job has ended, the timeout has expired or the entry closes. If
+/// Returns the job's view once the job has ended, the timeout has expired, the entry closes or its
+/// listener is full. If
 /// the job in the view has not ended, the caller repeats the request.
 pub(crate) async fn wait(
     State(core): State<SharedCore>,
     identity: CallerIdentity,
     Path((team, idempotency_key)): Path<(SmolStr, SmolStr)>,
     Query(query): Query<WaitQuery>,
+    Extension(table): Extension<Arc<ConnectionTable>>,
 ) -> Result<Json<JobView>, ApiError> {
     let job = find_job(&core, &identity, &team, &idempotency_key)?;
     let mut waiter = core.job_waiters.subscribe(job);
@@ -204,6 +209,7 @@
     tokio::select! {
         () = waiter.ended() => {}
         () = core.closed() => {}
+        () = table.slot_wanted() => {}
         () = tokio::time::sleep(timeout) => {}
     }
     Ok(Json(job_view(&core, job)?))
--- a/crates/entry/src/entry_core.rs
+++ b/crates/entry/src/entry_core.rs
@@ -8,6 +8,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
 use cuminbarrow_ledger::apply::BatchReport;
 use cuminbarrow_ledger::apply::Effect;
 use cuminbarrow_ledger::batch::Batch;
@@ -25,6 +27,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::access::CallerIdentity;
 use crate::access::TeamRateLimiter;
 use crate::access::TokenTable;
 use crate::api_error::ApiError;
@@ -74,6 +77,20 @@
         Ok(applied.result?)
     }
 
+    /// Identifies the caller of a request, once this entry serves callers.
+    ///
+    /// # Errors
+    /// [`ApiError`] if the entry is not ready, or the token is missing or unknown.
+    pub(crate) fn identify(&self, headers: &HeaderMap) -> Result<CallerIdentity, ApiError> {
+        if let Some(reason) = self.unready_reason().filter(|_| !self.is_closing()) {
+            return Err(ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", reason));
+        }
+        self.tokens.identify_bearer(headers).ok_or_else(|| {
+            let detail = "a known token is needed: Authorization: Bearer TOKEN";
+            ApiError::not_run(StatusCode::UNAUTHORIZED, "unauthorized", detail)
+        })
+    }
+
     pub(crate) fn write_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.write_timeout_ms)
     }
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -25,10 +25,15 @@
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::link::LinkKind;
 use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_requests::http_server;
+use cuminbarrow_requests::http_server::ServerPhase;
+use cuminbarrow_requests::request_guard::RequestGuard;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_telemetry::meter_registry::MeterError;
 use cuminbarrow_telemetry::meter_registry::MeterRegistry;
 use cuminbarrow_telemetry::probe_router::probe_router;
+use cuminbarrow_telemetry::probe_server;
+use cuminbarrow_telemetry::request_metrics;
 use cuminbarrow_telemetry::wall_clock::wall_ms;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -47,6 +52,7 @@
 use crate::api_jobs;
 use crate::api_operators;
 use crate::api_report;
+use crate::api_server::ApiServer;
 use crate::api_sheet;
 use crate::entry_core::EntryCore;
 use crate::entry_core::SharedCore;
@@ -62,10 +68,6 @@
 use crate::region_log::RegionLog;
 use crate::session_table::SessionTable;
 
-/// Maximum body size of requests other than sheets, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
-/// Maximum body size of a sheet, in bytes.
-const MAX_SHEET_BYTES: usize = 32 * 1024 * 1024;
 /// Time between reporting not ready to the load balancer and refusing new connections.
 const UNREADY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between checks of this entry's registration, and between requests to peers for their
@@ -89,12 +91,6 @@
         /// Cause.
         source: MeterError,
     },
-    /// The HTTP server failed.
-    #[snafu(display("the server failed: {source}"))]
-    Serve {
-        /// Cause.
-        source: std::io::Error,
-    },
     /// The settings are invalid.
     #[snafu(display("{source}"))]
     Settings {
@@ -128,39 +124,43 @@
     tokio::spawn(accept_links(link_listener, key, counter, link_handler(core.clone())));
     let planner = tokio::spawn(planner_loop::run(core.clone(), store));
 
-    let closing_core = core.clone();
-    let shutdown_started = async move {
-        let _ = shutdown.wait_for(|is_shutdown| *is_shutdown).await;
-        log::info!("shutting down: refusing new connections, draining requests in flight");
-        closing_core.closing.send_replace(true);
-        tokio::time::sleep(UNREADY_DELAY).await;
-    };
-    let router = router(core.clone(), registry);
+    let guard = RequestGuard::new(core.settings.request_limits());
+    request_metrics::register(&registry, &guard);
+    tokio::spawn(Arc::clone(&guard).run());
+    let probe_core = core.clone();
+    let probes = probe_router(registry, Arc::new(move || probe_core.unready_reason()));
+    serve_probes(&core.settings, probes.clone(), &guard).await?;
+    let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
+    let server = Arc::new(ApiServer::new(core.clone(), router(core.clone()).merge(probes)));
+    let table = Arc::clone(&guard.main);
+    tokio::spawn(http_server::serve(listener, server, phase_receiver, guard, Arc::clone(&table)));
+
+    let _ = shutdown.wait_for(|is_shutdown| *is_shutdown).await;
+    log::info!("shutting down: refusing new connections, draining requests in flight");
+    core.closing.send_replace(true);
+    phase.send_replace(ServerPhase::Draining);
+    tokio::time::sleep(UNREADY_DELAY).await;
+    phase.send_replace(ServerPhase::Closing);
     let drain = Duration::from_millis(core.settings.drain_ms);
-    let server = axum::serve(listener, router).with_graceful_shutdown(shutdown_started);
-    serve_until_drained(server.into_future(), &core, drain).await?;
+    if tokio::time::timeout(drain, table.emptied()).await.is_err() {
+        log::warn!("requests were still in flight after {} ms", drain.as_millis());
+    }
     let _ = planner.await;
     let _ = core.write(Record::EntryLeft { instance: core.instance }).await;
     Ok(())
 }
 
-/// Serves until the requests that are in flight at shutdown are answered, or the drain timeout
-/// expires.
-async fn serve_until_drained<S>(
-    server: S,
-    core: &EntryCore,
-    drain: Duration,
-) -> Result<(), EntryError>
-where
-    S: Future<Output = std::io::Result<()>>,
-{
-    tokio::select! {
-        result = server => result.context(ServeSnafu),
-        () = async { core.closed().await; tokio::time::sleep(UNREADY_DELAY + drain).await; } => {
-            log::warn!("requests were still in flight after {} ms", drain.as_millis());
-            Ok(())
-        }
-    }
+/// Serves the probes on an address of their own, if there is one. On the address of callers they share
+/// its connections, since a connection is accepted before its request is known.
+async fn serve_probes(
+    settings: &EntrySettings,
+    router: Router,
+    guard: &Arc<RequestGuard>,
+) -> Result<(), EntryError> {
+    let Some(address) = settings.probe_listen else { return Ok(()) };
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    tokio::spawn(probe_server::serve(listener, router, Arc::clone(guard)));
+    Ok(())
 }
 
 fn build_core(
@@ -247,8 +247,7 @@
     }
 }
 
-fn router(core: SharedCore, registry: MeterRegistry) -> Router {
-    let probe_core = core.clone();
+fn router(core: SharedCore) -> Router {
     let permits = Arc::new(Semaphore::new(core.settings.max_requests));
     Router::new()
         .route("/v1/jobs", get(api_jobs::list).post(api_jobs::submit))
@@ -265,41 +264,26 @@
         .route("/v1/workers", get(api_operators::workers))
         .route("/v1/workers/{name}/drain", post(api_operators::drain))
         .route("/v1/workers/{name}/resume", post(api_operators::resume))
-        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
-        .route(
-            "/v1/sheet",
-            get(api_sheet::sheet)
-                .put(api_sheet::apply_sheet)
-                .layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
-        )
-        .route(
-            "/v1/sheet/preview",
-            post(api_sheet::preview_sheet).layer(DefaultBodyLimit::max(MAX_SHEET_BYTES)),
-        )
+        .route("/v1/sheet", get(api_sheet::sheet).put(api_sheet::apply_sheet))
+        .route("/v1/sheet/preview", post(api_sheet::preview_sheet))
+        // The server has read the body within its own limits.
+        .layer(DefaultBodyLimit::disable())
         .fallback(|| async { ApiError::not_found("the resource") })
         .layer(middleware::from_fn_with_state(core.clone(), offset_gate::require_min_offset))
         .layer(middleware::from_fn(move |request: Request, next: Next| {
             limit_requests(Arc::clone(&permits), request, next)
         }))
         .with_state(core)
-        .merge(probe_router(registry, Arc::new(move || probe_core.unready_reason())))
 }
 
-/// Refuses requests beyond the concurrency limit at once instead of queuing them, and replaces the
-/// response to an oversized body by an [`ApiError`].
+/// Refuses requests beyond the concurrency limit at once instead of queuing them.
 async fn limit_requests(permits: Arc<Semaphore>, request: Request, next: Next) -> Response {
     let Ok(_permit) = permits.try_acquire() else {
         let detail = "too many requests are being served";
         return ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail)
             .into_response();
     };
-    let response = next.run(request).await;
-    if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
-        let detail = "the body is larger than this resource takes";
-        return ApiError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
-            .into_response();
-    }
-    response
+    next.run(request).await
 }
 
 impl FromRequestParts<SharedCore> for CallerIdentity {
@@ -309,12 +293,6 @@
         parts: &mut Parts,
         core: &SharedCore,
     ) -> Result<Self, Self::Rejection> {
-        if let Some(reason) = core.unready_reason().filter(|_| !core.is_closing()) {
-            return Err(ApiError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", reason));
-        }
-        core.tokens.identify_bearer(&parts.headers).ok_or_else(|| {
-            let detail = "a known token is needed: Authorization: Bearer TOKEN";
-            ApiError::not_run(StatusCode::UNAUTHORIZED, "unauthorized", detail)
-        })
+        core.identify(&parts.headers)
     }
 }
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -4,13 +4,19 @@
 
 use cuminbarrow_model::digest::Digest;
 use cuminbarrow_protocol::shared_key::SharedKey;
+use cuminbarrow_requests::request_limits::ENTRY_MEMORY_MB;
+use cuminbarrow_requests::request_limits::RequestLimits;
+use cuminbarrow_requests::request_limits::RequestLimitsError;
 use cuminbarrow_telemetry::log_settings::LogSettings;
 use serde::Deserialize;
 use smol_str::SmolStr;
 use snafu::OptionExt;
+use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
 
+use crate::api_server::MAX_BODY_BYTES;
+
 /// Errors in settings that parse but are invalid.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum EntrySettingsError {
@@ -29,6 +35,12 @@
     /// There is no token, so nobody could use the entry.
     #[snafu(display("tokens: at least one token is needed"))]
     NoTokens,
+    /// The limits of requests don't fit each other or the memory.
+    #[snafu(display("{source}"))]
+    Requests {
+        /// Cause.
+        source: RequestLimitsError,
+    },
     /// `max_removed_permille` is above 1000.
     #[snafu(display("max_removed_permille {permille} must be at most 1000"))]
     ShareTooLarge {
@@ -126,6 +138,9 @@
     pub region: SmolStr,
     /// Listen address of the HTTP API for callers and operators.
     pub listen: SocketAddr,
+    /// Listen address of health probes and metrics, with connections of their own.
+    #[serde(default)]
+    pub probe_listen: Option<SocketAddr>,
     /// Listen address for links from agents and other entries.
     pub link_listen: SocketAddr,
     /// URL of the platform's log service, such as `http://127.0.0.1:7400`.
@@ -170,6 +185,12 @@
     /// Maximum number of requests served concurrently.
     #[serde(default = "default_max_requests")]
     pub max_requests: usize,
+    /// Memory that the process may use, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Limits of the requests that are served; the defaults that fit the memory if they are not set.
+    #[serde(default)]
+    pub requests: Option<RequestLimits>,
     /// Placement policy.
     #[serde(default)]
     pub policy: PolicyName,
@@ -199,8 +220,17 @@
         }
         let permille = self.max_removed_permille;
         ensure!(permille <= 1_000, ShareTooLargeSnafu { permille });
-        Ok(())
+        self.request_limits().check(self.memory_mb, MAX_BODY_BYTES as u64).context(RequestsSnafu)
     }
+
+    /// Limits of the requests that are served.
+    pub(crate) fn request_limits(&self) -> RequestLimits {
+        RequestLimits::configured(self.requests.as_ref(), self.memory_mb)
+    }
+}
+
+fn default_memory_mb() -> u64 {
+    ENTRY_MEMORY_MB
 }
 
 fn default_log_timeout_ms() -> u64 {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod api_jobs;
 mod api_operators;
 mod api_report;
+mod api_server;
 mod api_sheet;
 pub mod api_types;
 mod assignment;
--- a/crates/requests/src/body_budget.rs
+++ b/crates/requests/src/body_budget.rs
@@ -22,7 +22,7 @@
 
 struct BudgetState {
     ledger: BodyLedger,
-    /// Tasks that read a body, told when it is aborted.
+    /// Tasks that read or send a body, told when it is aborted.
     readers: BTreeMap<BodyId, Arc<Notify>>,
 }
 
@@ -47,10 +47,21 @@
     /// # Errors
     /// [`BudgetExhausted`].
     pub fn reserve(self: &Arc<Self>, bytes: u64) -> Result<BodyReservation, BudgetExhausted> {
+        self.reserve_until(bytes, Arc::new(Notify::new()))
+    }
+
+    /// Reserves bytes for a body. `abort` is notified when it is aborted.
+    ///
+    /// # Errors
+    /// [`BudgetExhausted`].
+    pub(crate) fn reserve_until(
+        self: &Arc<Self>,
+        bytes: u64,
+        abort: Arc<Notify>,
+    ) -> Result<BodyReservation, BudgetExhausted> {
         let mut state = self.lock();
         let (id, aborted) = state.ledger.open(self.now_ms(), bytes)?;
         state.notify(&aborted);
-        let abort = Arc::new(Notify::new());
         state.readers.insert(id, Arc::clone(&abort));
         Ok(BodyReservation { budget: Arc::clone(self), id, abort })
     }
--- a/crates/requests/src/connection_table.rs
+++ b/crates/requests/src/connection_table.rs
@@ -31,6 +31,8 @@
     slots: Mutex<BTreeMap<u64, Arc<ConnectionSlot>>>,
     next_id: AtomicU64,
     released: Notify,
+    /// Tells the request that has waited longest that a new connection waits.
+    slot_wanted: Notify,
     /// Whether a new connection waits although none may be closed.
     is_slot_wanted: AtomicBool,
     counters: Arc<RequestCounters>,
@@ -52,6 +54,7 @@
             slots: Mutex::default(),
             next_id: AtomicU64::new(0),
             released: Notify::new(),
+            slot_wanted: Notify::new(),
             is_slot_wanted: AtomicBool::new(false),
             counters,
             started: Instant::now(),
@@ -66,6 +69,7 @@
                 return guard;
             }
             self.is_slot_wanted.store(true, Ordering::Relaxed);
+            self.slot_wanted.notify_one();
             let _ = tokio::time::timeout(FULL_RETRY_DELAY, self.released.notified()).await;
         }
     }
@@ -76,6 +80,12 @@
         self.is_slot_wanted.swap(false, Ordering::Relaxed)
     }
 
+    /// Completes when a request that only waits is to be answered, since the table is full. The one that
+    /// has waited longest is told first.
+    pub async fn slot_wanted(&self) {
+        self.slot_wanted.notified().await;
+    }
+
     fn try_admit(self: &Arc<Self>) -> Option<ConnectionGuard> {
         let now_ms = self.now_ms();
         let mut slots = self.lock();
@@ -90,7 +100,7 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let slot = Arc::new(ConnectionSlot {
             progress: Mutex::new(ConnectionProgress::new(now_ms)),
-            closing: Notify::new(),
+            closing: Arc::new(Notify::new()),
             started: self.started,
         });
         slots.insert(id, Arc::clone(&slot));
@@ -107,6 +117,13 @@
         self.lock().is_empty()
     }
 
+    /// Waits until there are no connections.
+    pub async fn emptied(&self) {
+        while !self.is_empty() {
+            let _ = tokio::time::timeout(FULL_RETRY_DELAY, self.released.notified()).await;
+        }
+    }
+
     /// Closes connections whose clients have read nothing for longer than `timeout_ms`.
     pub fn close_stalled(&self, timeout_ms: u64) {
         let now_ms = self.now_ms();
@@ -132,7 +149,7 @@
 /// Progress of one connection, shared by its table, stream and handler.
 pub struct ConnectionSlot {
     progress: Mutex<ConnectionProgress>,
-    closing: Notify,
+    pub(crate) closing: Arc<Notify>,
     started: Instant,
 }
 
@@ -157,7 +174,7 @@
         self.closing.notified().await;
     }
 
-    fn close(&self) {
+    pub(crate) fn close(&self) {
         self.closing.notify_one();
     }
 
--- a/crates/requests/src/http_server.rs
+++ b/crates/requests/src/http_server.rs
@@ -14,6 +14,7 @@
 use http::header::HeaderValue;
 use http::header::RETRY_AFTER;
 use http::request::Parts;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -25,7 +26,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::answer_body::AnswerBody;
+use crate::answer_body::PIECE_BYTES;
 use crate::body_budget::BodyReservation;
+use crate::body_ledger::BudgetExhausted;
 use crate::body_reader::BodyRefusal;
 use crate::body_reader::read_body;
 use crate::connection_choice::ConnectionPhase;
@@ -49,6 +53,8 @@
     pub body: Bytes,
     /// Memory reserved for the request; none if the body is empty.
     pub reservation: Option<BodyReservation>,
+    /// Connections of the listener.
+    pub table: Arc<ConnectionTable>,
 }
 
 /// Answers the requests of a server.
@@ -64,6 +70,11 @@
         Ok(self.max_body_bytes())
     }
 
+    /// Whether answers take memory from the budget until the client has read them.
+    fn reserves_answers(&self) -> bool {
+        false
+    }
+
     /// Builds the answer to a request that is refused.
     fn refusal(&self, status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
         json_reply(status, &serde_json::json!({ "error": reason }))
@@ -141,7 +152,9 @@
         let handler = Arc::clone(&handler);
         let current_phase = current_phase.clone();
         async move {
-            let mut response = answer(&*handler, request, guard, entry).await;
+            let is_safe = request.method().is_safe();
+            let response = answer(&*handler, request, guard, entry).await;
+            let mut response = hold_answer(&*handler, response, is_safe, guard, entry).await;
             entry.slot.enter(ConnectionPhase::Idle);
             let is_draining = *current_phase.borrow() >= ServerPhase::Draining;
             if is_draining || entry.table.take_slot_request() {
@@ -199,12 +212,48 @@
     match read_body(body, limit, timeout, &guard.bodies).await {
         Ok((body, reservation)) => {
             entry.slot.enter(ConnectionPhase::Handling);
-            handler.handle(BufferedRequest { parts, body, reservation }).await
+            let table = Arc::clone(&entry.table);
+            handler.handle(BufferedRequest { parts, body, reservation, table }).await
         }
         Err(refusal) => refuse(handler, &refusal, guard),
     }
 }
 
+/// Reserves memory for an answer that is not small. Without memory, a request without effects is refused.
+/// After another one the connection is closed, since a refusal would say that it had no effect.
+async fn hold_answer<H>(
+    handler: &H,
+    response: Response<Full<Bytes>>,
+    is_safe: bool,
+    guard: &RequestGuard,
+    entry: &ConnectionGuard,
+) -> Response<AnswerBody>
+where
+    H: Handler,
+{
+    let (parts, body) = response.into_parts();
+    let Ok(body) = body.collect().await;
+    let bytes = body.to_bytes();
+    if bytes.len() <= PIECE_BYTES || !handler.reserves_answers() {
+        return Response::from_parts(parts, AnswerBody::unreserved(bytes));
+    }
+    let abort = Arc::clone(&entry.slot.closing);
+    let body = match guard.bodies.reserve_until(bytes.len() as u64, abort) {
+        Ok(reservation) => AnswerBody::reserved(&bytes, reservation, Arc::clone(&guard.counters)),
+        Err(BudgetExhausted) if is_safe => {
+            let (parts, body) = refuse(handler, &BodyRefusal::NoMemory, guard).into_parts();
+            let Ok(body) = body.collect().await;
+            return Response::from_parts(parts, AnswerBody::unreserved(body.to_bytes()));
+        }
+        Err(BudgetExhausted) => {
+            guard.counters.add(RefusalReason::NoMemory);
+            entry.slot.close();
+            return std::future::pending().await;
+        }
+    };
+    Response::from_parts(parts, body)
+}
+
 /// Answers a request whose body was not read. The connection ends with the answer.
 fn refuse<H>(handler: &H, refusal: &BodyRefusal, guard: &RequestGuard) -> Response<Full<Bytes>>
 where
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -3,6 +3,7 @@
 //! `body_ledger`, `connection_choice`, `progress_meter` and `request_limits` decide on plain data; the
 //! other modules apply the decisions to bodies and connections.
 
+mod answer_body;
 pub mod body_budget;
 pub mod body_ledger;
 pub mod body_reader;
@@ -15,3 +16,4 @@
 pub mod request_counters;
 pub mod request_guard;
 pub mod request_limits;
+pub mod service_call;
--- a/crates/requests/src/request_limits.rs
+++ b/crates/requests/src/request_limits.rs
@@ -4,6 +4,10 @@
 use snafu::Snafu;
 use snafu::ensure;
 
+/// Memory of the smallest entries of a deployment, in MB.
+pub const ENTRY_MEMORY_MB: u64 = 160;
+/// Memory of an agent in a deployment, in MB.
+pub const AGENT_MEMORY_MB: u64 = 128;
 /// Largest total size of a request's header fields that the platform allows, in bytes.
 pub const MIN_BUFFER_BYTES: usize = 16_384;
 /// Memory of a connection beside the read buffer, in bytes: the HTTP library's write buffer of 8 KB,
@@ -73,6 +77,11 @@
 }
 
 impl RequestLimits {
+    /// The limits in a process's settings; the defaults that fit its memory if there are none.
+    pub fn configured(limits: Option<&Self>, memory_mb: u64) -> Self {
+        limits.cloned().unwrap_or_else(|| Self::fitting(memory_mb))
+    }
+
     /// The default limits, lowered where the process has too little memory for them.
     pub fn fitting(memory_mb: u64) -> Self {
         let defaults = Self::default();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod log_setup;
 pub mod meter_registry;
 pub mod probe_router;
+pub mod probe_server;
+pub mod request_metrics;
 pub mod wall_clock;
