--- a/crates/taskgraph/src/probation_exemption.rs
+++ b/crates/taskgraph/src/probation_exemption.rs
@@ -20,7 +20,7 @@
         waiting: &WaitingStep<'_>,
         request: &StepRequest<'_>,
     ) -> bool {
-        if !self.map.has_probation() {
+        if !self.map.has_probation(&request.terms.service) {
             return false;
         }
         let is_urgent = request.terms.priority == URGENT_PRIORITY;
--- a/crates/taskgraph/src/worker_probation.rs
+++ b/crates/taskgraph/src/worker_probation.rs
@@ -56,8 +56,10 @@
         self.mark_within_limit(is_due, |worker| worker.is_on_probation = true);
     }
 
-    /// Whether any worker is on probation.
-    pub(crate) fn has_probation(&self) -> bool {
-        self.workers.iter().any(|worker| worker.is_on_probation)
+    /// Whether any worker of a service is on probation.
+    pub(crate) fn has_probation(&self, service: &str) -> bool {
+        self.workers
+            .iter()
+            .any(|worker| worker.is_on_probation && worker.state.spec.service == service)
     }
 }
--- a/crates/taskgraph/tests/graph/worker_health.rs
+++ b/crates/taskgraph/tests/graph/worker_health.rs
@@ -78,6 +78,17 @@
     let mut graph = fleet(3, 1);
     report(&mut graph, FAILING, true);
     assert!(is_used(&mut graph, 1), "it has recovered");
+    let mut graph = fleet(3, 0);
+    let job = graph.submit(901, 2, vec![tasks(2, 1)]);
+    graph.plan();
+    for ((run, worker), kind) in
+        graph.runs_of(job).into_iter().zip([EndKind::Failed, EndKind::Done])
+    {
+        assert_eq!(worker, FAILING);
+        graph.end(run, worker, kind).unwrap();
+    }
+    graph.apply(GraphRecord::JobCancelled { job }).unwrap();
+    assert!(is_used(&mut graph, 1), "a run has completed since the failure");
 }
 
 /// Guards against a response that counts for good after the agent was cut off, and against the response of
--- a/crates/taskgraph/tests/graph/worker_probation.rs
+++ b/crates/taskgraph/tests/graph/worker_probation.rs
@@ -19,6 +19,7 @@
     let job = graph.submit(100, 2, vec![tasks(2, 1)]);
     graph.plan();
     graph.end_all(job, EndKind::Failed);
+    graph.apply(GraphRecord::JobCancelled { job }).unwrap();
     graph.now_ms += 8_000;
     graph
 }
@@ -91,8 +92,12 @@
 
 /// Guards against urgent work that waits, or that takes a worker on probation before others.
 #[test]
-fn urgent_gang_takes_the_worker_last() {
+fn urgent_work_takes_the_worker_last() {
     let mut graph = after_quarantine(3);
+    let single = graph.submit(3, 0, vec![tasks(1, 1)]);
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, single), 0);
+    graph.end_all(single, EndKind::Done);
     let first = graph.submit(1, 0, vec![gang(16, 1)]);
     graph.plan();
     assert_eq!((graph.runs_of(first).len(), count_on_failing(&graph, first)), (16, 0));
