Bound links before the proof of the shared key

A peer without the key could hold up to 4,096 connections of a process for good, which kept out those with the key, and make it read up to 16 MB of a header on each. Now at most links.unproved connections (128) are in handshake, the one held longest gives way to a new one, and the proof must come within links.proof_timeout_ms (3,000) and links.proof_bytes (16,384). A connection ends after a request without the key. The settings of entries and of the product's agent have links; metrics links_unproved and links_refused, one log line in 10 s. accept_links takes the guard in place of the byte counter.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -12,6 +12,8 @@
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::link::LinkKind;
 use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::link_guard::LinkGuard;
+use cuminbarrow_protocol::link_metrics;
 use cuminbarrow_protocol::message::AgentMessage;
 use cuminbarrow_protocol::message::EntryMessage;
 use cuminbarrow_protocol::message::GangMessage;
@@ -134,14 +136,16 @@
         let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
         let metrics = Arc::new(AgentMetrics::default());
         let registry = MeterRegistry::new().context(MetricsSnafu)?;
+        let links = Arc::new(LinkGuard::new(settings.links.clone(), Arc::clone(&counter)));
         metrics.register(&registry, &counter);
+        link_metrics::register(&registry, &links);
         serve_probes(&settings, registry).await?;
         task_runner::stop_orphaned_tasks(&*worker).await;
 
         let (event_sender, events) = mpsc::channel(QUEUE_CAPACITY);
         let (outbox, outbox_receiver) = mpsc::channel(QUEUE_CAPACITY);
         let (commands, command_receiver) = mpsc::unbounded_channel();
-        let dialer = LinkDialer::new(settings.shared_key.clone(), Arc::clone(&counter));
+        let dialer = LinkDialer::new(settings.shared_key.clone(), counter);
         let applied_offset = Arc::new(AtomicU64::new(0));
         let session = EntrySession {
             settings: Arc::clone(&settings),
@@ -155,7 +159,7 @@
         };
         tokio::spawn(session.run());
         let handler = gang_link_handler(event_sender.clone());
-        tokio::spawn(accept_links(listener, settings.shared_key.clone(), counter, handler));
+        tokio::spawn(accept_links(listener, settings.shared_key.clone(), links, handler));
         let runner =
             task_runner::run_commands(Arc::clone(&worker), command_receiver, event_sender.clone());
         tokio::spawn(runner);
--- a/crates/agent/src/agent_settings.rs
+++ b/crates/agent/src/agent_settings.rs
@@ -4,6 +4,7 @@
 
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_model::topology::Location;
+use cuminbarrow_protocol::link_limits::LinkLimits;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_requests::request_limits::AGENT_MEMORY_MB;
 use cuminbarrow_requests::request_limits::RequestLimits;
@@ -20,7 +21,7 @@
 /// Why settings are invalid, although they parse.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum AgentSettingsError {
-    /// The limits of requests don't fit each other or the memory.
+    /// The limits of requests or links don't fit each other or the memory.
     #[snafu(display("{source}"))]
     Requests {
         /// Cause.
@@ -71,6 +72,9 @@
     /// Limits of the probes that are served; the defaults that fit the memory if they are not set.
     #[serde(default)]
     pub requests: Option<RequestLimits>,
+    /// Limits of links that have not proved possession of the key.
+    #[serde(default)]
+    pub links: LinkLimits,
     /// Entries of this region, in order of preference.
     pub entries: Vec<SocketAddr>,
     /// URL of the platform's worker interface, such as `http://127.0.0.1:7400`.
@@ -106,6 +110,7 @@
         let (timeout_ms, heartbeat_ms) = (self.session_timeout_ms, self.heartbeat_ms);
         let tolerates_missed_heartbeat = heartbeat_ms * 2 <= timeout_ms;
         ensure!(tolerates_missed_heartbeat, TimeoutTooShortSnafu { timeout_ms, heartbeat_ms });
+        self.links.check().context(RequestsSnafu)?;
         // Probes have no body.
         self.request_limits().check(self.memory_mb, 0).context(RequestsSnafu)
     }
--- a/crates/cuminbarrow/src/demo_cluster.rs
+++ b/crates/cuminbarrow/src/demo_cluster.rs
@@ -20,6 +20,7 @@
 use cuminbarrow_model::resources::Resources;
 use cuminbarrow_model::topology::Location;
 use cuminbarrow_protocol::byte_counter::ByteCounter;
+use cuminbarrow_protocol::link_limits::LinkLimits;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_resources::log_store::LogStore;
 use cuminbarrow_standin::platform_server::PlatformServer;
@@ -203,6 +204,7 @@
         max_requests: 4_000,
         memory_mb: 1_024,
         requests: None,
+        links: LinkLimits::default(),
         policy: PolicyName::Guaranteed,
         goal: PolicyGoal::Completion,
         log: LogSettings::default(),
@@ -235,6 +237,7 @@
         probe_listen: None,
         memory_mb: 1_024,
         requests: None,
+        links: LinkLimits::default(),
         entries,
         platform: String::new(),
         shared_key: SharedKey::new("demo"),
--- a/crates/cuminbarrow/tests/integration/settings_files.rs
+++ b/crates/cuminbarrow/tests/integration/settings_files.rs
@@ -57,7 +57,7 @@
     std::fs::remove_dir_all(&folder).unwrap();
     expect![[r#"
         error: entry.yaml: tokens: at least one token is needed
-        error: entry.yaml: unknown field `write_timeout`, expected one of `region`, `listen`, `probe_listen`, `link_listen`, `platform`, `shared_key`, `tokens`, `log_region`, `peers`, `log_timeout_ms`, `write_timeout_ms`, `session_timeout_ms`, `planner_timeout_ms`, `snapshot_batches`, `drain_ms`, `max_removed_permille`, `team_submissions_per_s`, `max_requests`, `memory_mb`, `requests`, `policy`, `goal`, `log` at line 7 column 1
+        error: entry.yaml: unknown field `write_timeout`, expected one of `region`, `listen`, `probe_listen`, `link_listen`, `platform`, `shared_key`, `tokens`, `log_region`, `peers`, `log_timeout_ms`, `write_timeout_ms`, `session_timeout_ms`, `planner_timeout_ms`, `snapshot_batches`, `drain_ms`, `max_removed_permille`, `team_submissions_per_s`, `max_requests`, `memory_mb`, `requests`, `links`, `policy`, `goal`, `log` at line 7 column 1
         error: entry.yaml: tokens: "a" needs token_sha256 with 64 hexadecimal digits
         error: entry.yaml: write_timeout_ms: invalid type: string "soon", expected u64 at line 7 column 19
         error: entry.yaml: missing field `listen`
--- a/crates/cuminbarrow/tests/request_floods/main.rs
+++ b/crates/cuminbarrow/tests/request_floods/main.rs
@@ -10,6 +10,7 @@
 mod consumer_group;
 mod entry_floods;
 mod flood;
+mod link_floods;
 mod product_floods;
 mod product_process;
 mod served_process;
--- a/crates/cuminbarrow/tests/request_floods/product_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/product_floods.rs
@@ -148,6 +148,17 @@
     flood_entry("product, waits", CLIENTS, &request);
 }
 
+/// Guards against probes that are not answered while callers take all connections and memory.
+#[test]
+fn probes_are_answered_during_a_flood() {
+    let entry = ServedProcess::start(Role::ProductEntry);
+    let request = FloodRequest::with_length("POST", JOBS_PATH, MAX_JOB_BYTES, 1);
+    let flood = FloodClients::send(entry.address, JOB_CLIENTS, &request);
+    let metrics = entry.metrics_text();
+    assert!(metrics.contains("requests_refused_total{reason=\"no_memory\""), "{metrics}");
+    drop(flood);
+}
+
 /// Guards against limits that refuse one large or slow request although nothing else is there.
 #[test]
 fn one_product_request_within_the_limits_is_served() {
--- a/crates/cuminbarrow/tests/request_floods/served_process.rs
+++ b/crates/cuminbarrow/tests/request_floods/served_process.rs
@@ -33,6 +33,8 @@
 const AGENT_BODY_BYTES: u64 = 6 * 1024 * 1024;
 /// Lowered limit of the connections of a listener.
 const CONNECTIONS: u64 = 96;
+/// Lowered limit of the links that have not proved possession of the key.
+const UNPROVED_LINKS: u64 = 32;
 /// Upper bound of what one connection costs: buffers of the HTTP library and the state of its task.
 const CONNECTION_BYTES: u64 = 56 * 1024;
 /// Allowance for code pages that are touched first during the flood, log lines and the replica.
@@ -90,6 +92,8 @@
     /// product's agent.
     pub(crate) address: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// Address for links from other processes, of an entry.
+    pub(crate) links: SocketAddr,
     child: Child,
     role: Role,
     settings: PathBuf,
@@ -121,6 +125,9 @@
                     },
                 }),
             );
+            if matches!(role, Role::Entry | Role::ProductEntry) {
+                extend(&mut settings, &json!({ "links": { "unproved": UNPROVED_LINKS } }));
+            }
             if role == Role::ProductEntry {
                 extend(&mut settings, &json!({ "probe_listen": metrics }));
             }
@@ -130,6 +137,7 @@
         let mut process = Self {
             address,
             metrics,
+            links,
             child,
             role,
             settings: path,
--- a/crates/dispatch/src/relay_server.rs
+++ b/crates/dispatch/src/relay_server.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use cuminbarrow_ledger::snapshot;
-use cuminbarrow_protocol::byte_counter::ByteCounter;
 use cuminbarrow_protocol::link::Link;
 use cuminbarrow_protocol::link::LinkError;
 use cuminbarrow_protocol::link::LinkKind;
 use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::link_guard::LinkGuard;
 use cuminbarrow_protocol::relay_message::RelayRequest;
 use cuminbarrow_protocol::relay_message::RelayResponse;
 use cuminbarrow_protocol::shared_key::SharedKey;
@@ -50,8 +50,8 @@
 
 impl RelayServer {
     /// Accepts and serves links; never returns.
-    pub async fn run(self, listener: TcpListener, key: SharedKey, counter: Arc<ByteCounter>) {
-        accept_links(listener, key, counter, move |incoming| {
+    pub async fn run(self, listener: TcpListener, key: SharedKey, guard: Arc<LinkGuard>) {
+        accept_links(listener, key, guard, move |incoming| {
             if incoming.kind != LinkKind::Relay {
                 log::warn!(
                     "refused a link of kind {:?}; only relay links are served here",
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -25,6 +25,8 @@
 use cuminbarrow_protocol::link::LinkDialer;
 use cuminbarrow_protocol::link::LinkKind;
 use cuminbarrow_protocol::link::accept_links;
+use cuminbarrow_protocol::link_guard::LinkGuard;
+use cuminbarrow_protocol::link_metrics;
 use cuminbarrow_requests::http_server;
 use cuminbarrow_requests::http_server::ServerPhase;
 use cuminbarrow_requests::request_guard::RequestGuard;
@@ -119,9 +121,11 @@
     entry_metrics::register(&core, &registry, &counter);
 
     let key = core.settings.shared_key.clone();
+    let links = Arc::new(LinkGuard::new(core.settings.links.clone(), counter));
+    link_metrics::register(&registry, &links);
     tokio::spawn(follow_log(core.clone(), Arc::clone(&store)));
     tokio::spawn(keep_entry_registered(core.clone()));
-    tokio::spawn(accept_links(link_listener, key, counter, link_handler(core.clone())));
+    tokio::spawn(accept_links(link_listener, key, links, link_handler(core.clone())));
     let planner = tokio::spawn(planner_loop::run(core.clone(), store));
 
     let guard = RequestGuard::new(core.settings.request_limits());
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cuminbarrow_model::digest::Digest;
+use cuminbarrow_protocol::link_limits::LinkLimits;
 use cuminbarrow_protocol::shared_key::SharedKey;
 use cuminbarrow_requests::request_limits::ENTRY_MEMORY_MB;
 use cuminbarrow_requests::request_limits::RequestLimits;
@@ -35,7 +36,7 @@
     /// There is no token, so nobody could use the entry.
     #[snafu(display("tokens: at least one token is needed"))]
     NoTokens,
-    /// The limits of requests don't fit each other or the memory.
+    /// The limits of requests or links don't fit each other or the memory.
     #[snafu(display("{source}"))]
     Requests {
         /// Cause.
@@ -191,6 +192,9 @@
     /// Limits of the requests that are served; the defaults that fit the memory if they are not set.
     #[serde(default)]
     pub requests: Option<RequestLimits>,
+    /// Limits of links that have not proved possession of the key.
+    #[serde(default)]
+    pub links: LinkLimits,
     /// Placement policy.
     #[serde(default)]
     pub policy: PolicyName,
@@ -220,6 +224,7 @@
         }
         let permille = self.max_removed_permille;
         ensure!(permille <= 1_000, ShareTooLargeSnafu { permille });
+        self.links.check().context(RequestsSnafu)?;
         self.request_limits().check(self.memory_mb, MAX_BODY_BYTES as u64).context(RequestsSnafu)
     }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod byte_counter;
 pub mod link;
+mod link_acceptor;
+pub mod link_guard;
+pub mod link_limits;
+pub mod link_metrics;
 pub mod message;
 pub mod relay_message;
 pub mod shared_key;
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -12,7 +12,6 @@
 use h2::RecvStream;
 use h2::SendStream;
 use http::Request;
-use http::Response;
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,13 +19,12 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 
 use crate::byte_counter::ByteCounter;
 use crate::byte_counter::CountObserver;
 use crate::byte_counter::CountedStream;
+pub use crate::link_acceptor::accept_links;
 use crate::shared_key::SharedKey;
 
 /// Largest encoded message.
@@ -34,12 +32,10 @@
 /// Limit of what decoding one message may read or allocate. A number takes up to 8 times its
 /// encoded size. A length prefix above the limit is rejected before anything is allocated for it.
 const MAX_DECODED_BYTES: usize = 8 * MAX_MESSAGE_BYTES;
-/// Timeout for opening or accepting a link.
+/// Timeout for opening a link.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout for sending one message; a link whose peer stops reading fails.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of incoming connections open at once; further ones wait to be accepted.
-const MAX_LINKS: usize = 4_096;
 
 /// Purpose of a link. It is sent as the request path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,7 +60,7 @@
         }
     }
 
-    fn from_path(path: &str) -> Option<Self> {
+    pub(crate) fn from_path(path: &str) -> Option<Self> {
         [Self::Agent, Self::Gang, Self::Peer, Self::Relay]
             .into_iter()
             .find(|kind| kind.path() == path)
@@ -73,6 +69,7 @@
 
 /// Why a link failed.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum LinkError {
     /// The other side closed the link.
     #[snafu(display("the link was closed"))]
@@ -284,6 +281,10 @@
 }
 
 impl IncomingLink {
+    pub(crate) fn new(kind: LinkKind, send: SendStream<Bytes>, receive: RecvStream) -> Self {
+        Self { kind, send, receive }
+    }
+
     /// Converts it to a link of the given message types.
     pub fn into_link<S, R>(self) -> Link<S, R>
     where
@@ -293,70 +294,3 @@
         Link { sender: MessageSender::new(self.send), receiver: MessageReceiver::new(self.receive) }
     }
 }
-
-/// Accepts connections until dropped. Serves each on its own task and passes its links to `handle`.
-pub async fn accept_links<H>(
-    listener: TcpListener,
-    key: SharedKey,
-    counter: Arc<ByteCounter>,
-    handle: H,
-) where
-    H: Fn(IncomingLink) + Clone + Send + Sync + 'static,
-{
-    let permits = Arc::new(Semaphore::new(MAX_LINKS));
-    loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
-        let socket = match listener.accept().await {
-            Err(error) => {
-                log::warn!("a link can't be accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                continue;
-            }
-            Ok((socket, _)) => socket,
-        };
-        let socket = configure_socket(socket, &counter);
-        let (key, handle) = (key.clone(), handle.clone());
-        tokio::spawn(async move {
-            if let Err(error) = serve_socket(socket, &key, handle).await {
-                log::debug!("an incoming link failed: {error}");
-            }
-            drop(permit);
-        });
-    }
-}
-
-fn configure_socket(socket: TcpStream, counter: &Arc<ByteCounter>) -> CountedStream {
-    if let Err(error) = socket.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY: {error}");
-    }
-    CountedStream::new(socket, CountObserver::new(Arc::clone(counter)))
-}
-
-async fn serve_socket<H>(socket: CountedStream, key: &SharedKey, handle: H) -> Result<(), LinkError>
-where
-    H: Fn(IncomingLink),
-{
-    let handshake = h2::server::handshake(socket);
-    let mut connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
-        .await
-        .map_err(|_| LinkError::TimedOut)?
-        .context(Http2Snafu)?;
-    while let Some(request) = connection.accept().await {
-        let (request, mut respond) = request.context(Http2Snafu)?;
-        let kind = LinkKind::from_path(request.uri().path());
-        let header = request.headers().get("authorization");
-        let is_trusted = header.is_some_and(|header| key.matches(header.as_bytes()));
-        let (status, kind) = match kind {
-            Some(kind) if is_trusted => (StatusCode::OK, Some(kind)),
-            Some(_) => (StatusCode::UNAUTHORIZED, None),
-            None => (StatusCode::NOT_FOUND, None),
-        };
-        let mut response = Response::new(());
-        *response.status_mut() = status;
-        let send = respond.send_response(response, kind.is_none()).context(Http2Snafu)?;
-        if let Some(kind) = kind {
-            handle(IncomingLink { kind, send, receive: request.into_body() });
-        }
-    }
-    Ok(())
-}
--- a/crates/telemetry/src/meter_registry.rs
+++ b/crates/telemetry/src/meter_registry.rs
@@ -89,6 +89,17 @@
         callback.build();
     }
 
+    /// Registers a counter by reason whose values are read at each scrape.
+    pub fn register_reasons<F>(&self, name: &'static str, description: &'static str, read: F)
+    where
+        F: Fn() -> Vec<(&'static str, u64)> + Send + Sync + 'static,
+    {
+        self.register_labelled_counter(name, description, move || {
+            let label = |reason| vec![KeyValue::new("reason", reason)];
+            read().into_iter().map(|(reason, count)| (label(reason), count)).collect()
+        });
+    }
+
     /// Renders all metrics in the Prometheus text format. If encoding fails, the text up to the
     /// failure is returned.
     pub fn render(&self) -> String {
