--- a/crates/entry/src/api_server.rs
+++ b/crates/entry/src/api_server.rs
@@ -6,6 +6,7 @@
 
 use axum::Router;
 use axum::body::Bytes;
+use axum::http::HeaderValue;
 use axum::http::Request;
 use axum::http::Response;
 use axum::http::StatusCode;
@@ -20,6 +21,7 @@
 use crate::api_error::ApiError;
 use crate::api_operators::require_operator;
 use crate::entry_core::SharedCore;
+use crate::offset_gate::APPLIED_OFFSET_HEADER;
 
 /// Largest body of requests other than sheets, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -44,6 +46,14 @@
         Self { core, service: TowerToHyperService::new(router) }
     }
 
+    /// The answer to a request that does not reach the router.
+    fn reply(&self, error: ApiError) -> Response<Full<Bytes>> {
+        let mut response = error.into_reply();
+        let offset = HeaderValue::from(self.core.tail.state().offset);
+        response.headers_mut().insert(APPLIED_OFFSET_HEADER, offset);
+        response
+    }
+
     fn checked_limit(&self, parts: &Parts) -> Result<usize, ApiError> {
         let identity = self.core.identify(&parts.headers)?;
         if !SHEET_PATHS.contains(&parts.uri.path()) {
@@ -60,7 +70,7 @@
     }
 
     fn body_limit(&self, parts: &Parts) -> Result<usize, Box<Response<Full<Bytes>>>> {
-        self.checked_limit(parts).map_err(|error| Box::new(error.into_reply()))
+        self.checked_limit(parts).map_err(|error| Box::new(self.reply(error)))
     }
 
     fn reserves_answers(&self) -> bool {
@@ -76,7 +86,7 @@
             StatusCode::SERVICE_UNAVAILABLE => ("overloaded", reason),
             _ => ("malformed_body", reason),
         };
-        ApiError::not_run(status, kind, reason).into_reply()
+        self.reply(ApiError::not_run(status, kind, reason))
     }
 
     async fn handle(&self, request: BufferedRequest) -> Response<Full<Bytes>> {
