Let probation precede shapes and reservations for wide tasks

With shape_packing, urgent steps went to a worker on probation before all others, and other work no longer tested it. An empty worker on probation was reserved for a wide gang that may not use it. A step that had failed on one worker went there again while the only other fitting one was on probation. Found by review; order_by_shapes_respects_probation fails without the first change.

--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -175,7 +175,9 @@
         }
         let uses_probation = self.uses_probation(waiting, &request);
         let request = StepRequest { uses_probation, ..request };
-        let request = if self.fits_when_empty(&request) {
+        // A worker on probation is worth waiting for, rather than to use one on which the step has failed.
+        let any_fitting = StepRequest { uses_probation: true, ..request };
+        let request = if self.fits_when_empty(&any_fitting) {
             request
         } else {
             StepRequest { failed_workers: &[], ..request }
--- a/crates/taskgraph/src/shape_packing.rs
+++ b/crates/taskgraph/src/shape_packing.rs
@@ -77,7 +77,9 @@
         let order = |worker: &WorkerCapacity<'_>, free: ResourceAmounts| {
             let loss = lost_capacity(shapes, free, &each);
             let rank = worker.speed_rank(request);
-            (worker.is_slow, rank, loss, free.accelerators, free.cpu_millis)
+            let probation = worker.probation_rank(request);
+            let is_doubtful = worker.is_doubtful(request);
+            (probation, worker.is_slow, rank, loss, free.accelerators, free.cpu_millis, is_doubtful)
         };
         let ordered = candidates
             .iter()
--- a/crates/taskgraph/src/wide_reserve.rs
+++ b/crates/taskgraph/src/wide_reserve.rs
@@ -129,6 +129,7 @@
     worker.state.spec.resources.accelerators == request.spec.resources.accelerators
         && worker.reserved_for.is_none()
         && !worker.is_slow
+        && !worker.is_on_probation
         && !worker.has_new_tasks()
         && worker.is_feasible(request)
         && !request.failed_workers.contains(&worker.key)
--- a/crates/taskgraph/tests/graph/worker_probation.rs
+++ b/crates/taskgraph/tests/graph/worker_probation.rs
@@ -106,6 +106,19 @@
     assert_eq!(count_on_failing(&graph, gang), 1, "no other worker has capacity");
 }
 
+/// Guards against an order by shapes that sends urgent work to the worker, and other work away from it.
+#[test]
+fn order_by_shapes_respects_probation() {
+    let mut graph = after_quarantine();
+    graph.options.shape_packing = true;
+    let urgent = graph.submit(1, 0, vec![tasks(16, 1)]);
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, urgent), 0);
+    let background = graph.submit(2, 2, vec![tasks(1, 1)]);
+    graph.plan();
+    assert_eq!(count_on_failing(&graph, background), 1);
+}
+
 /// Guards against gangs that wait for good, because they need the worker or because only gangs wait.
 #[test]
 fn probation_does_not_starve_gangs() {
