Test four rules of admission and of recorded reclaims

Tests of group graph guard them now; no product code changes. Each rule was removed alone and the whole group of 205 tests was run:

- staying_workers without the filter of evacuated data centres: only evacuated_capacity_admits_no_job fails; the job is admitted.
- staying_workers without suspected workers: only suspected_worker_counts_as_capacity fails; the job is rejected for 7 s.
- shortest_run_ms with the whole of an unmeasured estimate: only shortest_plausible_run_time_decides fails; 8 of 24 jobs are rejected.
- shortest_run_ms with the mean although the estimate is less: only shortest_plausible_run_time_decides fails; 6 of 12 jobs are rejected.
- shortest_run_ms with the estimate although the mean is less: shortest_plausible_run_time_decides fails; 8 of 24 jobs are rejected.
So does wrong_estimates_do_not_reject_what_can_be_done, which guarded this part before.
- record_reclaim without dropping old entries: only recorded_reclaims_are_dropped_after_their_retention fails.

--- a/crates/taskgraph/tests/graph/admission.rs
+++ b/crates/taskgraph/tests/graph/admission.rs
@@ -15,11 +15,14 @@
 use cuminbarrow_taskgraph::job_terms::JobTerms;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::worker::WorkerKey;
+use cuminbarrow_taskgraph::worker::WorkerSpec;
 
 use crate::graph_builder::GraphBuilder;
 use crate::graph_builder::gang;
 use crate::graph_builder::tasks;
 use crate::graph_builder::terms;
+use crate::graph_builder::worker_spec;
 
 /// Time in which a job of [`tasks`] is of use, in ms: three times an objective of 13 s.
 const USEFUL_MS: u64 = 39_000;
@@ -303,3 +306,57 @@
     });
     assert!(sums[0] < sums[1], "{sums:?}");
 }
+
+/// A full service whose two workers need 28 s for the accepted work. Either of them alone would need 56 s,
+/// which is too long.
+fn service_with_work_for_both_workers() -> FullService {
+    let mut service = FullService::new(true, 4_000);
+    assert!(service.burst(100..102, 1).is_empty());
+    service.run_for(STEP_MS);
+    assert!(service.burst(102..114, 1).is_empty());
+    service
+}
+
+/// Guards against a caller that is admitted against the capacity of a data centre which is being evacuated.
+#[test]
+fn evacuated_capacity_admits_no_job() {
+    let mut service = service_with_work_for_both_workers();
+    let spec = WorkerSpec { data_centre: "evacuated".into(), ..worker_spec("r1w0", "r1") };
+    service.graph.apply(GraphRecord::WorkerRegistered { agent: 7, spec }).unwrap();
+    assert_eq!(service.submit(0, 300, tasks(8, 1)), None, "both data centres are in use");
+    let data_centres = ["evacuated".into()].into();
+    service.graph.apply(GraphRecord::EvacuationsRead { as_of: 3, data_centres }).unwrap();
+    assert!(service.submit(0, 301, tasks(8, 1)).is_some());
+}
+
+/// Guards against jobs that are rejected because a worker is out of contact for a short time.
+#[test]
+fn suspected_worker_counts_as_capacity() {
+    let mut service = service_with_work_for_both_workers();
+    let worker = WorkerKey(1);
+    service.graph.apply(GraphRecord::WorkerSuspected { epoch: 1, worker, agent: 7 }).unwrap();
+    assert!(service.graph.state.workers[&worker].is_suspected());
+    assert_eq!(service.submit(0, 300, tasks(8, 1)), None);
+}
+
+/// Guards against rejecting jobs that run for the shortest plausible time and are done in useful time.
+#[test]
+fn shortest_plausible_run_time_decides() {
+    // Queue, mean run time of "queue", actual run time of the jobs, and their number.
+    let cases =
+        [("new", 4_000, 2_000, 24), ("queue", 2_000, 2_000, 24), ("queue", 8_000, 4_000, 12)];
+    for case in cases {
+        let (queue, mean_ms, run_ms, count) = case;
+        let mut service = FullService::new(true, mean_ms);
+        assert_eq!(u64::from(service.graph.state.durations["queue"].mean_ms), mean_ms);
+        service.run_ms = run_ms;
+        service.burst(100..102, 1);
+        service.run_for(STEP_MS);
+        let terms = JobTerms { queue: queue.into(), ..terms(1) };
+        let mut submit = |id| service.submit_as(0, id, tasks(8, 1), terms.clone());
+        let rejected = (200..200 + count).filter(|id| submit(*id).is_some()).count();
+        assert_eq!(rejected, 0, "{case:?}");
+        service.run_for(USEFUL_MS);
+        assert_eq!(service.outcome("team"), (3 + count as usize, 0), "{case:?}");
+    }
+}
--- a/crates/taskgraph/tests/graph/preemption_history.rs
+++ b/crates/taskgraph/tests/graph/preemption_history.rs
@@ -317,6 +317,29 @@
     assert_eq!(totals, [2], "the totals stay");
 }
 
+/// Guards against replicated state that grows with each reclaim of capacity for urgent work.
+#[test]
+fn recorded_reclaims_are_dropped_after_their_retention() {
+    // Longest time for which urgent work's needs are known, in ms.
+    const RETENTION_MS: u64 = 40_000;
+    let mut graph = GraphBuilder::new(1, 2);
+    graph.submit(1, 2, vec![tasks(16, 1)]);
+    for id in 2..12 {
+        graph.plan();
+        let urgent = graph.submit(id, 0, vec![gang(2, 4)]);
+        assert!(!reclaimed(&graph.plan()).is_empty(), "job {id}");
+        let reclaims = &graph.state.reclaims["service"];
+        assert_eq!(reclaims.back(), Some(&(graph.now_ms, 8)));
+        let oldest_ms = graph.now_ms - RETENTION_MS;
+        assert!(reclaims.iter().all(|(at_ms, _)| *at_ms >= oldest_ms), "{reclaims:?}");
+        graph.obey_stops();
+        graph.plan();
+        graph.end_all(urgent, EndKind::Done);
+        graph.now_ms += 15_000;
+    }
+    assert_eq!(graph.state.reclaims["service"].len(), 3, "at most three within the retention");
+}
+
 /// Guards against plans that change where the switch is off.
 #[test]
 fn history_changes_no_plan_where_it_is_off() {
