Refuse reads with a body, and bind probes before the entry joins

A request with a body runs to its end also when its client is gone, so waits for a job with a body of one byte held the permits and the memory of submissions for 30 s (by reading). Reads take no body now (413). A refusal because the entry lags behind no longer keeps its memory for the log's writer. The address of probes is bound before the entry is announced. Links in handshake: 512 in place of 128, since several hundred agents connect at once after a power cut.

--- a/crates/cuminbarrow/tests/request_floods/product_floods.rs
+++ b/crates/cuminbarrow/tests/request_floods/product_floods.rs
@@ -159,6 +159,14 @@
     drop(flood);
 }
 
+/// Guards against reads with a body, which outlive their client and hold the memory of submissions.
+#[test]
+fn reads_take_no_body() {
+    let entry = ServedProcess::start(Role::ProductEntry);
+    assert_eq!(entry.call("GET", JOBS_PATH, b""), Some(200));
+    assert_eq!(entry.call("GET", JOBS_PATH, b"{}"), Some(413));
+}
+
 /// Guards against limits that refuse one large or slow request although nothing else is there.
 #[test]
 fn one_product_request_within_the_limits_is_served() {
--- a/crates/entry/src/api_server.rs
+++ b/crates/entry/src/api_server.rs
@@ -22,6 +22,7 @@
 use crate::api_operators::require_operator;
 use crate::entry_core::SharedCore;
 use crate::offset_gate::APPLIED_OFFSET_HEADER;
+use crate::offset_gate::NotHandled;
 
 /// Largest body of requests other than sheets, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -56,6 +57,11 @@
 
     fn checked_limit(&self, parts: &Parts) -> Result<usize, ApiError> {
         let identity = self.core.identify(&parts.headers)?;
+        // A request with a body outlives its client. Waits for a job with bodies would hold the memory
+        // and the permits of other requests.
+        if parts.method.is_safe() {
+            return Ok(0);
+        }
         if !SHEET_PATHS.contains(&parts.uri.path()) {
             return Ok(MAX_BODY_BYTES);
         }
@@ -102,6 +108,7 @@
             let started = Instant::now();
             let response = call_service(&service, request).await;
             let may_be_queued = response.status() == StatusCode::SERVICE_UNAVAILABLE
+                && response.extensions().get::<NotHandled>().is_none()
                 && started.elapsed() >= MIN_QUEUED_TIME;
             if may_be_queued {
                 release_later(reservation, log_timeout + RECORD_DROP_TIME);
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -115,6 +115,7 @@
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let address = settings.link_listen;
     let link_listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let probe_listener = bind_probes(&settings).await?;
     let counter = Arc::new(ByteCounter::default());
     let core = build_core(settings, Arc::clone(&store), Arc::clone(&counter))?;
     let registry = MeterRegistry::new().context(MetricsSnafu)?;
@@ -133,7 +134,9 @@
     tokio::spawn(Arc::clone(&guard).run());
     let probe_core = core.clone();
     let probes = probe_router(registry, Arc::new(move || probe_core.unready_reason()));
-    serve_probes(&core.settings, probes.clone(), &guard).await?;
+    if let Some(listener) = probe_listener {
+        tokio::spawn(probe_server::serve(listener, probes.clone(), Arc::clone(&guard)));
+    }
     let (phase, phase_receiver) = watch::channel(ServerPhase::Serving);
     let server = Arc::new(ApiServer::new(core.clone(), router(core.clone()).merge(probes)));
     let table = Arc::clone(&guard.main);
@@ -154,17 +157,12 @@
     Ok(())
 }
 
-/// Serves the probes on an address of their own, if there is one. On the address of callers they share
+/// Binds the address of the probes, if they have one of their own. On the address of callers they share
 /// its connections, since a connection is accepted before its request is known.
-async fn serve_probes(
-    settings: &EntrySettings,
-    router: Router,
-    guard: &Arc<RequestGuard>,
-) -> Result<(), EntryError> {
-    let Some(address) = settings.probe_listen else { return Ok(()) };
+async fn bind_probes(settings: &EntrySettings) -> Result<Option<TcpListener>, EntryError> {
+    let Some(address) = settings.probe_listen else { return Ok(None) };
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    tokio::spawn(probe_server::serve(listener, router, Arc::clone(guard)));
-    Ok(())
+    Ok(Some(listener))
 }
 
 fn build_core(
--- a/crates/entry/src/offset_gate.rs
+++ b/crates/entry/src/offset_gate.rs
@@ -24,6 +24,10 @@
 /// Maximum time that a request waits for this entry to catch up.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Marks the response to a request that reached no handler.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NotHandled;
+
 /// Middleware that delays a request until this entry has applied the requested offset, and adds
 /// the applied offset to the response. Requests without a valid token don't wait.
 pub(crate) async fn require_min_offset(
@@ -38,7 +42,9 @@
         Ok(Some(requested)) => wait_for_offset(&core, requested).await,
     };
     if let Err(error) = admitted {
-        return error.into_response();
+        let mut response = error.into_response();
+        response.extensions_mut().insert(NotHandled);
+        return response;
     }
     let mut response = next.run(request).await;
     let offset = HeaderValue::from(core.tail.state().offset);
--- a/crates/protocol/src/link_limits.rs
+++ b/crates/protocol/src/link_limits.rs
@@ -20,9 +20,9 @@
 }
 
 impl Default for LinkLimits {
-    /// Some ten entries and several hundred agents connect at once after a power cut, each for some ms.
+    /// After a power cut, several hundred agents connect at once to an entry with a small share of a core.
     fn default() -> Self {
-        Self { unproved: 128, proof_timeout_ms: 3_000, proof_bytes: 16_384 }
+        Self { unproved: 512, proof_timeout_ms: 3_000, proof_bytes: 16_384 }
     }
 }
 
