--- a/review/standins-3/deploy.rs
+++ b/review/standins-3/deploy.rs
@@ -59,14 +59,6 @@
         Ok(())
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let _ =
-                Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -318,7 +310,7 @@
 
 /// A loopback address with a port that is free now, outside the range that connections take theirs from.
 pub fn free_address() -> SocketAddr {
-    let offset = std::process::id() as u16 % 800 * 10;
+    let offset = std::process::id() as u16 % 100 * 100;
     loop {
         let port = FIRST_PORT + offset + NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         if let Ok(address) =
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -15,7 +15,6 @@
 /// A request as a stand-in receives it.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: BTreeMap<String, String>,
     pub headers: BTreeMap<String, String>,
@@ -84,7 +83,7 @@
     let mut line = String::new();
     reader.read_line(&mut line).ok()?;
     let mut words = line.split_whitespace();
-    let method = words.next()?.to_owned();
+    words.next()?;
     let target = words.next()?.to_owned();
     let headers = read_headers(reader)?;
     let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -93,7 +92,7 @@
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect();
-    Some(Request { method, path: path.to_owned(), query, headers, body })
+    Some(Request { path: path.to_owned(), query, headers, body })
 }
 
 fn unescape(text: &str) -> String {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 
 mod flood;
 mod moved_queue;
+mod other_writer;
 mod renamed_route;
 
 use std::net::SocketAddr;
@@ -71,6 +72,7 @@
     let result = match name.as_str() {
         "flood" => flood::run(&case),
         "moved-queue" => moved_queue::run(&case),
+        "other-writer" => other_writer::run(&case),
         "renamed-route" => renamed_route::run(&case),
         _ => Err(Trouble(format!("there is no case {name}"))),
     };
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -103,8 +103,6 @@
     life: Mutex<Life>,
     agent: SocketAddr,
     is_closed: AtomicBool,
-    /// Fault: the next start is carried out this much later and not answered.
-    late_start: Mutex<Option<Duration>>,
 }
 
 /// A running stand-in of a worker.
@@ -128,7 +126,6 @@
             record: record.clone(),
             agent,
             is_closed: AtomicBool::new(false),
-            late_start: Mutex::new(None),
         });
         let worker = Worker { shared, address };
         let handler = worker.clone();
@@ -202,6 +199,35 @@
         http::call(self.shared.agent, "PUT", &path, &[], body.as_bytes(), REPORT_TIMEOUT);
     }
 
+    /// Sends the report of another writer under the worker's id, of a service that nobody named.
+    pub fn report_as_other(&self, later_ms: u64, sequence: u64) {
+        let (path, body) = {
+            let life = self.life();
+            let spec = &self.shared.spec;
+            let body = format!(
+                "{{\"service\":\"no-such-service\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+                 \"slots\":8,\"state\":\"ready\",\"cold-left-ms\":0,\
+                 \"room\":{{\"cpu\":128000,\"mem-mb\":262144,\"gpu\":{}}},\"labels\":[\"a\",\"{}\"],\
+                 \"clock-ms\":{},\"born\":{},\"seq\":{sequence}}}",
+                self.address,
+                spec.zone,
+                spec.gpu,
+                spec.rack,
+                life.clock_ms(),
+                life.born + later_ms,
+            );
+            (format!("/cuminbarrow/instances/{}", life.id), body)
+        };
+        let answer =
+            http::call(self.shared.agent, "PUT", &path, &[], body.as_bytes(), REPORT_TIMEOUT);
+        let status = answer.map_or(0, |(status, _)| status);
+        if sequence % 100 == 0 {
+            self.shared.record.line(&format!(
+                "another writer PUT {path} {body} -> {status}; each hundredth is shown"
+            ));
+        }
+    }
+
     /// Announces that the worker leaves, and ends it after `remaining`.
     pub fn leave(&self, remaining: Duration) {
         {
@@ -233,30 +259,6 @@
         self.shared.is_closed.store(true, Ordering::Relaxed);
     }
 
-    /// Crashes the worker and starts it again under the same id, after `pause`.
-    pub fn restart(&self, pause: Duration) {
-        self.shared.record.line(&format!("worker {} crashes", self.shared.spec.id));
-        {
-            let mut life = self.life();
-            life.running.clear();
-            life.is_up = false;
-        }
-        thread::sleep(pause);
-        *self.shared.life.lock().unwrap() = Life::new(&self.shared.spec.id);
-        self.shared.record.line(&format!("worker {} starts again", self.shared.spec.id));
-        self.report();
-    }
-
-    /// The next start gets no answer and is carried out `delay` later.
-    pub fn delay_next_start(&self, delay: Duration) {
-        *self.shared.late_start.lock().unwrap() = Some(delay);
-    }
-
-    /// Whether a delayed start was received.
-    pub fn has_delayed_start(&self) -> bool {
-        self.shared.late_start.lock().unwrap().is_none()
-    }
-
     /// Work units that run now, with their runs.
     pub fn running(&self) -> Vec<(String, u64)> {
         self.life().running.iter().map(|(task, run)| (task.clone(), run.run)).collect()
@@ -268,24 +270,7 @@
         }
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         match request.path.as_str() {
-            "/cuminbarrow/run-start" => {
-                let late = self.shared.late_start.lock().unwrap().take();
-                if let Some(delay) = late {
-                    let text = format!("{}#{}", body.get("task").text(), body.get("run").number());
-                    self.shared.record.line(&format!(
-                        "worker {} delays the start of {text}",
-                        self.shared.spec.id
-                    ));
-                    let (worker, request) = (self.clone(), request.clone());
-                    thread::spawn(move || {
-                        thread::sleep(delay);
-                        worker.start_run(&request, &body);
-                    });
-                    thread::sleep(Duration::from_secs(20));
-                    return Reply::Reset;
-                }
-                self.start_run(request, &body)
-            }
+            "/cuminbarrow/run-start" => self.start_run(request, &body),
             "/cuminbarrow/run-stop" => self.stop_run(request, &body),
             "/cuminbarrow/hold" => self.hold(request, &body),
             "/cuminbarrow/pace" => {
