Review case 11: one job with many wide steps ends every process

Cause: the state of a placed step has an entry for each of its work units, on every entry and agent, and up to 256 such steps are placed at once; limits exist for what waits and for runs on a worker only.

Change: the case with its script; as it is the gravest, the other four become cases 12 to 15.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/cuminbarrow-platform-{entry,agent} target/review-3/cases; do
   [[ -x $program ]] || { echo "$program isn't built"; exit 2; }
 done
-exec target/review-3/cases other-writer review/13
+exec target/review-3/cases moved-queue review/13
--- a/review/standins-3/flood.rs
+++ b/review/standins-3/flood.rs
@@ -81,10 +81,16 @@
                 }
             });
         }
-        enforce_memory(case, &mut deployment, began, &mut ends);
+        enforce_memory(case, &mut deployment, began, LENGTH, &mut ends);
     });
     let accepted = accepted.load(Ordering::Relaxed);
-    case.record.line(&format!("{accepted} of {JOBS} jobs accepted; ends by memory: {ends:?}"));
+    case.record.line(&format!("{accepted} of {JOBS} jobs accepted"));
+    judge(case, &ends)
+}
+
+/// The rule "Fault".
+pub fn judge(case: &Case, ends: &BTreeMap<String, usize>) -> Result<Verdict, Trouble> {
+    case.record.line(&format!("ends by memory: {ends:?}"));
     let machines = ends.values().filter(|count| **count >= MAX_ENDS).count();
     if machines >= MAX_MACHINES {
         let what = format!("processes ended {MAX_ENDS} times on {machines} machines: {ends:?}");
@@ -94,15 +100,16 @@
 }
 
 /// Plays the platform: kills processes that exceed their memory, and starts ended ones again.
-fn enforce_memory(
+pub fn enforce_memory(
     case: &Case,
     deployment: &mut Deployment,
     began: Instant,
+    length: Duration,
     ends: &mut BTreeMap<String, usize>,
 ) {
     let mut peaks: BTreeMap<String, u64> = BTreeMap::new();
     let mut restarts: BTreeMap<String, Instant> = BTreeMap::new();
-    while began.elapsed() < LENGTH {
+    while began.elapsed() < length {
         for process in deployment.entries.iter_mut().chain(&mut deployment.agents) {
             if let Some(at) = restarts.get(&process.name) {
                 if Instant::now() >= *at {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,7 @@
 mod moved_queue;
 mod other_writer;
 mod renamed_route;
+mod wide_job;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -73,6 +74,7 @@
         "flood" => flood::run(&case),
         "moved-queue" => moved_queue::run(&case),
         "other-writer" => other_writer::run(&case),
+        "wide-job" => wide_job::run(&case),
         "renamed-route" => renamed_route::run(&case),
         _ => Err(Trouble(format!("there is no case {name}"))),
     };
