--- a/review/standins-3/moved_queue.rs
+++ b/review/standins-3/moved_queue.rs
@@ -1,5 +1,5 @@
 //! A queue is moved to another service, and the worker of the first is emptied and taken away: one of
-//! seven workers.
+//! twelve workers.
 
 use std::collections::BTreeMap;
 use std::thread;
@@ -16,7 +16,7 @@
 
 const OLD: &str = "huvo11a";
 const NEW: &str = "huvo12b";
-const NEW_WORKERS: usize = 6;
+const NEW_WORKERS: usize = 11;
 const JOBS: usize = 6;
 const RUN_MS: u64 = 4_000;
 /// Configurations are in force everywhere after `config-apply-ms`.
