Hold a state only for tasks that were placed and are not done

A step holds a state only for tasks that were placed and are not done or still have a run. Done tasks without a run are ranges of indices with the number of their last run, by which late ends are told apart. Memory follows what runs, not what callers name.

--- a/crates/taskgraph/src/admission_forecast.rs
+++ b/crates/taskgraph/src/admission_forecast.rs
@@ -19,9 +19,9 @@
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
-use crate::job_state::StepState;
 use crate::service_capacity::ServiceUsage;
 use crate::service_capacity::staying_workers;
+use crate::step_state::StepState;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::WorkerState;
@@ -33,7 +33,7 @@
 /// Maximum number of steps of one job that count, and of tasks of a step that was begun. They bound the
 /// time for a submission; further ones are left out, in the caller's favour.
 const MAX_COUNTED_STEPS: usize = 64;
-const MAX_COUNTED_TASKS: usize = 1_000;
+const MAX_COUNTED_TASKS: u32 = 1_000;
 
 /// Inputs and result of a forecast.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -182,10 +182,10 @@
     ) -> u64 {
         let run_ms = shortest_run_ms(self.state, &job.terms.queue, spec);
         let Some(known) = known else { return run_ms.saturating_mul(u64::from(spec.count)) };
-        let tasks = (0..).zip(&known.tasks).take(MAX_COUNTED_TASKS);
-        let remaining = tasks.filter(|(_, task)| !task.is_done);
-        let remaining = remaining.map(|(index, task)| {
-            let Some(placement) = task.current.first() else {
+        let remaining =
+            (0..spec.count.min(MAX_COUNTED_TASKS)).filter(|index| !known.is_task_done(*index));
+        let remaining = remaining.map(|index| {
+            let Some(placement) = known.runs_of(index).first() else {
                 // How much a checkpoint saves is not known here.
                 let saved = known.representative(spec, index).map(|task| &task.checkpoint);
                 return if saved.is_none_or(|saved| saved.is_empty()) { run_ms } else { 0 };
--- a/crates/taskgraph/src/apply_jobs.rs
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -94,7 +94,7 @@
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(state) = job.steps.get(&(step.occurrence, step.step)) else { return };
         let mut runs = Vec::new();
-        for (index, task) in (0..).zip(&state.tasks) {
+        for (index, task) in state.tasks() {
             for placement in &task.current {
                 runs.push((
                     placement.worker,
--- a/crates/taskgraph/src/apply_runs.rs
+++ b/crates/taskgraph/src/apply_runs.rs
@@ -13,8 +13,6 @@
 use crate::job_spec::StepSpec;
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
-use crate::job_state::RunPlacement;
-use crate::job_state::StepState;
 use crate::job_terms::JobTerms;
 use crate::record::EndKind;
 use crate::record::RunEnd;
@@ -29,6 +27,8 @@
 use crate::refusal::WorkerNotReadySnafu;
 use crate::refusal::WorkerUnfitSnafu;
 use crate::refusal::WrongRunSnafu;
+use crate::step_state::RunPlacement;
+use crate::step_state::StepState;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::HeldRun;
@@ -58,10 +58,7 @@
             return Ok(GraphEffect::Done);
         };
         for placed in tasks {
-            if let Some(task) = state.tasks.get_mut(placed.index as usize) {
-                task.last_run = placed.run;
-                task.current.push(RunPlacement { run: placed.run, worker: placed.worker });
-            }
+            state.place(placed.index, RunPlacement { run: placed.run, worker: placed.worker });
         }
         Ok(GraphEffect::Done)
     }
@@ -100,8 +97,9 @@
             let step = run.task.step;
             let Some(job) = self.jobs.get_mut(&step.job) else { continue };
             let state = job.steps.get(&(step.occurrence, step.step));
-            let task = state.and_then(|state| state.tasks.get(run.task.index as usize));
-            job.has_started |= task.is_some_and(|task| task.last_run >= run.run);
+            let index = run.task.index;
+            job.has_started |= state
+                .is_some_and(|state| state.has_task(index) && state.last_run_of(index) >= run.run);
         }
         GraphEffect::Done
     }
@@ -188,12 +186,15 @@
         let spec = job.spec.clone();
         let Some(spec) = spec.steps.get(usize::from(step.step)) else { return true };
         let Some(state) = job.step_state_mut(step.occurrence, step.step) else { return true };
-        let Some(task) = state.tasks.get(run.task.index as usize) else { return true };
-        if task.last_run != run.run {
+        let index = run.task.index;
+        if !state.has_task(index) {
+            return true;
+        }
+        if state.last_run_of(index) != run.run {
             return false;
         }
-        if !task.is_done && !spec.long_running {
-            self.complete_task(step, run.task.index, spec);
+        if !state.is_task_done(index) && !spec.long_running {
+            self.complete_task(step, index, spec);
         }
         true
     }
@@ -226,10 +227,8 @@
         }
         let is_advised = job.terms.is_advised;
         let Some(state) = job.step_state_mut(step.occurrence, step.step) else { return };
-        if let Some(task) = state.tasks.get_mut(index as usize) {
-            task.current.retain(|placement| placement.run != end.run.run);
-        }
-        if state.representative(spec, index).is_none_or(|task| task.is_done) {
+        state.remove_run(index, end.run.run);
+        if !state.has_task(index) || state.is_representative_done(spec, index) {
             return;
         }
         if let Some(representative) = state.representative_mut(spec, index)
@@ -297,9 +296,7 @@
             (0..spec.count).for_each(|member| state.complete(member));
         } else {
             state.complete(index);
-            let task = state.tasks.get(index as usize);
-            let copies = task.map(|task| task.current.clone()).unwrap_or_default();
-            for copy in copies {
+            for copy in state.runs_of(index).to_vec() {
                 let run = RunKey { task: step.task(index), run: copy.run };
                 self.stop_run(copy.worker, run, StopCause::Superseded);
             }
@@ -360,19 +357,19 @@
         ensure!(!state.has_placed_runs(), not_ready("an earlier run still holds resources"));
         ensure!(!state.is_done(), not_ready("the step is done"));
     }
-    let next_run = state.last_run() + 1;
+    let next_run = state.last_gang_run() + 1;
     let mut seen = BTreeSet::new();
     for placed in tasks {
         let run = RunKey { task: step.task(placed.index), run: placed.run };
-        let task = state.tasks.get(placed.index as usize);
-        let task = task.context(not_ready("no such task"))?;
+        ensure!(state.has_task(placed.index), not_ready("no such task"));
         ensure!(seen.insert(placed.index), not_ready("a task is named more than once"));
-        ensure!(!task.is_done, not_ready("the task is done"));
+        ensure!(!state.is_task_done(placed.index), not_ready("the task is done"));
+        let current = state.runs_of(placed.index);
         let may_copy = spec.speculative
-            && task.current.len() == 1
-            && task.current.iter().all(|placement| placement.worker != placed.worker);
-        ensure!(task.current.is_empty() || may_copy, not_ready("the task already has a run"));
-        let expected = if spec.gang { next_run } else { task.last_run + 1 };
+            && current.len() == 1
+            && current.iter().all(|placement| placement.worker != placed.worker);
+        ensure!(current.is_empty() || may_copy, not_ready("the task already has a run"));
+        let expected = if spec.gang { next_run } else { state.last_run_of(placed.index) + 1 };
         ensure!(placed.run == expected, WrongRunSnafu { run });
     }
     Ok(())
--- a/crates/taskgraph/src/apply_workers.rs
+++ b/crates/taskgraph/src/apply_workers.rs
@@ -89,10 +89,7 @@
         let step = run.task.step;
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(state) = job.steps.get_mut(&(step.occurrence, step.step)) else { return };
-        let Some(task) = state.tasks.get_mut(run.task.index as usize) else { return };
-        for placement in task.current.iter_mut().filter(|placement| placement.run == run.run) {
-            placement.worker = worker;
-        }
+        state.move_run(run.task.index, run.run, worker);
     }
 
     fn update_registration(
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -327,11 +327,8 @@
     pub fn worker_of(&self, run: RunKey) -> Option<WorkerKey> {
         let step = run.task.step;
         let state = self.jobs.get(&step.job)?.steps.get(&(step.occurrence, step.step))?;
-        let task = state.tasks.get(run.task.index as usize)?;
-        task.current
-            .iter()
-            .find(|placement| placement.run == run.run)
-            .map(|placement| placement.worker)
+        let mut placements = state.runs_of(run.task.index).iter();
+        placements.find(|placement| placement.run == run.run).map(|placement| placement.worker)
     }
 
     /// Worker that runs on an instance, as given by [`crate::worker::instance_at`].
--- a/crates/taskgraph/src/job_state.rs
+++ b/crates/taskgraph/src/job_state.rs
@@ -1,4 +1,4 @@
-//! State of a job and of its steps and tasks, as recorded in the log.
+//! State of a job, as recorded in the log.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -6,16 +6,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use smol_str::SmolStr;
 
 use crate::job_spec::JobSpec;
 use crate::job_spec::StepSpec;
 use crate::job_terms::JobTerms;
+use crate::step_state::StepState;
 use crate::task_key::StepKey;
-use crate::worker::WorkerKey;
-
-/// Maximum number of workers that are remembered per task because the task failed there.
-const MAX_FAILED_WORKERS: usize = 8;
 
 /// Phase of a job's life cycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,106 +36,6 @@
     },
 }
 
-/// A run that was placed and is not known to have ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunPlacement {
-    /// Number of the run.
-    pub run: u32,
-    /// Worker that the run was placed on.
-    pub worker: WorkerKey,
-}
-
-/// State of one task.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskState {
-    /// Current runs; more than one only if the step is speculative.
-    pub current: Vec<RunPlacement>,
-    /// Number of the last run that was placed; 0 before the first.
-    pub last_run: u32,
-    /// Number of failed runs. A gang's failures are counted on its first task.
-    pub failures: u16,
-    /// Whether the task is done.
-    pub is_done: bool,
-    /// Latest checkpoint; empty if there is none. A gang's checkpoint is stored on its first task.
-    pub checkpoint: SmolStr,
-    /// Workers on which the task most recently failed, stalled or was refused.
-    pub failed_workers: Vec<WorkerKey>,
-}
-
-impl TaskState {
-    pub(crate) fn record_failure(&mut self, worker: WorkerKey) {
-        self.failures = self.failures.saturating_add(1);
-        self.record_failed_worker(worker);
-    }
-
-    pub(crate) fn record_failed_worker(&mut self, worker: WorkerKey) {
-        if self.failed_workers.len() == MAX_FAILED_WORKERS {
-            self.failed_workers.remove(0);
-        }
-        self.failed_workers.push(worker);
-    }
-}
-
-/// State of one step of one occurrence.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StepState {
-    /// Tasks of the step, by index.
-    pub tasks: Vec<TaskState>,
-    /// Last run of a gang that was counted as failed.
-    pub last_failed_run: u32,
-    /// Number of tasks that are done.
-    done_count: u32,
-}
-
-impl StepState {
-    pub(crate) fn new(count: u32) -> Self {
-        Self { tasks: vec![TaskState::default(); count as usize], ..Self::default() }
-    }
-
-    /// Whether every task is done.
-    pub fn is_done(&self) -> bool {
-        self.done_count as usize >= self.tasks.len()
-    }
-
-    /// Number of tasks that are not done.
-    pub fn remaining_count(&self) -> u32 {
-        let count = u32::try_from(self.tasks.len()).unwrap_or(u32::MAX);
-        count.saturating_sub(self.done_count)
-    }
-
-    /// Marks a task as done.
-    pub(crate) fn complete(&mut self, index: u32) {
-        if let Some(task) = self.tasks.get_mut(index as usize).filter(|task| !task.is_done) {
-            task.is_done = true;
-            self.done_count += 1;
-        }
-    }
-
-    /// Whether any task has a current run.
-    pub fn has_placed_runs(&self) -> bool {
-        self.tasks.iter().any(|task| !task.current.is_empty())
-    }
-
-    /// Highest run number of any task.
-    pub fn last_run(&self) -> u32 {
-        self.tasks.iter().map(|task| task.last_run).max().unwrap_or(0)
-    }
-
-    /// Task that stores the failures and the checkpoint of task `index`: the first task for a gang,
-    /// otherwise the task itself.
-    pub fn representative(&self, spec: &StepSpec, index: u32) -> Option<&TaskState> {
-        self.tasks.get(if spec.gang { 0 } else { index as usize })
-    }
-
-    pub(crate) fn representative_mut(
-        &mut self,
-        spec: &StepSpec,
-        index: u32,
-    ) -> Option<&mut TaskState> {
-        self.tasks.get_mut(if spec.gang { 0 } else { index as usize })
-    }
-}
-
 /// State of one job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobState {
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -19,7 +19,6 @@
 use crate::draining_workers::draining_runs;
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
-use crate::job_state::TaskState;
 use crate::load_order::DelayedStep;
 use crate::loss_limit::max_loss;
 use crate::planning_options::PlanningOptions;
@@ -33,6 +32,7 @@
 use crate::step_queue::WaitingStep;
 use crate::step_queue::guaranteed_jobs;
 use crate::step_queue::waiting_steps;
+use crate::step_state::StepState;
 use crate::task_key::RunKey;
 use crate::urgent_reserve::UrgentReserve;
 use crate::victim_table::VictimTable;
@@ -274,13 +274,13 @@
     /// Workers on which the step failed; none if that would exclude more than half of the ready
     /// workers.
     fn failed_workers(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerKey> {
-        let tasks = waiting.state().map(|state| state.tasks.as_slice()).unwrap_or_default();
-        let mut failed_workers: Vec<WorkerKey> =
-            tasks.iter().flat_map(|task: &TaskState| task.failed_workers.iter().copied()).collect();
-        failed_workers.sort();
-        failed_workers.dedup();
+        let failed_workers = waiting.state().map(StepState::failed_workers).unwrap_or_default();
         let ready = self.map.workers.iter().filter(|worker| worker.is_ready()).count();
-        if failed_workers.len() * 2 > ready { Vec::new() } else { failed_workers }
+        if failed_workers.len() * 2 > ready {
+            Vec::new()
+        } else {
+            failed_workers.into_iter().collect()
+        }
     }
 
     /// Whether the workers that the request allows could hold one task, or the whole gang, if they
@@ -346,14 +346,14 @@
     ) {
         let mut tasks = Vec::new();
         let mut indices = waiting.tasks();
-        let gang_run = waiting.state().map_or(0, |state| state.last_run()) + 1;
+        let gang_run = waiting.state().map_or(0, StepState::last_gang_run) + 1;
         for (worker_index, count) in allocation {
             let Some(worker) = self.map.workers.get(*worker_index).map(|worker| worker.key) else {
                 continue;
             };
             for index in indices.by_ref().take(*count as usize) {
-                let task = waiting.state().and_then(|state| state.tasks.get(index as usize));
-                let next_run = task.map_or(0, |task| task.last_run) + 1;
+                let last_run = waiting.state().map_or(0, |state| state.last_run_of(index));
+                let next_run = last_run + 1;
                 let run = if waiting.spec.gang { gang_run } else { next_run };
                 tasks.push(TaskPlacement { index, run, worker });
             }
--- a/crates/taskgraph/src/preemption_history.rs
+++ b/crates/taskgraph/src/preemption_history.rs
@@ -15,6 +15,7 @@
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_terms::JobTerms;
+use crate::step_state::StepState;
 use crate::task_key::RunKey;
 use crate::task_key::TaskKey;
 use crate::victim_table::lost_time;
@@ -150,8 +151,7 @@
         let Some((lost_ms, lost_core_ms)) = lost_with(run) else { return };
         let mut lost = PreemptionTotals { runs: 1, lost_core_ms };
         let state = job.steps.get(&(step.occurrence, step.step)).filter(|_| spec.gang);
-        let tasks = state.map(|state| state.tasks.as_slice()).unwrap_or_default();
-        for (index, task) in (0..).zip(tasks) {
+        for (index, task) in state.into_iter().flat_map(StepState::tasks) {
             let members = task.current.iter();
             let members = members.map(|placed| RunKey { task: step.task(index), run: placed.run });
             for (_, lost_core_ms) in members.filter(|member| *member != run).filter_map(lost_with) {
--- a/crates/taskgraph/src/remaining_work.rs
+++ b/crates/taskgraph/src/remaining_work.rs
@@ -12,7 +12,7 @@
 use crate::service_capacity::workers_of;
 use crate::step_queue::TOO_LATE_FACTOR;
 use crate::step_queue::WaitingStep;
-use crate::step_queue::waiting_count;
+use crate::step_state::StepState;
 use crate::task_key::StepKey;
 use crate::waiting_cost::WaitingWork;
 
@@ -112,7 +112,7 @@
             let starts = spec.depends_on.iter().filter_map(|step| ends.get(usize::from(*step)));
             let start_ms = starts.max().copied().unwrap_or(0);
             let step_state = job.steps.get(&(key.occurrence, step));
-            let count = step_state.map_or(spec.count, |known| waiting_count(known, spec));
+            let count = step_state.map_or(spec.count, StepState::waiting_count);
             let run_ms =
                 if spec.runs_to_completion() { state.expected_run_ms(job, spec) } else { 0 };
             let resources = spec.held_resources();
--- a/crates/taskgraph/src/shape_packing.rs
+++ b/crates/taskgraph/src/shape_packing.rs
@@ -16,9 +16,8 @@
 use crate::graph_state::GraphState;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
-use crate::job_state::StepState;
 use crate::resource_amounts::ResourceAmounts;
-use crate::step_queue::waiting_count;
+use crate::step_state::StepState;
 
 /// Maximum number of shapes of a service that count, those with the most work first. It bounds the time
 /// that each candidate worker takes.
@@ -131,7 +130,7 @@
     match state {
         None => spec.count,
         Some(state) if spec.runs_to_completion() => state.remaining_count(),
-        Some(state) => waiting_count(state, spec),
+        Some(state) => state.waiting_count(),
     }
 }
 
--- a/crates/taskgraph/src/slow_worker_migration.rs
+++ b/crates/taskgraph/src/slow_worker_migration.rs
@@ -13,8 +13,8 @@
 use crate::graph_state::GraphState;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
-use crate::job_state::StepState;
 use crate::job_terms::BACKGROUND_PRIORITY;
+use crate::step_state::StepState;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::WorkerKey;
@@ -95,11 +95,11 @@
 /// Allocates free capacity on workers that are not slow for the run, or for its whole gang. Returns
 /// whether there was enough.
 fn reserve_elsewhere(map: &mut CapacityMap<'_>, slow: SlowRun<'_>) -> bool {
-    let index = slow.run.task.index as usize;
     let failed_workers: Vec<WorkerKey> = if slow.spec.gang {
-        slow.state.tasks.iter().flat_map(|task| task.failed_workers.iter().copied()).collect()
+        slow.state.failed_workers().into_iter().collect()
     } else {
-        slow.state.tasks.get(index).map(|task| task.failed_workers.clone()).unwrap_or_default()
+        let task = slow.state.task(slow.run.task.index);
+        task.map(|task| task.failed_workers.clone()).unwrap_or_default()
     };
     let request = StepRequest {
         step: slow.run.task.step,
--- a/crates/taskgraph/src/speed_profile.rs
+++ b/crates/taskgraph/src/speed_profile.rs
@@ -18,15 +18,15 @@
 use crate::graph_state::GraphState;
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
-use crate::job_state::TaskState;
 use crate::record::RunEnd;
+use crate::step_state::TaskState;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::HeldRun;
 use crate::worker::WorkerKey;
 
 /// Number of a step's tasks, from the first, that are compared. It bounds the memory of a step.
-const MAX_COMPARED_TASKS: usize = 128;
+const MAX_COMPARED_TASKS: u32 = 128;
 /// Minimum number of runs that are compared while other tasks of the step are not done.
 const MIN_COHORT_RUNS: usize = 8;
 /// Minimum part of the compared runs that have ended, in percent, while others are running. Run times
@@ -313,17 +313,18 @@
         };
         let Some(state) = job.steps.get(&(step.occurrence, step.step)) else { return };
         let index = end.run.task.index;
-        let tasks = || (0_u32..).zip(&state.tasks).take(MAX_COMPARED_TASKS);
+        let compared = spec.count.min(MAX_COMPARED_TASKS);
         let valid_from_ms = self.speed_profiles.valid_from_ms;
         let sample = |worker, held: &HeldRun| {
             let run_ms = now_ms.saturating_sub(held.placed_ms);
             let sample = RunSample { worker, placed_ms: held.placed_ms, run_ms };
             (held.placed_ms >= valid_from_ms).then_some(sample)
         };
-        let Some((_, task)) = tasks().find(|(other, _)| *other == index) else { return };
-        let is_done = tasks().all(|(other, task)| task.is_done || other == index);
+        let Some(task) = state.task(index).filter(|_| index < compared) else { return };
+        let is_done = (0..compared).all(|other| state.is_task_done(other) || other == index);
         let ended = sample(worker, held).filter(|_| is_whole_run(spec, task, end.run.run));
-        let others = tasks().filter(|(other, _)| *other != index);
+        let others = state.tasks().take_while(|(other, _)| *other < compared);
+        let others = others.filter(|(other, _)| *other != index);
         let placed = others.flat_map(|(other, task)| {
             let whole = task.current.iter().filter(|placed| is_whole_run(spec, task, placed.run));
             whole.map(move |placed| (RunKey { task: step.task(other), run: placed.run }, placed))
--- a/crates/taskgraph/src/step_queue.rs
+++ b/crates/taskgraph/src/step_queue.rs
@@ -14,13 +14,13 @@
 use crate::job_id::JobId;
 use crate::job_spec::StepSpec;
 use crate::job_state::JobState;
-use crate::job_state::StepState;
 use crate::job_terms::URGENT_PRIORITY;
 use crate::load_order::DelayedStep;
 use crate::load_order::LoadRank;
 use crate::load_order::rank_under_load;
 use crate::plan_round::PlannerInput;
 use crate::record::MAX_RUNS_PER_RECORD;
+use crate::step_state::StepState;
 use crate::task_key::StepKey;
 
 /// A result is worth something until this many times the latency objective has passed.
@@ -81,8 +81,8 @@
 
     /// Indices of the tasks to place.
     pub fn tasks(&self) -> impl Iterator<Item = u32> + '_ {
-        let state = self.state();
-        (0..self.spec.count).filter(move |index| is_waiting(state, *index))
+        let unplaced = if self.state().is_none() { 0..self.spec.count } else { 0..0 };
+        unplaced.chain(self.state().into_iter().flat_map(StepState::waiting))
     }
 
     /// Number of the waiting tasks that one round considers. The next round follows at once.
@@ -240,7 +240,7 @@
     if spec.gang && state.is_some_and(StepState::has_placed_runs) {
         return None;
     }
-    let count = state.map_or(spec.count, |state| waiting_count(state, spec));
+    let count = state.map_or(spec.count, StepState::waiting_count);
     if count == 0 {
         return None;
     }
@@ -261,18 +261,6 @@
     })
 }
 
-/// Whether a task waits to be placed; `state` is that of its step, `None` if it was never placed.
-fn is_waiting(state: Option<&StepState>, index: u32) -> bool {
-    let task = state.and_then(|state| state.tasks.get(index as usize));
-    task.is_none_or(|task| !task.is_done && task.current.is_empty())
-}
-
-/// Number of a step's tasks that wait to be placed.
-pub(crate) fn waiting_count(state: &StepState, spec: &StepSpec) -> u32 {
-    let indices = (0..spec.count).filter(|index| is_waiting(Some(state), *index));
-    u32::try_from(indices.count()).unwrap_or(u32::MAX)
-}
-
 fn timeliness(job: &JobState, spec: &StepSpec, eligible_ms: u64, now_ms: u64) -> Timeliness {
     let objective_ms = job.objective_ms();
     if spec.long_running || now_ms + u64::from(spec.estimate_ms) <= eligible_ms + objective_ms {
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -11,6 +11,7 @@
 use crate::job_terms::URGENT_PRIORITY;
 use crate::service_capacity::ServiceUsage;
 use crate::step_queue::WaitingStep;
+use crate::step_state::TaskState;
 use crate::urgent_demand::MAX_RECLAIM_RETENTION_MS;
 use crate::urgent_demand::RECLAIM_RETENTION_MS;
 
@@ -70,11 +71,13 @@
         else {
             return 0;
         };
-        let has_run = |index: &u32| {
-            known.tasks.get(*index as usize).is_some_and(|task| task.last_run > 0)
+        let is_lost = |(index, task): &(u32, &TaskState)| {
+            task.last_run > 0
+                && !task.is_done
+                && task.current.is_empty()
                 && self.state.preemptions.count(waiting.key.task(*index)) == 0
         };
-        u32::try_from(waiting.tasks().filter(has_run).count()).unwrap_or(u32::MAX)
+        u32::try_from(known.tasks().filter(is_lost).count()).unwrap_or(u32::MAX)
     }
 
     /// Why the step leaves capacity free.
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -26,5 +26,6 @@
 mod throttling;
 mod waiting_cost;
 mod wide_reserve;
+mod wide_steps;
 mod worker_health;
 mod worker_probation;
--- a/crates/taskgraph/tests/graph/random_histories.rs
+++ b/crates/taskgraph/tests/graph/random_histories.rs
@@ -160,9 +160,11 @@
     fn check_gangs(&self) {
         for (id, job) in &self.graph.state.jobs {
             for ((_, step), state) in &job.steps {
-                let is_gang = job.spec.steps.get(usize::from(*step)).is_some_and(|spec| spec.gang);
-                let placed = state.tasks.iter().filter(|task| !task.current.is_empty()).count();
-                if !is_gang || placed == 0 || placed == state.tasks.len() || state.is_done() {
+                let spec = job.spec.steps.get(usize::from(*step));
+                let is_gang = spec.is_some_and(|spec| spec.gang);
+                let count = spec.map_or(0, |spec| spec.count as usize);
+                let placed = state.tasks().filter(|(_, task)| !task.current.is_empty()).count();
+                if !is_gang || placed == 0 || placed == count || state.is_done() {
                     continue;
                 }
                 let runs = self.graph.runs_of(*id);
--- a/crates/taskgraph/tests/graph/single_runs.rs
+++ b/crates/taskgraph/tests/graph/single_runs.rs
@@ -206,10 +206,9 @@
         let step = run.task.step;
         let state = self.graph.state.jobs.get(&step.job);
         let state = state.and_then(|job| job.steps.get(&(step.occurrence, step.step)));
-        let Some(task) = state.and_then(|state| state.tasks.get(run.task.index as usize)) else {
-            return;
-        };
-        let tasks = vec![TaskPlacement { index: run.task.index, run: task.last_run + 1, worker }];
+        let index = run.task.index;
+        let Some(state) = state.filter(|state| state.has_task(index)) else { return };
+        let tasks = vec![TaskPlacement { index, run: state.last_run_of(index) + 1, worker }];
         let _ = self.graph.apply(GraphRecord::RunsPlaced { epoch: 1, step, tasks });
     }
 
