Let waiting jobs follow their queue to another service

A job took its service from its queue at acceptance, the planner offered it to workers of that service only, and replicas refused others.

The log now holds each queue with jobs, by its address, with its service and the version of the configuration. A submission names its version, and an entry whose configuration differs from the log's queue records that while the queue has unfinished jobs. The latest version decides on every replica in the same way, in whatever order versions are read or skipped. Waiting tasks follow; runs in progress stay.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -46,7 +46,26 @@
     pub max_body_bytes: usize,
 }
 
+impl Queue {
+    /// Address by which callers name the queue: the host and the path prefix.
+    pub fn address(&self) -> SmolStr {
+        format!("{}{}", self.host, self.path_prefix).into()
+    }
+}
+
 impl Configuration {
+    /// The queue that jobs belong to which were submitted at an address: the one that has it, or else the
+    /// one of the name that the queue there had.
+    pub fn queue_of_jobs_at(&self, address: &str, name: &str) -> Option<&Queue> {
+        let is_there = |queue: &&Queue| {
+            let path_prefix = address.strip_prefix(queue.host.as_str());
+            path_prefix.is_some_and(|path_prefix| path_prefix == queue.path_prefix)
+        };
+        // Of two queues with one address, `queue_for` yields the last as well.
+        let holder = self.queues.iter().rfind(is_there);
+        holder.or_else(|| self.queues.iter().find(|queue| queue.name == name))
+    }
+
     /// The queue with the longest matching path prefix for a request, and the rest of the path.
     pub fn queue_for<'a>(&'a self, host: &str, path: &'a str) -> Option<(&'a Queue, &'a str)> {
         let host = host.split(':').next().unwrap_or_default();
--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -25,6 +25,7 @@
 use snafu::Snafu;
 
 use crate::admission_gate::AdmissionGate;
+use crate::queue_scope::QueueScope;
 use crate::replica::Replica;
 
 /// Share of a caller's patience after which a submission or cancellation is answered in any case, in
@@ -116,19 +117,21 @@
         Self { gate: Some(Arc::new(gate)), ..self }
     }
 
-    /// Accepts a job. Idempotent: a job that is submitted again is not accepted twice. `patience` is
-    /// the time that the caller waits for the answer.
+    /// Accepts a job of a team. Idempotent: a job that is submitted again is not accepted twice.
+    /// `patience` is the time that the caller waits for the answer.
     ///
     /// # Errors
     /// [`JobServiceError`].
     pub async fn submit(
         &self,
+        scope: QueueScope<'_>,
+        team: &SmolStr,
         job: JobId,
         spec: JobSpec,
-        terms: JobTerms,
         patience: Duration,
     ) -> Result<(), JobServiceError> {
         spec.check().map_err(|source| JobServiceError::BadSpec { source })?;
+        let terms = JobTerms { team: team.clone(), ..scope.queue.terms.clone() };
         let queue = terms.queue.clone();
         if let Some(known) = self.replica.state().jobs.get(&job) {
             return if known.terms.queue == queue {
@@ -142,7 +145,8 @@
             return Err(error);
         }
         self.check_admission(&Submission { job, spec: &spec, terms: &terms })?;
-        let record = GraphRecord::JobAccepted { job, spec, terms };
+        let (address, version) = (scope.queue.address(), scope.configuration.version);
+        let record = GraphRecord::JobSubmitted { job, spec, terms, address, version };
         let outcome = self.write(record, patience).await;
         self.settle_admission(job, &outcome);
         match outcome? {
--- a/crates/taskgraph/src/apply_jobs.rs
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -14,6 +14,7 @@
 use crate::job_state::JobPhase;
 use crate::job_state::JobState;
 use crate::job_terms::JobTerms;
+use crate::queue_table::QueueVersion;
 use crate::refusal::JobEndedSnafu;
 use crate::refusal::TooManyCancellationsSnafu;
 use crate::refusal::UnknownJobSnafu;
@@ -50,6 +51,26 @@
         GraphEffect::Job { queue: terms.queue.clone() }
     }
 
+    /// Accepts a job at the address of a queue. The queue's service is that of the latest version of the
+    /// configuration, which may be later or earlier than the one that the caller's entry knew.
+    pub(crate) fn job_submitted(
+        &mut self,
+        job: JobId,
+        spec: &JobSpec,
+        terms: &JobTerms,
+        address: &SmolStr,
+        version: u64,
+    ) -> GraphEffect {
+        if self.jobs.contains_key(&job) {
+            return self.job_accepted(job, spec, terms);
+        }
+        let effect = self.job_accepted(job, spec, terms);
+        let JobTerms { queue: name, service, .. } = terms.clone();
+        self.queues.add_job(address, QueueVersion { version, name, service }, job);
+        self.move_jobs(address);
+        effect
+    }
+
     /// Cancels a job that its caller's entry did not have, or keeps the cancellation for a submission
     /// that comes to the log later.
     pub(crate) fn unknown_job_cancelled(
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -21,6 +21,7 @@
 use crate::job_state::JobState;
 use crate::optional_tail::decode_or_default;
 use crate::preemption_history::PreemptionHistory;
+use crate::queue_table::QueueTable;
 use crate::record::GraphRecord;
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
@@ -154,13 +155,12 @@
     /// Learned speeds of instances.
     #[serde(deserialize_with = "decode_or_default")]
     pub speed_profiles: SpeedProfiles,
-    /// Responses of workers to health checks. While there are none, a snapshot ends before this field, as
-    /// that of a deployment without health checks always does.
-    #[serde(
-        deserialize_with = "decode_or_default",
-        skip_serializing_if = "WorkerHealth::is_empty"
-    )]
+    /// Responses of workers to health checks.
+    #[serde(deserialize_with = "decode_or_default")]
     pub worker_health: WorkerHealth,
+    /// Queues of the known jobs.
+    #[serde(deserialize_with = "decode_or_default")]
+    pub queues: QueueTable,
 }
 
 impl GraphState {
@@ -216,6 +216,7 @@
             }
             self.ended.pop_front();
             self.jobs.remove(&job);
+            self.queues.remove_job(job);
         }
     }
 
@@ -250,6 +251,10 @@
             GraphRecord::JobAccepted { job, spec, terms } => {
                 Ok(self.job_accepted(*job, spec, terms))
             }
+            GraphRecord::JobSubmitted { job, spec, terms, address, version } => {
+                Ok(self.job_submitted(*job, spec, terms, address, *version))
+            }
+            GraphRecord::QueueChanged { address, latest } => self.queue_changed(address, latest),
             GraphRecord::JobCancelled { job } => self.job_cancelled(*job),
             GraphRecord::WorkerRegistered { agent, spec } => {
                 self.worker_registered(offset, *agent, spec)
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod preemption_history;
 mod probation_exemption;
 pub mod progress_watch;
+pub mod queue_table;
 pub mod reclaim;
 mod reclaim_search;
 pub mod record;
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -13,6 +13,7 @@
 use crate::job_id::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_terms::JobTerms;
+use crate::queue_table::QueueVersion;
 use crate::task_key::RunKey;
 use crate::task_key::StepKey;
 use crate::worker::StopCause;
@@ -126,7 +127,7 @@
         /// Address at which other processes reach it.
         address: SocketAddr,
     },
-    /// A caller submitted a job.
+    /// A caller submitted a job. Releases before [`GraphRecord::JobSubmitted`] wrote it.
     JobAccepted {
         /// Identity of the job.
         job: JobId,
@@ -289,4 +290,24 @@
         /// Whether the worker considers itself healthy.
         is_healthy: bool,
     },
+    /// A caller submitted a job at the address of a queue.
+    JobSubmitted {
+        /// Identity of the job.
+        job: JobId,
+        /// Specification of the job.
+        spec: JobSpec,
+        /// Terms under which the job was accepted.
+        terms: JobTerms,
+        /// Address of the queue.
+        address: SmolStr,
+        /// Version of the configuration that the terms are from.
+        version: u64,
+    },
+    /// An entry read a configuration in which a queue has another name or service.
+    QueueChanged {
+        /// Address of the queue.
+        address: SmolStr,
+        /// The queue in that configuration.
+        latest: QueueVersion,
+    },
 }
--- a/crates/taskgraph/src/refusal.rs
+++ b/crates/taskgraph/src/refusal.rs
@@ -106,6 +106,22 @@
     /// There are too many evacuated data centres, or one has no valid name.
     #[snafu(display("the evacuated data centres are too many or have no valid names"))]
     InvalidEvacuations,
+    /// No known job was submitted at the address.
+    #[snafu(display("there is no queue with jobs at {address:?}"))]
+    UnknownQueue {
+        /// Address of the queue.
+        address: SmolStr,
+    },
+    /// The queue is recorded as of the same version of the configuration or a later one.
+    #[snafu(display("version {version} of queue {address:?} is not later than version {current}"))]
+    StaleQueue {
+        /// Address of the queue.
+        address: SmolStr,
+        /// Version of the record.
+        version: u64,
+        /// Recorded version.
+        current: u64,
+    },
     /// A later agent or incarnation of the worker has registered.
     #[snafu(display("worker {worker} was registered by a later agent or incarnation"))]
     Superseded {
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -99,6 +99,21 @@
         job
     }
 
+    /// Submits a job of one task at the address of a queue, in a version of the configuration.
+    pub(crate) fn submit_at(
+        &mut self,
+        address: &str,
+        version: u64,
+        id: u64,
+        terms: JobTerms,
+    ) -> JobId {
+        let job = JobId(id);
+        let spec = JobSpec { steps: vec![tasks(1, 8)], ..JobSpec::default() };
+        let address = address.into();
+        self.apply(GraphRecord::JobSubmitted { job, spec, terms, address, version }).unwrap();
+        job
+    }
+
     /// Plans a round and applies its records, all of which must be accepted.
     pub(crate) fn plan(&mut self) -> Plan {
         let input = PlannerInput {
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -11,6 +11,7 @@
 mod leases;
 mod load_patterns;
 mod many_occurrences;
+mod moved_queues;
 mod planning;
 mod played_load;
 mod preemption_history;
