Name jobs by the address of their queue

A job held the name of its queue at acceptance, and GET, DELETE, repeated submissions, the count of pending jobs and early cancellations compared it with the present name at the requested address.

Where no queue has the address any more, jobs follow the name, as before; jobs of the previous release go by the name.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -132,13 +132,8 @@
     ) -> Result<(), JobServiceError> {
         spec.check().map_err(|source| JobServiceError::BadSpec { source })?;
         let terms = JobTerms { team: team.clone(), ..scope.queue.terms.clone() };
-        let queue = terms.queue.clone();
-        if let Some(known) = self.replica.state().jobs.get(&job) {
-            return if known.terms.queue == queue {
-                Ok(())
-            } else {
-                Err(JobServiceError::Conflict)
-            };
+        if self.replica.state().jobs.contains_key(&job) {
+            return self.check_queue(scope, job);
         }
         if let Err(error) = self.check_writable() {
             self.note_disturbance();
@@ -150,8 +145,7 @@
         let outcome = self.write(record, patience).await;
         self.settle_admission(job, &outcome);
         match outcome? {
-            Ok(GraphEffect::Job { queue: held_by }) if held_by == queue => Ok(()),
-            Ok(_) => Err(JobServiceError::Conflict),
+            Ok(_) => self.check_queue(scope, job),
             Err(refusal) => {
                 log::error!(job:% = job; "a submission was refused by the log: {refusal}");
                 Err(JobServiceError::Unknown)
@@ -159,6 +153,12 @@
         }
     }
 
+    /// Fails if a known job belongs to another queue.
+    fn check_queue(&self, scope: QueueScope<'_>, job: JobId) -> Result<(), JobServiceError> {
+        let is_own = scope.holds(&self.replica.state(), job);
+        if is_own { Ok(()) } else { Err(JobServiceError::Conflict) }
+    }
+
     /// Fails if the job is rejected. Otherwise its record must be handed to the log.
     fn check_admission(&self, submission: &Submission<'_>) -> Result<(), JobServiceError> {
         let Some(gate) = &self.gate else { return Ok(()) };
@@ -216,19 +216,19 @@
     /// [`JobServiceError`].
     pub async fn cancel(
         &self,
-        queue: &str,
+        scope: QueueScope<'_>,
         team: &SmolStr,
         job: JobId,
         patience: Duration,
     ) -> Result<(), JobServiceError> {
-        let record = match self.known_status(queue, job) {
+        let record = match self.known_status(scope, job) {
             Some(JobStatus::Cancelled) => return Ok(()),
             Some(JobStatus::Completed | JobStatus::Failed) => return Err(JobServiceError::NoJob),
             Some(JobStatus::Queued | JobStatus::Running) => GraphRecord::JobCancelled { job },
             None => {
-                self.check_unknown(queue, team, job)?;
-                let (queue, team) = (queue.into(), team.clone());
-                GraphRecord::UnknownJobCancelled { job, queue, team }
+                let queue = scope.queue.address();
+                self.check_unknown(&queue, team, job)?;
+                GraphRecord::UnknownJobCancelled { job, queue, team: team.clone() }
             }
         };
         self.check_writable()?;
@@ -236,7 +236,7 @@
         match outcome {
             Ok(GraphEffect::CancelledEarly) => Err(JobServiceError::NoJob),
             Ok(_) => Ok(()),
-            Err(GraphRefusal::JobEnded { .. }) => match self.known_status(queue, job) {
+            Err(GraphRefusal::JobEnded { .. }) => match self.known_status(scope, job) {
                 Some(JobStatus::Cancelled) => Ok(()),
                 _ => Err(JobServiceError::NoJob),
             },
@@ -271,23 +271,27 @@
     ///
     /// # Errors
     /// [`JobServiceError::NoJob`], or [`JobServiceError::NotDone`] if the replica is stale.
-    pub async fn status(&self, queue: &str, job: JobId) -> Result<JobStatus, JobServiceError> {
-        if let Some(status) = self.known_status(queue, job) {
+    pub async fn status(
+        &self,
+        scope: QueueScope<'_>,
+        job: JobId,
+    ) -> Result<JobStatus, JobServiceError> {
+        if let Some(status) = self.known_status(scope, job) {
             return Ok(status);
         }
         self.wait_until_fresh().await?;
-        self.known_status(queue, job).ok_or(JobServiceError::NoJob)
+        self.known_status(scope, job).ok_or(JobServiceError::NoJob)
     }
 
     /// Number of active jobs of a queue of which no worker has started any task.
     ///
     /// # Errors
     /// [`JobServiceError::NotDone`] if the replica is stale.
-    pub async fn pending(&self, queue: &str) -> Result<usize, JobServiceError> {
+    pub async fn pending(&self, scope: QueueScope<'_>) -> Result<usize, JobServiceError> {
         if !self.replica.is_fresh() {
             self.wait_until_fresh().await?;
         }
-        Ok(self.replica.state().pending_jobs(queue))
+        Ok(scope.count_pending(&self.replica.state()))
     }
 
     /// Offset of the next batch to apply, and the age of the last confirmed read in ms.
@@ -300,9 +304,9 @@
         self.replica.state().jobs.get(&job).map(|known| known.terms.team.clone())
     }
 
-    fn known_status(&self, queue: &str, job: JobId) -> Option<JobStatus> {
+    fn known_status(&self, scope: QueueScope<'_>, job: JobId) -> Option<JobStatus> {
         let state = self.replica.state();
-        let known = state.jobs.get(&job).filter(|known| known.terms.queue == queue)?;
+        let known = state.jobs.get(&job).filter(|_| scope.holds(&state, job))?;
         Some(match known.phase {
             JobPhase::Active if known.is_pending() => JobStatus::Queued,
             JobPhase::Active => JobStatus::Running,
--- a/crates/dispatch/tests/fleet/cancellations.rs
+++ b/crates/dispatch/tests/fleet/cancellations.rs
@@ -36,24 +36,26 @@
         let (job, record) = fleet.new_job(tasks(1, 8), Duration::from_secs(20), EndKind::Done);
         let GraphRecord::JobAccepted { spec, .. } = record else { unreachable!() };
         first.submit(scope, &TEAM, JobId(job), spec, PATIENCE).await.unwrap();
-        let answer = second.cancel(QUEUE, &TEAM, JobId(job), PATIENCE).await;
+        let answer = second.cancel(scope, &TEAM, JobId(job), PATIENCE).await;
         let is_open =
             matches!(answer, Err(JobServiceError::NotDone { .. } | JobServiceError::Unknown));
         assert!(is_open, "{lead_ms}: {answer:?}");
         fleet.entries[1].log_client.set_fault(LogFault::None);
         tokio::time::sleep(Duration::from_secs(3)).await;
-        assert_eq!(second.cancel(QUEUE, &TEAM, JobId(job), PATIENCE).await, Ok(()));
-        assert_eq!(first.status(QUEUE, JobId(job)).await, Ok(JobStatus::Cancelled));
+        assert_eq!(second.cancel(scope, &TEAM, JobId(job), PATIENCE).await, Ok(()));
+        assert_eq!(first.status(scope, JobId(job)).await, Ok(JobStatus::Cancelled));
     }
 }
 
 /// Guards against a cancellation of a job that was never accepted which is not answered.
 #[tokio::test(start_paused = true)]
 async fn cancellation_of_an_unknown_job_is_answered() {
+    let configuration = configuration_of(QUEUE);
+    let scope = scope_of(&configuration);
     let fleet = FakeFleet::start(2, 2).await;
     for entry in &fleet.entries {
         let service = JobService::new(entry.replica.clone());
-        let answer = service.cancel(QUEUE, &TEAM, JobId(7), PATIENCE).await;
+        let answer = service.cancel(scope, &TEAM, JobId(7), PATIENCE).await;
         assert_eq!(answer, Err(JobServiceError::NoJob));
     }
 }
@@ -75,19 +77,19 @@
         let submission = first.submit(scope, &TEAM, JobId(job), spec.clone(), PATIENCE);
         let result = tokio::time::timeout(Duration::from_millis(600), submission).await;
         assert!(result.is_err(), "the caller leaves without an answer");
-        let answer = second.cancel(QUEUE, &TEAM, JobId(job), PATIENCE).await;
+        let answer = second.cancel(scope, &TEAM, JobId(job), PATIENCE).await;
         let is_final = matches!(answer, Ok(()) | Err(JobServiceError::NoJob));
         assert!(is_final, "{delay_ms}: {answer:?}");
         fleet.entries[0].log_client.set_fault(LogFault::None);
         tokio::time::sleep(Duration::from_secs(20)).await;
         assert_eq!(fleet.start_count(job), 0, "{delay_ms}");
-        assert_eq!(second.status(QUEUE, JobId(job)).await, Ok(JobStatus::Cancelled));
+        assert_eq!(second.status(scope, JobId(job)).await, Ok(JobStatus::Cancelled));
         assert_eq!(
             first.submit(scope, &TEAM, JobId(job), spec, PATIENCE).await,
             Ok(()),
             "once more"
         );
-        assert_eq!(second.cancel(QUEUE, &TEAM, JobId(job), PATIENCE).await, Ok(()));
+        assert_eq!(second.cancel(scope, &TEAM, JobId(job), PATIENCE).await, Ok(()));
         tokio::time::sleep(Duration::from_secs(10)).await;
         assert_eq!(fleet.start_count(job), 0, "{delay_ms}");
     }
@@ -103,11 +105,12 @@
     let (job, record) = fleet.new_job(tasks(1, 8), Duration::from_secs(1), EndKind::Done);
     let GraphRecord::JobAccepted { spec, .. } = record else { unreachable!() };
     let other = SmolStr::new_static("another-team");
-    for (queue, team) in [(QUEUE, &other), ("another-queue", &TEAM)] {
-        let answer = service.cancel(queue, team, JobId(job), PATIENCE).await;
+    let other_configuration = configuration_of("another-queue");
+    for (scope, team) in [(scope, &other), (scope_of(&other_configuration), &TEAM)] {
+        let answer = service.cancel(scope, team, JobId(job), PATIENCE).await;
         assert_eq!(answer, Err(JobServiceError::NoJob));
     }
     service.submit(scope, &TEAM, JobId(job), spec, PATIENCE).await.unwrap();
     tokio::time::sleep(Duration::from_secs(5)).await;
-    assert_eq!(service.status(QUEUE, JobId(job)).await, Ok(JobStatus::Completed));
+    assert_eq!(service.status(scope, JobId(job)).await, Ok(JobStatus::Completed));
 }
--- a/crates/taskgraph/src/apply_jobs.rs
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -23,17 +23,21 @@
 use crate::worker::StopCause;
 
 impl GraphState {
-    /// Accepts a job. Later records with the same identity are repeated submissions and change
-    /// nothing.
+    /// Accepts a job of a queue that has no address, as previous releases did.
     pub(crate) fn job_accepted(
         &mut self,
         job: JobId,
         spec: &JobSpec,
         terms: &JobTerms,
     ) -> GraphEffect {
-        if let Some(known) = self.jobs.get(&job) {
-            return GraphEffect::Job { queue: known.terms.queue.clone() };
+        if !self.jobs.contains_key(&job) {
+            self.add_job(job, spec, terms, &terms.queue);
         }
+        GraphEffect::Job
+    }
+
+    /// Adds a job, as cancelled if it was cancelled early at `queue`.
+    fn add_job(&mut self, job: JobId, spec: &JobSpec, terms: &JobTerms, queue: &str) {
         let state = JobState {
             spec: Arc::new(spec.clone()),
             terms: Arc::new(terms.clone()),
@@ -45,13 +49,13 @@
         };
         self.jobs.insert(job, state);
         self.active.insert(job);
-        if self.early_cancellations.take(&terms.team, &terms.queue, job) {
+        if self.early_cancellations.take(&terms.team, queue, job) {
             self.end_job(job, JobPhase::Cancelled { at_ms: self.clock_ms });
         }
-        GraphEffect::Job { queue: terms.queue.clone() }
     }
 
-    /// Accepts a job at the address of a queue. The queue's service is that of the latest version of the
+    /// Accepts a job at the address of a queue. Later records with the same identity are repeated
+    /// submissions and change nothing. The queue's service is that of the latest version of the
     /// configuration, which may be later or earlier than the one that the caller's entry knew.
     pub(crate) fn job_submitted(
         &mut self,
@@ -62,17 +66,18 @@
         version: u64,
     ) -> GraphEffect {
         if self.jobs.contains_key(&job) {
-            return self.job_accepted(job, spec, terms);
+            return GraphEffect::Job;
         }
-        let effect = self.job_accepted(job, spec, terms);
+        self.add_job(job, spec, terms, address);
         let JobTerms { queue: name, service, .. } = terms.clone();
         self.queues.add_job(address, QueueVersion { version, name, service }, job);
         self.move_jobs(address);
-        effect
+        GraphEffect::Job
     }
 
     /// Cancels a job that its caller's entry did not have, or keeps the cancellation for a submission
-    /// that comes to the log later.
+    /// that comes to the log later. `queue` is the queue's address, or its name in records of previous
+    /// releases.
     pub(crate) fn unknown_job_cancelled(
         &mut self,
         job: JobId,
@@ -80,8 +85,9 @@
         team: &SmolStr,
     ) -> GraphOutcome {
         if let Some(known) = self.jobs.get(&job) {
-            let is_visible =
-                known.terms.queue == *queue && (team.is_empty() || known.terms.team == *team);
+            let address = self.queues.of_job(job).map(|(address, _)| address);
+            let is_visible = address.unwrap_or(&known.terms.queue) == queue
+                && (team.is_empty() || known.terms.team == *team);
             ensure!(is_visible, UnknownJobSnafu { job });
             return self.job_cancelled(job);
         }
--- a/crates/taskgraph/src/early_cancellations.rs
+++ b/crates/taskgraph/src/early_cancellations.rs
@@ -4,6 +4,7 @@
 //! still be on its way to the log, and may be repeated at any entry. The log therefore keeps the
 //! cancellation, and the job counts as cancelled if it is submitted later. A cancellation applies to
 //! the team and queue of its caller only, so that nobody cancels the job of another team in advance.
+//! Queues are named by their addresses, and those of previous releases by their names.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -79,10 +79,7 @@
     /// The record was applied.
     Done,
     /// The job is accepted, by this record or an earlier one.
-    Job {
-        /// Queue that accepted the job.
-        queue: SmolStr,
-    },
+    Job,
     /// There is no such job. If it is submitted later, it counts as cancelled.
     CancelledEarly,
     /// The ends of runs were processed.
@@ -342,10 +339,10 @@
         workers.find(|(_, worker)| worker.spec.instance == instance)
     }
 
-    /// Number of active jobs of a queue of which no worker has started any task.
-    pub fn pending_jobs(&self, queue: &str) -> usize {
-        let jobs = self.active.iter().filter_map(|job| self.jobs.get(job));
-        jobs.filter(|job| job.terms.queue == queue && job.is_pending()).count()
+    /// Active jobs of which no worker has started any task.
+    pub fn pending_jobs(&self) -> impl Iterator<Item = (JobId, &JobState)> {
+        let jobs = self.active.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)));
+        jobs.filter(|(_, job)| job.is_pending())
     }
 }
 
--- a/crates/taskgraph/src/record.rs
+++ b/crates/taskgraph/src/record.rs
@@ -271,7 +271,7 @@
     UnknownJobCancelled {
         /// Identity of the job.
         job: JobId,
-        /// Queue of the caller.
+        /// Address of the caller's queue; its name in records of previous releases.
         queue: SmolStr,
         /// Team of the caller; empty if it has none.
         team: SmolStr,
--- a/crates/taskgraph/tests/graph/record_effects.rs
+++ b/crates/taskgraph/tests/graph/record_effects.rs
@@ -257,17 +257,16 @@
     for kind in [EndKind::Refused, EndKind::Stopped, EndKind::Vanished] {
         let mut graph = GraphBuilder::new(1, 1);
         let job = graph.submit(1, 1, vec![tasks(2, 1)]);
-        let queue = graph.state.jobs[&job].terms.queue.clone();
         graph.plan();
-        assert_eq!(graph.state.pending_jobs(&queue), 1, "the tasks are placed");
+        assert_eq!(graph.state.pending_jobs().count(), 1, "the tasks are placed");
         graph.end_all(job, kind);
-        assert_eq!(graph.state.pending_jobs(&queue), 1, "no task has started: {kind:?}");
+        assert_eq!(graph.state.pending_jobs().count(), 1, "no task has started: {kind:?}");
         graph.plan();
         let (run, worker) = graph.runs_of(job)[0];
         graph.apply(GraphRecord::RunsStarted { runs: vec![run] }).unwrap();
-        assert_eq!(graph.state.pending_jobs(&queue), 0, "a task has started");
+        assert_eq!(graph.state.pending_jobs().count(), 0, "a task has started");
         graph.end(run, worker, kind).unwrap();
-        assert_eq!(graph.state.pending_jobs(&queue), 0, "it had started");
+        assert_eq!(graph.state.pending_jobs().count(), 0, "it had started");
     }
 }
 
@@ -278,11 +277,10 @@
     for kind in ran {
         let mut graph = GraphBuilder::new(1, 1);
         let job = graph.submit(1, 1, vec![tasks(2, 1)]);
-        let queue = graph.state.jobs[&job].terms.queue.clone();
         graph.plan();
         let (run, worker) = graph.runs_of(job)[0];
         graph.end(run, worker, kind).unwrap();
-        assert_eq!(graph.state.pending_jobs(&queue), 0, "{kind:?}");
+        assert_eq!(graph.state.pending_jobs().count(), 0, "{kind:?}");
     }
 }
 
