Let an outdated token prove no incarnation where another one is known

The worker refuses the new agent's outdated token without saying when it started, and that refusal counted as proof that the reported incarnation runs; the worker's own reports were then outdated. By a trace the agent asked before it had read the log.

An agent decides on no report while it can't read the log. A refusal proves nothing if the log, or the agent, knows another incarnation of that name here: one that no agent has ordered would have answered. An accepted incarnation that is replaced when it is registered is dropped.

worker_is_used_beside_foreign_reports_under_its_name_after_its_agent_restarted failed on the code before.

--- a/crates/dispatch/src/agent_core.rs
+++ b/crates/dispatch/src/agent_core.rs
@@ -276,7 +276,12 @@
     /// then knows nothing of that.
     async fn is_registrable(&self, record: &GraphRecord) -> bool {
         let GraphRecord::WorkerRegistered { spec, .. } = record else { return true };
-        let is_answering = self.presence_of(spec).await == Presence::Running;
+        let presence = self.presence_of(spec).await;
+        let is_answering = presence == Presence::Running;
+        if presence == Presence::Replaced {
+            // The report of the incarnation that runs here counted as outdated until now.
+            self.forget_replaced(spec);
+        }
         if !is_answering {
             log::warn!(worker = spec.name.as_str(), born_ms = spec.started_ms; "not registering a worker that does not answer");
         }
--- a/crates/dispatch/src/worker_reports.rs
+++ b/crates/dispatch/src/worker_reports.rs
@@ -194,9 +194,12 @@
     }
 
     /// Whether the reported incarnation runs on this instance. If the log knows it, it has answered
-    /// before.
+    /// before. Nothing is known of one while the log can't be read.
     pub(crate) async fn presence_of(&self, reported: &WorkerSpec) -> Presence {
-        let fencing_token = {
+        if !self.replica.is_fresh() {
+            return Presence::Unknown;
+        }
+        let (fencing_token, has_known_namesake) = {
             let state = self.replica.state();
             let spec = registered_spec(&state, reported, self.replica.incarnation);
             let known = state.worker_on(&spec.instance).map(|(_, known)| known);
@@ -208,7 +211,8 @@
             }
             // An earlier incarnation of the same name answers this token with its own start time.
             let own = known.filter(|known| known.agent == self.replica.incarnation);
-            own.map_or(0, |own| own.fencing_token)
+            let is_namesake = known.is_some_and(|known| is_namesake(&known.spec, reported));
+            (own.map_or(0, |own| own.fencing_token), is_namesake)
         };
         let order = RenewalOrder {
             worker: reported.name.clone(),
@@ -221,13 +225,40 @@
             Ok(timed) if timed.answer.started_ms.is_none_or(|at| at == reported.started_ms) => {
                 Presence::Running
             }
-            // The worker of this name runs, under the orders of another agent.
+            // A worker of this name runs, under the orders of another agent, and does not say when it
+            // started. An incarnation that no agent has ordered would have answered.
+            Err(PortError::Fenced)
+                if has_known_namesake || self.has_accepted_namesake(reported) =>
+            {
+                Presence::Replaced
+            }
             Err(PortError::Fenced) => Presence::Running,
             Ok(_) | Err(PortError::OtherIncarnation) => Presence::Replaced,
             Err(_) => Presence::Unknown,
         }
     }
 
+    /// Drops the accepted report if it is of an incarnation that turned out to be replaced.
+    pub(crate) fn forget_replaced(&self, replaced: &WorkerSpec) {
+        self.latest_report.send_if_modified(|accepted| {
+            let is_replaced = |accepted: &mut ReceivedReport| {
+                let spec = &accepted.report.spec;
+                (&spec.name, spec.started_ms) == (&replaced.name, replaced.started_ms)
+            };
+            accepted.take_if(is_replaced).is_some()
+        });
+    }
+
+    /// Whether this agent goes by another incarnation of the same name, which has reported recently.
+    fn has_accepted_namesake(&self, reported: &WorkerSpec) -> bool {
+        let accepted = self.latest_report.borrow();
+        let now_ms = self.replica.clock.now_ms();
+        accepted.as_ref().is_some_and(|accepted| {
+            now_ms < accepted.received_ms + REPORT_TIMEOUT_MS
+                && is_namesake(&accepted.report.spec, reported)
+        })
+    }
+
     fn is_delayed(&self, received: &ReceivedReport) -> bool {
         let left = self.left_worker();
         let left = left.as_ref();
@@ -255,6 +286,11 @@
     }
 }
 
+/// Whether both are incarnations of the same name, but not the same one.
+fn is_namesake(known: &WorkerSpec, reported: &WorkerSpec) -> bool {
+    known.name == reported.name && !known.is_same_incarnation(reported)
+}
+
 fn log_ignored(report: &WorkerReport, reason: &str) {
     let WorkerSpec { name, started_ms, service, .. } = &report.spec;
     log::warn!(worker = name.as_str(), born_ms = *started_ms, service = service.as_str(), reason; "ignored a report");
--- a/crates/dispatch/tests/fleet/foreign_reports.rs
+++ b/crates/dispatch/tests/fleet/foreign_reports.rs
@@ -94,6 +94,35 @@
     check_all_workers_are_used(&mut fleet).await;
 }
 
+/// Guards against a worker that gets no work after its agent was restarted, because a report under its name
+/// with a later start is accepted: the worker refuses the new agent's outdated token without saying when it
+/// started.
+#[tokio::test(start_paused = true)]
+async fn worker_is_used_beside_foreign_reports_under_its_name_after_its_agent_restarted() {
+    let mut fleet = FakeFleet::start(1, 2).await;
+    let own = fleet.nodes[0].worker_spec().unwrap();
+    let started_ms = own.started_ms + START_DELAY_MS;
+    let foreign = WorkerSpec { started_ms, service: foreign_service(), ..own };
+    fleet.nodes[0].kill_agent();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.start_agent(0);
+    let restarted = Instant::now();
+    let mut job = None;
+    let mut sequence = 0;
+    while restarted.elapsed() < Duration::from_secs(20) {
+        sequence += 1;
+        fleet.nodes[0].send_foreign_report(foreign.clone(), sequence);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if job.is_none() && restarted.elapsed() > REPORTS_TIME {
+            job = Some(fleet.submit(tasks(2, 8), Duration::from_secs(10)).await);
+        }
+    }
+    let job = job.unwrap();
+    assert!(!fleet.entries[0].replica.state().active.contains(&JobId(job)), "the job is not done");
+    assert_eq!(fleet.start_count(job), 2);
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
 /// Guards against a line that says again that a worker is accepted, for a report that only updates the
 /// accepted one: two lines are two incarnations.
 #[tokio::test(start_paused = true)]
