--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -139,6 +139,9 @@
             self.note_disturbance();
             return Err(error);
         }
+        if let Err(refusal) = self.replica.state().check_room(job, &spec) {
+            return Err(state_full(&refusal));
+        }
         self.check_admission(&Submission { job, spec: &spec, terms: &terms })?;
         let (address, version) = (scope.queue.address(), scope.configuration.version);
         let record = GraphRecord::JobSubmitted { job, spec, terms, address, version };
@@ -146,6 +149,7 @@
         self.settle_admission(job, &outcome);
         match outcome? {
             Ok(_) => self.check_queue(scope, job),
+            Err(refusal @ GraphRefusal::StateFull { .. }) => Err(state_full(&refusal)),
             Err(refusal) => {
                 log::error!(job:% = job; "a submission was refused by the log: {refusal}");
                 Err(JobServiceError::Unknown)
@@ -339,6 +343,13 @@
     }
 }
 
+/// Rejects a job for which the state has no room. The room is released when jobs end.
+fn state_full(refusal: &GraphRefusal) -> JobServiceError {
+    log::warn!("job not accepted: {refusal}");
+    let reason = "the jobs that wait or run take all memory";
+    JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
+}
+
 fn too_many_cancellations() -> JobServiceError {
     let reason = "too many cancellations of unknown jobs are kept";
     JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
--- a/crates/taskgraph/src/apply_jobs.rs
+++ b/crates/taskgraph/src/apply_jobs.rs
@@ -57,6 +57,9 @@
     /// Accepts a job at the address of a queue. Later records with the same identity are repeated
     /// submissions and change nothing. The queue's service is that of the latest version of the
     /// configuration, which may be later or earlier than the one that the caller's entry knew.
+    ///
+    /// # Errors
+    /// [`crate::refusal::GraphRefusal::StateFull`]; the job is then not accepted.
     pub(crate) fn job_submitted(
         &mut self,
         job: JobId,
@@ -64,15 +67,17 @@
         terms: &JobTerms,
         address: &SmolStr,
         version: u64,
-    ) -> GraphEffect {
+    ) -> GraphOutcome {
         if self.jobs.contains_key(&job) {
-            return GraphEffect::Job;
+            return Ok(GraphEffect::Job);
         }
-        self.add_job(job, spec, terms, address);
+        self.check_room(job, spec)?;
+        self.spec_budget.add(spec.memory_bytes());
         let JobTerms { queue: name, service, .. } = terms.clone();
         self.queues.add_job(address, QueueVersion { version, name, service }, job);
+        self.add_job(job, spec, terms, address);
         self.move_jobs(address);
-        GraphEffect::Job
+        Ok(GraphEffect::Job)
     }
 
     /// Cancels a job that its caller's entry did not have, or keeps the cancellation for a submission
--- a/crates/taskgraph/src/graph_state.rs
+++ b/crates/taskgraph/src/graph_state.rs
@@ -26,6 +26,7 @@
 use crate::record::ProcessRole;
 use crate::refusal::GraphRefusal;
 use crate::run_durations::RunDuration;
+use crate::spec_budget::SpecBudget;
 use crate::speed_profile::SpeedProfiles;
 use crate::step_advice::StepAdvice;
 use crate::task_key::RunKey;
@@ -158,6 +159,9 @@
     /// Queues of the known jobs.
     #[serde(deserialize_with = "decode_or_default")]
     pub queues: QueueTable,
+    /// Memory of the specifications of active jobs, without those that previous releases accepted.
+    #[serde(deserialize_with = "decode_or_default")]
+    pub spec_budget: SpecBudget,
 }
 
 impl GraphState {
@@ -249,7 +253,7 @@
                 Ok(self.job_accepted(*job, spec, terms))
             }
             GraphRecord::JobSubmitted { job, spec, terms, address, version } => {
-                Ok(self.job_submitted(*job, spec, terms, address, *version))
+                self.job_submitted(*job, spec, terms, address, *version)
             }
             GraphRecord::QueueChanged { address, latest } => self.queue_changed(address, latest),
             GraphRecord::JobCancelled { job } => self.job_cancelled(*job),
@@ -313,7 +317,11 @@
     /// Ends a job and drops the data that only an active job needs.
     pub(crate) fn end_job(&mut self, job: JobId, phase: JobPhase) {
         let clock_ms = self.clock_ms;
+        let is_counted = self.queues.of_job(job).is_some();
         let Some(state) = self.jobs.get_mut(&job) else { return };
+        if is_counted {
+            self.spec_budget.release(state.spec.memory_bytes());
+        }
         state.phase = phase;
         state.steps.clear();
         state.finished.clear();
--- a/crates/taskgraph/src/job_spec.rs
+++ b/crates/taskgraph/src/job_spec.rs
@@ -15,6 +15,12 @@
 /// Maximum number of tasks of a step.
 pub const MAX_STEP_TASKS: u32 = 10_000;
 
+/// Memory of a step without its texts and dependencies, in bytes. All replicas must count the same, on
+/// whatever architecture.
+const STEP_BYTES: usize = 256;
+/// Memory of a dependency, in bytes.
+const DEPENDENCY_BYTES: usize = 2;
+
 /// Specification of one step: a number of identical tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -122,6 +128,17 @@
 }
 
 impl JobSpec {
+    /// Memory that the specification takes, in bytes; about as much as its encoding or more.
+    pub fn memory_bytes(&self) -> u64 {
+        let of_step = |step: &StepSpec| {
+            let labels = [&step.required_label, &step.preferred_rack].into_iter().flatten();
+            let texts = labels.map(SmolStr::len).sum::<usize>() + step.image.len();
+            STEP_BYTES + step.depends_on.len() * DEPENDENCY_BYTES + texts
+        };
+        let bytes = self.steps.iter().map(of_step).sum::<usize>() + self.payload.len();
+        u64::try_from(bytes).unwrap_or(u64::MAX)
+    }
+
     /// Number of times that the steps run, at least 1.
     pub fn occurrences(&self) -> u32 {
         self.occurrence_count.max(1)
--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -56,6 +56,7 @@
 mod service_capacity;
 pub mod shape_packing;
 pub mod slow_worker_migration;
+pub mod spec_budget;
 pub mod speed_profile;
 pub mod speed_watch;
 pub mod step_advice;
--- a/crates/taskgraph/src/refusal.rs
+++ b/crates/taskgraph/src/refusal.rs
@@ -106,6 +106,16 @@
     /// There are too many evacuated data centres, or one has no valid name.
     #[snafu(display("the evacuated data centres are too many or have no valid names"))]
     InvalidEvacuations,
+    /// The state has no room for the job's specification.
+    #[snafu(display("the active jobs hold {held} bytes; no room for {bytes} bytes of job {job}"))]
+    StateFull {
+        /// Identity of the job.
+        job: JobId,
+        /// Bytes of the job's specification.
+        bytes: u64,
+        /// Bytes of the specifications of active jobs.
+        held: u64,
+    },
     /// No known job was submitted at the address.
     #[snafu(display("there is no queue with jobs at {address:?}"))]
     UnknownQueue {
--- a/crates/taskgraph/tests/graph/main.rs
+++ b/crates/taskgraph/tests/graph/main.rs
@@ -22,6 +22,7 @@
 mod shape_packing;
 mod single_runs;
 mod slow_workers;
+mod spec_budget;
 mod speed_profiles;
 mod team_shares;
 mod throttling;
--- a/crates/taskgraph/tests/graph/restored_states.rs
+++ b/crates/taskgraph/tests/graph/restored_states.rs
@@ -140,12 +140,15 @@
         codec::encode(&state.speed_profiles).unwrap(),
         codec::encode(&state.worker_health).unwrap(),
         codec::encode(&state.queues).unwrap(),
+        codec::encode(&state.spec_budget).unwrap(),
     ];
     // Each encoding begins with a byte for the format version.
     let added_bytes: usize = added.iter().map(|field| field.len() - 1).sum();
     let earlier = &bytes[..bytes.len() - added_bytes];
-    let without_queues = &bytes[..bytes.len() - (added[5].len() - 1)];
+    let added_last = added[5..].iter().map(|field| field.len() - 1).sum::<usize>();
+    let without_queues = &bytes[..bytes.len() - added_last];
     state.queues = Default::default();
+    state.spec_budget = Default::default();
     assert_eq!(codec::decode::<GraphState>(without_queues).unwrap(), state);
     state.worker_health = Default::default();
     let unchecked = &without_queues[..without_queues.len() - (added[4].len() - 1)];
