Log refused jobs with their fields, and tidy names of the memory bound

The line for a job that the state has no room for names the job, the offset and the age of the last read. An unused method of worker_health is removed. No change of behaviour.

--- a/crates/dispatch/src/job_service.rs
+++ b/crates/dispatch/src/job_service.rs
@@ -139,9 +139,8 @@
             self.note_disturbance();
             return Err(error);
         }
-        if let Err(refusal) = self.replica.state().check_room(job, &spec) {
-            return Err(state_full(&refusal));
-        }
+        let room = self.replica.state().check_room(job, &spec);
+        room.map_err(|refusal| self.state_full(job, &refusal))?;
         self.check_admission(&Submission { job, spec: &spec, terms: &terms })?;
         let (address, version) = (scope.queue.address(), scope.configuration.version);
         let record = GraphRecord::JobSubmitted { job, spec, terms, address, version };
@@ -149,7 +148,7 @@
         self.settle_admission(job, &outcome);
         match outcome? {
             Ok(_) => self.check_queue(scope, job),
-            Err(refusal @ GraphRefusal::StateFull { .. }) => Err(state_full(&refusal)),
+            Err(refusal @ GraphRefusal::StateFull { .. }) => Err(self.state_full(job, &refusal)),
             Err(refusal) => {
                 log::error!(job:% = job; "a submission was refused by the log: {refusal}");
                 Err(JobServiceError::Unknown)
@@ -163,6 +162,14 @@
         if is_own { Ok(()) } else { Err(JobServiceError::Conflict) }
     }
 
+    /// Rejects a job for which the state has no room. Room is released when jobs end.
+    fn state_full(&self, job: JobId, refusal: &GraphRefusal) -> JobServiceError {
+        let (offset, age_ms) = self.freshness();
+        log::warn!(job:% = job, offset, age_ms; "job not accepted: {refusal}");
+        let reason = "the jobs that wait or run take all memory";
+        JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
+    }
+
     /// Fails if the job is rejected. Otherwise its record must be handed to the log.
     fn check_admission(&self, submission: &Submission<'_>) -> Result<(), JobServiceError> {
         let Some(gate) = &self.gate else { return Ok(()) };
@@ -343,13 +350,6 @@
     }
 }
 
-/// Rejects a job for which the state has no room. The room is released when jobs end.
-fn state_full(refusal: &GraphRefusal) -> JobServiceError {
-    log::warn!("job not accepted: {refusal}");
-    let reason = "the jobs that wait or run take all memory";
-    JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
-}
-
 fn too_many_cancellations() -> JobServiceError {
     let reason = "too many cancellations of unknown jobs are kept";
     JobServiceError::NotDone { reason, retry_after: MAX_RETRY_DELAY }
--- a/crates/taskgraph/src/disruption_budget.rs
+++ b/crates/taskgraph/src/disruption_budget.rs
@@ -24,10 +24,10 @@
         let job = state.jobs.get(&step.job)?;
         let spec = job.step_spec(step.step)?;
         let max_unavailable = unavailability_limit(spec)?;
-        let state_of_step = job.steps.get(&(step.occurrence, step.step))?;
+        let step_state = job.steps.get(&(step.occurrence, step.step))?;
         let mut runs = Vec::new();
         let mut unavailable = spec.count;
-        for (index, task) in state_of_step.tasks() {
+        for (index, task) in step_state.tasks() {
             for placement in &task.current {
                 let run = RunKey { task: step.task(index), run: placement.run };
                 let Some(worker) = state.workers.get(&placement.worker) else { continue };
--- a/crates/taskgraph/src/spec_budget.rs
+++ b/crates/taskgraph/src/spec_budget.rs
@@ -17,8 +17,8 @@
 /// Maximum memory of the specifications of active jobs, in bytes. An agent, which has 128 MB, also holds
 /// the encoded state while it writes a snapshot, and the batches since the last one.
 pub const MAX_SPEC_BYTES: u64 = 16 << 20;
-/// Part of [`MAX_SPEC_BYTES`] that large jobs leave to others.
-pub const SMALL_JOB_BYTES: u64 = 4 << 20;
+/// Part of [`MAX_SPEC_BYTES`] that large jobs leave to small ones, in bytes.
+pub const SMALL_JOB_RESERVE_BYTES: u64 = 4 << 20;
 /// Size from which on a job counts as large, in bytes.
 pub const LARGE_SPEC_BYTES: u64 = 32 << 10;
 
@@ -36,8 +36,8 @@
     }
 
     fn has_room(&self, bytes: u64) -> bool {
-        let kept = if bytes >= LARGE_SPEC_BYTES { SMALL_JOB_BYTES } else { 0 };
-        self.held_bytes.saturating_add(bytes) <= MAX_SPEC_BYTES - kept
+        let reserve = if bytes >= LARGE_SPEC_BYTES { SMALL_JOB_RESERVE_BYTES } else { 0 };
+        self.held_bytes.saturating_add(bytes) <= MAX_SPEC_BYTES - reserve
     }
 
     pub(crate) fn add(&mut self, bytes: u64) {
--- a/crates/taskgraph/src/worker_health.rs
+++ b/crates/taskgraph/src/worker_health.rs
@@ -54,11 +54,6 @@
 }
 
 impl WorkerHealth {
-    /// Whether nothing is recorded.
-    pub fn is_empty(&self) -> bool {
-        self.reports.is_empty()
-    }
-
     /// Latest recorded response of a worker.
     pub fn report(&self, worker: WorkerKey) -> Option<&HealthReport> {
         self.reports.get(&worker)
