--- a/crates/dispatch/src/operator_recorder.rs
+++ b/crates/dispatch/src/operator_recorder.rs
@@ -39,7 +39,7 @@
         let record = next_record(replica, &requests.borrow()).filter(|_| is_restored);
         let remaining = record.as_ref().map(|_| {
             let since = *due_since.get_or_insert_with(Instant::now);
-            let delay = if is_planner(replica) { Duration::ZERO } else { STANDBY_DELAY };
+            let delay = if replica.is_planner() { Duration::ZERO } else { STANDBY_DELAY };
             delay.saturating_sub(since.elapsed())
         });
         match (record, remaining) {
@@ -64,10 +64,6 @@
     }
 }
 
-fn is_planner(replica: &Replica) -> bool {
-    replica.state().planner.instance == Some(replica.incarnation)
-}
-
 /// Appends a record. A failure is tried again with what is due then. A refusal means that another entry
 /// has recorded as much.
 async fn write(replica: &Replica, record: GraphRecord, subject: &str) {
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -136,6 +136,11 @@
         self.direct.is_broken()
     }
 
+    /// Whether this process holds the planner role.
+    pub fn is_planner(&self) -> bool {
+        self.state().planner.instance == Some(self.incarnation)
+    }
+
     /// Watches the offset of the next batch to apply.
     pub fn applied(&self) -> watch::Receiver<u64> {
         self.applied.subscribe()
--- a/crates/taskgraph/src/step_state.rs
+++ b/crates/taskgraph/src/step_state.rs
@@ -59,6 +59,11 @@
 }
 
 impl TaskState {
+    /// Whether the task waits to be placed.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.is_done && self.current.is_empty()
+    }
+
     pub(crate) fn record_failure(&mut self, worker: WorkerKey) {
         self.failures = self.failures.saturating_add(1);
         self.record_failed_worker(worker);
@@ -114,11 +119,8 @@
 
     /// Indices of the tasks that wait to be placed.
     pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
-        let is_waiting = |index: &u32| {
-            let task = self.tasks.get(index);
-            task.is_none_or(|task| !task.is_done && task.current.is_empty())
-        };
-        self.done.others(self.count).filter(is_waiting)
+        let others = self.done.others(self.count);
+        others.filter(|index| self.tasks.get(index).is_none_or(TaskState::is_waiting))
     }
 
     /// Tasks that were placed and are not done, or still have a run, by index.
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -73,8 +73,7 @@
         };
         let is_lost = |(index, task): &(u32, &TaskState)| {
             task.last_run > 0
-                && !task.is_done
-                && task.current.is_empty()
+                && task.is_waiting()
                 && self.state.preemptions.count(waiting.key.task(*index)) == 0
         };
         u32::try_from(known.tasks().filter(is_lost).count()).unwrap_or(u32::MAX)
--- a/crates/taskgraph/tests/graph/graph_builder.rs
+++ b/crates/taskgraph/tests/graph/graph_builder.rs
@@ -107,11 +107,22 @@
         id: u64,
         terms: JobTerms,
     ) -> JobId {
-        let job = JobId(id);
         let spec = JobSpec { steps: vec![tasks(1, 8)], ..JobSpec::default() };
-        let address = address.into();
-        self.apply(GraphRecord::JobSubmitted { job, spec, terms, address, version }).unwrap();
-        job
+        self.submit_spec_at(address, version, id, spec, terms).unwrap();
+        JobId(id)
+    }
+
+    /// Like [`Self::submit_at`], for a job of any specification.
+    pub(crate) fn submit_spec_at(
+        &mut self,
+        address: &str,
+        version: u64,
+        id: u64,
+        spec: JobSpec,
+        terms: JobTerms,
+    ) -> GraphOutcome {
+        let (job, address) = (JobId(id), address.into());
+        self.apply(GraphRecord::JobSubmitted { job, spec, terms, address, version })
     }
 
     /// Plans a round and applies its records, all of which must be accepted.
--- a/crates/taskgraph/tests/graph/moved_queues.rs
+++ b/crates/taskgraph/tests/graph/moved_queues.rs
@@ -14,7 +14,6 @@
 use cuminbarrow_taskgraph::refusal::GraphRefusal;
 use cuminbarrow_taskgraph::task_key::StepKey;
 use cuminbarrow_taskgraph::worker::WorkerKey;
-use smol_str::SmolStr;
 
 use crate::graph_builder::GraphBuilder;
 use crate::graph_builder::tasks;
@@ -74,9 +73,8 @@
     let (mut graph, old, new) = two_services();
     let second = StepSpec { depends_on: vec![0], ..tasks(1, 1) };
     let spec = JobSpec { steps: vec![tasks(1, 1), second], ..JobSpec::default() };
-    let (job, address) = (JobId(1), SmolStr::from(ADDRESS));
-    let terms = terms_of(OLD);
-    graph.apply(GraphRecord::JobSubmitted { job, spec, terms, address, version: 1 }).unwrap();
+    let job = JobId(1);
+    graph.submit_spec_at(ADDRESS, 1, job.0, spec, terms_of(OLD)).unwrap();
     graph.plan();
     assert_eq!(workers_of(&graph, job), [old]);
     change(&mut graph, 2, NEW).unwrap();
--- a/crates/taskgraph/tests/graph/spec_budget.rs
+++ b/crates/taskgraph/tests/graph/spec_budget.rs
@@ -26,14 +26,7 @@
 }
 
 fn submit(graph: &mut GraphBuilder, id: u64, spec: &JobSpec) -> GraphOutcome {
-    let (job, spec, terms) = (JobId(id), spec.clone(), terms(1));
-    graph.apply(GraphRecord::JobSubmitted {
-        job,
-        spec,
-        terms,
-        address: "host/queue/".into(),
-        version: 1,
-    })
+    graph.submit_spec_at("host/queue/", 1, id, spec.clone(), terms(1))
 }
 
 /// Guards against a state that grows with the bytes of all accepted jobs: 400 of them ended every process
