--- a/crates/dispatch/src/planner_task.rs
+++ b/crates/dispatch/src/planner_task.rs
@@ -11,8 +11,11 @@
 use cuminbarrow_taskgraph::graph_state::ProcessState;
 use cuminbarrow_taskgraph::job_id::JobId;
 use cuminbarrow_taskgraph::lease_terms::LeaseTerms;
+use cuminbarrow_taskgraph::plan_round::AcceleratorUsage;
+use cuminbarrow_taskgraph::plan_round::Plan;
 use cuminbarrow_taskgraph::plan_round::PlannerInput;
 use cuminbarrow_taskgraph::plan_round::UnplacedStep;
+use cuminbarrow_taskgraph::plan_round::WaitInputs;
 use cuminbarrow_taskgraph::plan_round::plan_round;
 use cuminbarrow_taskgraph::planning_options::PlanningOptions;
 use cuminbarrow_taskgraph::record::GraphRecord;
@@ -251,7 +254,7 @@
         if self.task.options.speed_profiles {
             self.speed_log.check(&self.task.replica.state());
         }
-        self.log_waiting_jobs(&plan.unplaced);
+        self.log_waiting_jobs(&plan);
         self.report.log_delayed_steps(&plan.delayed, &self.task.counters);
         self.advice.request(epoch, plan.advice_requests);
         if !plan.records.is_empty() {
@@ -327,16 +330,16 @@
     }
 
     /// Logs each job that starts to wait, or waits for another reason than before.
-    fn log_waiting_jobs(&mut self, unplaced: &[UnplacedStep]) {
-        self.has_waiting_jobs = !unplaced.is_empty();
-        let now: BTreeMap<JobId, &'static str> =
-            unplaced.iter().map(|step| (step.job, step.reason)).collect();
-        for (job, reason) in &now {
-            if self.wait_reasons.get(job) != Some(reason) {
-                log::info!(job:% = job, reason = *reason; "job waits");
+    fn log_waiting_jobs(&mut self, plan: &Plan) {
+        self.has_waiting_jobs = !plan.unplaced.is_empty();
+        let now: BTreeMap<JobId, &UnplacedStep> =
+            plan.unplaced.iter().map(|step| (step.job, step)).collect();
+        for step in now.values() {
+            if self.wait_reasons.get(&step.job) != Some(&step.reason) {
+                log_waiting_step(step, plan);
             }
         }
-        self.wait_reasons = now;
+        self.wait_reasons = now.into_iter().map(|(job, step)| (job, step.reason)).collect();
     }
 
     async fn release(&mut self) {
@@ -357,6 +360,17 @@
     }
 }
 
+fn log_waiting_step(step: &UnplacedStep, plan: &Plan) {
+    let WaitInputs { priority, timeliness, tasks, accelerators, reserved, service } = &step.inputs;
+    let AcceleratorUsage { total, free } =
+        plan.accelerators.get(service).copied().unwrap_or_default();
+    log::info!(
+        job:% = step.job, reason = step.reason, priority = *priority, timeliness:? = timeliness,
+        tasks = *tasks, accelerators = *accelerators, reserved = *reserved, free, total;
+        "job waits"
+    );
+}
+
 fn log_decision(record: &GraphRecord) {
     match record {
         GraphRecord::RunsPlaced { epoch, step, tasks } => {
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -27,8 +27,10 @@
 use crate::record::GraphRecord;
 use crate::record::MAX_RUNS_PER_RECORD;
 use crate::record::TaskPlacement;
+use crate::service_capacity::ServiceUsage;
 use crate::shape_packing::ShapeMix;
 use crate::slow_worker_migration::slow_worker_migrations;
+use crate::step_queue::Timeliness;
 use crate::step_queue::WaitingStep;
 use crate::step_queue::guaranteed_jobs;
 use crate::step_queue::waiting_steps;
@@ -62,6 +64,47 @@
     pub job: JobId,
     /// Why the tasks were not placed.
     pub reason: &'static str,
+    /// What the decision was based on.
+    pub inputs: WaitInputs,
+}
+
+/// Inputs of the decision to leave a step waiting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitInputs {
+    /// Priority of the job.
+    pub priority: u8,
+    /// Whether the job can meet its latency objective.
+    pub timeliness: Timeliness,
+    /// Number of tasks that wait.
+    pub tasks: u32,
+    /// Accelerators of each task.
+    pub accelerators: u32,
+    /// Accelerators that the step leaves to urgent work.
+    pub reserved: u32,
+    /// Service that runs the job.
+    pub service: SmolStr,
+}
+
+impl WaitInputs {
+    fn new(waiting: &WaitingStep<'_>, tasks: u32, reserved: u32) -> Self {
+        Self {
+            priority: waiting.job.terms.priority,
+            timeliness: waiting.timeliness,
+            tasks,
+            accelerators: waiting.spec.resources.accelerators,
+            reserved,
+            service: waiting.job.terms.service.clone(),
+        }
+    }
+}
+
+/// Accelerators of a service's usable workers when a round ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AcceleratorUsage {
+    /// Accelerators of the workers.
+    pub total: u32,
+    /// Accelerators that neither a run nor the round holds.
+    pub free: u32,
 }
 
 /// Decisions of one round.
@@ -71,6 +114,8 @@
     pub records: Vec<GraphRecord>,
     /// Steps that were left waiting.
     pub unplaced: Vec<UnplacedStep>,
+    /// Accelerators of each service for which a step was left waiting.
+    pub accelerators: BTreeMap<SmolStr, AcceleratorUsage>,
     /// Steps that are put behind others because capacity is short.
     pub delayed: Vec<DelayedStep>,
     /// Requests to the services that advise queues.
@@ -111,6 +156,7 @@
         round.place_step(state, &waiting);
     }
     round.stop_on_slow_workers(state);
+    round.count_accelerators();
     round
 }
 
@@ -145,6 +191,30 @@
         }
     }
 
+    /// Counts the accelerators of the services for which steps wait.
+    fn count_accelerators(&mut self) {
+        for step in &self.plan.unplaced {
+            let service = &step.inputs.service;
+            if !self.plan.accelerators.contains_key(service) {
+                let usage = ServiceUsage::of_usable(&self.map, service);
+                let (total, free) = (usage.total.accelerators, usage.free().accelerators);
+                self.plan.accelerators.insert(service.clone(), AcceleratorUsage { total, free });
+            }
+        }
+    }
+
+    /// Leaves tasks of a step waiting.
+    fn leave_waiting(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        reason: &'static str,
+        tasks: u32,
+        reserved: u32,
+    ) {
+        let inputs = WaitInputs::new(waiting, tasks, reserved);
+        self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason, inputs });
+    }
+
     fn place_step(&mut self, state: &GraphState, waiting: &WaitingStep<'_>) {
         let step = (waiting.key.job, waiting.key.step);
         if self.unfit_steps.contains(&step) {
@@ -170,7 +240,7 @@
         if !is_feasible && request.advice.is_none() {
             self.unfit_steps.insert(step);
             let reason = self.map.unfit_reason(&request);
-            self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.leave_waiting(waiting, reason, waiting.count, 0);
             return;
         }
         let uses_probation = self.uses_probation(waiting, &request);
@@ -187,7 +257,7 @@
         if allowance.placeable_count == 0 {
             let fits = waiting.is_enough(&self.find_allocation(waiting, &request, count), count);
             let reason = allowance.held_back.filter(|_| fits).unwrap_or("no room");
-            self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.leave_waiting(waiting, reason, count, allowance.reserved);
             self.reserve_workers(state, waiting, &request, count);
             return;
         }
@@ -210,8 +280,7 @@
         }
         if let Some(request_for_advice) = advice_request_for(&self.map, waiting, &request) {
             self.plan.advice_requests.push(request_for_advice);
-            let reason = "advice is asked for";
-            self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.leave_waiting(waiting, "advice is asked for", unplaced_count, allowance.reserved);
             return;
         }
         let limit = max_loss(waiting, unplaced_count, self.now_ms);
@@ -223,7 +292,7 @@
             } else {
                 self.map.unfit_reason(&request)
             };
-            self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+            self.leave_waiting(waiting, reason, unplaced_count, allowance.reserved);
             self.reserve_workers(state, waiting, &request, unplaced_count);
         }
     }
@@ -395,7 +464,7 @@
         }
         let reason =
             if waits_for_ends { "room is about to be released" } else { "room is being reclaimed" };
-        self.plan.unplaced.push(UnplacedStep { job: waiting.key.job, reason });
+        self.leave_waiting(waiting, reason, count, 0);
         true
     }
 }
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -30,6 +30,8 @@
     pub(crate) placeable_count: u32,
     /// Why none may be placed, if that is due to the capacity left.
     pub(crate) held_back: Option<&'static str>,
+    /// Accelerators that the step leaves to urgent work.
+    pub(crate) reserved: u32,
 }
 
 /// Capacity for urgent work, at one moment of a round.
@@ -45,7 +47,7 @@
     /// What the step may take. Tasks placed in the reserved capacity would only be stopped and their work
     /// lost.
     pub(crate) fn allowance(&self, waiting: &WaitingStep<'_>, count: u32) -> StepAllowance {
-        let whole = StepAllowance { placeable_count: count, held_back: None };
+        let whole = StepAllowance { placeable_count: count, held_back: None, reserved: 0 };
         let each = waiting.spec.resources.accelerators;
         if each == 0 || !self.may_leave_capacity(waiting) {
             return whole;
@@ -58,9 +60,9 @@
         let placeable_count = placeable_count.max(self.lost_count(waiting).min(free / each));
         if placeable_count == 0 || (waiting.spec.gang && placeable_count < count) {
             let held_back = (reserved > 0).then(|| self.reason(waiting));
-            return StepAllowance { placeable_count: 0, held_back };
+            return StepAllowance { placeable_count: 0, held_back, reserved };
         }
-        StepAllowance { placeable_count, held_back: None }
+        StepAllowance { placeable_count, held_back: None, reserved }
     }
 
     /// Number of the step's waiting tasks whose runs ended in another way than by preemption, such as with
--- a/crates/taskgraph/tests/graph/load_patterns.rs
+++ b/crates/taskgraph/tests/graph/load_patterns.rs
@@ -1,8 +1,11 @@
 //! Placement under the load patterns of busy days, on the pure state without a network.
 
 use cuminbarrow_taskgraph::job_id::JobId;
+use cuminbarrow_taskgraph::plan_round::AcceleratorUsage;
+use cuminbarrow_taskgraph::plan_round::WaitInputs;
 use cuminbarrow_taskgraph::record::EndKind;
 use cuminbarrow_taskgraph::record::GraphRecord;
+use cuminbarrow_taskgraph::step_queue::Timeliness;
 
 use crate::graph_builder::GraphBuilder;
 use crate::graph_builder::gang;
@@ -135,6 +138,25 @@
     (graph, sweep)
 }
 
+/// Guards against a log from which capacity that is in use can't be told from capacity that is kept free.
+#[test]
+fn step_that_leaves_capacity_to_urgent_work_tells_how_much() {
+    let (mut graph, _) = fleet_after_a_burst(3);
+    let waiting = graph.submit(3, 2, vec![tasks(4, 1)]);
+    let plan = graph.plan();
+    let step = plan.unplaced.iter().find(|step| step.job == waiting).unwrap();
+    let inputs = WaitInputs {
+        priority: 2,
+        timeliness: Timeliness::OnTime,
+        tasks: 4,
+        accelerators: 1,
+        reserved: 12,
+        service: "service".into(),
+    };
+    assert_eq!(step.inputs, inputs);
+    assert_eq!(plan.accelerators["service"], AcceleratorUsage { total: 32, free: 12 });
+}
+
 /// Sweeps leave the capacity that one burst used to the next burst.
 #[test]
 fn second_burst_starts_without_preempting() {
