--- a/crates/taskgraph/tests/graph/preemption_history.rs
+++ b/crates/taskgraph/tests/graph/preemption_history.rs
@@ -263,6 +263,28 @@
     assert_eq!(graph.runs_of(sweep).len(), 32);
 }
 
+/// Bursts come every 7.5 s, so that capacity was always reclaimed recently. Guards against background work that
+/// leaves the capacity between them until it is late and beyond, although nothing else uses it.
+#[test]
+fn recurring_bursts_do_not_starve_background_work() {
+    let (mut graph, sweep) = service_after_a_burst(3, saving(tasks(32, 1)));
+    let objective_ms = 25_000;
+    for round in 1..=objective_ms / 2_500 {
+        graph.now_ms += 2_500;
+        graph.plan();
+        if graph.runs_of(sweep).len() == 32 {
+            return;
+        }
+        if round % 3 == 0 {
+            let urgent = graph.submit(2 + round, 0, vec![gang(6, 4)]);
+            play_until_begun(&mut graph, urgent);
+            graph.now_ms += 2_500;
+            graph.end_all(urgent, EndKind::Done);
+        }
+    }
+    panic!("{} of 32 tasks were placed within the objective", graph.runs_of(sweep).len());
+}
+
 /// Guards against tasks that wait for a burst although they are to run again only since their worker was lost:
 /// the steps after them wait too.
 #[test]
