Bound how long background work leaves capacity to urgent work

Cause: starvation by a deferral without an end. Background work leaves what urgent work reclaimed lately for up to 40 s, counted from the last reclaim. Bursts come again within that time, so the wait of a job depends on the bursts alone, not on how long the job has waited.

Jobs that would be late if they waited longer now take turns, two of a service at once, those with the least work left first, and leave nothing.

It is not free: urgent work preempts a little more.

--- a/crates/taskgraph/src/lib.rs
+++ b/crates/taskgraph/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod load_order;
 mod loss_limit;
 mod optional_tail;
+mod overdue_turns;
 pub mod plan_round;
 pub mod planning_options;
 pub mod preemption_history;
--- a/crates/taskgraph/src/plan_round.rs
+++ b/crates/taskgraph/src/plan_round.rs
@@ -21,6 +21,7 @@
 use crate::job_id::JobId;
 use crate::load_order::DelayedStep;
 use crate::loss_limit::max_loss;
+use crate::overdue_turns::OverdueTurns;
 use crate::planning_options::PlanningOptions;
 use crate::probation_exemption::reclaim_terms;
 use crate::reclaim::plan_reclaim;
@@ -144,6 +145,7 @@
         map,
         victims: VictimTable::new(state, &guaranteed, input.options, input.now_ms),
         unfit_steps: BTreeSet::new(),
+        turns: OverdueTurns::new(state, input.now_ms),
         uses_history: input.options.preemption_history,
         wide_reserve: input.options.wide_reserve.then(|| WideReserve::new(input.now_ms)),
         epoch,
@@ -167,6 +169,8 @@
     pub(crate) victims: VictimTable,
     /// Steps that no worker can run, in any occurrence.
     unfit_steps: BTreeSet<(JobId, u16)>,
+    /// Background jobs that leave no capacity to urgent work.
+    turns: OverdueTurns,
     /// Whether earlier preemptions count.
     uses_history: bool,
     /// Choice of the workers to reserve for wide tasks, if that is switched on.
@@ -321,6 +325,7 @@
         UrgentReserve {
             state,
             map: &self.map,
+            turns: &self.turns,
             uses_history: self.uses_history,
             now_ms: self.now_ms,
         }
--- a/crates/taskgraph/src/urgent_reserve.rs
+++ b/crates/taskgraph/src/urgent_reserve.rs
@@ -3,12 +3,13 @@
 //! Answers the load of bursts of urgent jobs that come every few seconds: work that takes the capacity of
 //! the last burst is stopped by the next one. Background work leaves what urgent work needed at once while
 //! it recently reclaimed some. Where earlier preemptions count, it leaves that for as long as it can wait,
-//! and medium work leaves it too while it has time.
+//! and medium work leaves it too while it has time. [`crate::overdue_turns`] bounds the wait of background work.
 
 use crate::capacity_map::CapacityMap;
 use crate::graph_state::GraphState;
 use crate::job_terms::BACKGROUND_PRIORITY;
 use crate::job_terms::URGENT_PRIORITY;
+use crate::overdue_turns::OverdueTurns;
 use crate::service_capacity::ServiceUsage;
 use crate::step_queue::WaitingStep;
 use crate::step_state::TaskState;
@@ -38,6 +39,8 @@
 pub(crate) struct UrgentReserve<'a> {
     pub(crate) state: &'a GraphState,
     pub(crate) map: &'a CapacityMap<'a>,
+    /// Background jobs that leave no capacity free.
+    pub(crate) turns: &'a OverdueTurns,
     /// Whether earlier preemptions count.
     pub(crate) uses_history: bool,
     pub(crate) now_ms: u64,
@@ -49,7 +52,7 @@
     pub(crate) fn allowance(&self, waiting: &WaitingStep<'_>, count: u32) -> StepAllowance {
         let whole = StepAllowance { placeable_count: count, held_back: None, reserved: 0 };
         let each = waiting.spec.resources.accelerators;
-        if each == 0 || !self.may_leave_capacity(waiting) {
+        if each == 0 || !self.may_leave_capacity(waiting) || self.turns.has(waiting.key.job) {
             return whole;
         }
         let usage = ServiceUsage::of_usable(self.map, &waiting.job.terms.service);
