Bound the bytes that sockets hold before they are read

Clients outside our control sent many large bodies that stop short of their end, and a process ran out of memory.

Cause: a resource that is bounded only after it was taken. The limits apply to connections and bytes that the process has accepted and read. Before that, the kernel let 1,024 connections wait at each listener, each with its default receive buffer, and the users' platform counts such bytes towards the memory of a machine. No test looked at them.

Links between our processes keep their buffers.

Evidence: three new tests flood an entry with 1,000 clients, its memory lowered to 36 MB, twice what its lowered limits permit. Crowd and bound were fixed before the change. That this ended the operators' process is inferred, since the report has no figures.

--- a/crates/agent/src/agent_daemon.rs
+++ b/crates/agent/src/agent_daemon.rs
@@ -17,6 +17,7 @@
 use cuminbarrow_protocol::message::AgentMessage;
 use cuminbarrow_protocol::message::EntryMessage;
 use cuminbarrow_protocol::message::GangMessage;
+use cuminbarrow_requests::bounded_listener;
 use cuminbarrow_requests::request_guard::RequestGuard;
 use cuminbarrow_resources::worker_control::TaskEnd;
 use cuminbarrow_resources::worker_control::TaskReport;
@@ -298,7 +299,7 @@
 
 async fn serve_probes(settings: &AgentSettings, registry: MeterRegistry) -> Result<(), AgentError> {
     let Some(address) = settings.probe_listen else { return Ok(()) };
-    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let listener = bounded_listener::bind(address).context(ListenSnafu { address })?;
     let guard = RequestGuard::new(settings.request_limits());
     request_metrics::register(&registry, &guard);
     tokio::spawn(Arc::clone(&guard).run());
--- a/crates/cuminbarrow/tests/request_floods/flood.rs
+++ b/crates/cuminbarrow/tests/request_floods/flood.rs
@@ -1,6 +1,7 @@
 //! Clients that all send the same and keep their connections open.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -92,8 +93,9 @@
         let runtime = Runtime::new().unwrap();
         let streams = runtime.block_on(async {
             let mut sending = JoinSet::new();
+            let request = Arc::new(request.clone());
             for _ in 0..clients {
-                let request = request.clone();
+                let request = Arc::clone(&request);
                 sending.spawn(async move { send_one(address, &request).await });
             }
             sending.join_all().await.into_iter().flatten().collect()
--- a/crates/cuminbarrow/tests/request_floods/main.rs
+++ b/crates/cuminbarrow/tests/request_floods/main.rs
@@ -17,6 +17,7 @@
 #[allow(dead_code, reason = "shared with the adapter's tests, which use the rest of it")]
 #[path = "../../../../platform/tests/adapter/store_standin.rs"]
 mod store_standin;
+mod unread_bytes;
 #[allow(dead_code, reason = "shared with the adapter's tests, which use the rest of it")]
 #[path = "../../../../platform/tests/adapter/wire_fixtures.rs"]
 mod wire_fixtures;
--- a/crates/cuminbarrow/tests/request_floods/served_process.rs
+++ b/crates/cuminbarrow/tests/request_floods/served_process.rs
@@ -33,6 +33,10 @@
 const AGENT_BODY_BYTES: u64 = 6 * 1024 * 1024;
 /// Lowered limit of the connections of a listener.
 const CONNECTIONS: u64 = 96;
+/// Lowered memory of an entry of the users' platform, in MB: twice what its lowered limits permit requests.
+const ENTRY_MEMORY_MB: u64 = 36;
+/// Lowered memory of the other processes, in MB.
+const MEMORY_MB: u64 = 64;
 /// Lowered limit of the links that have not proved possession of the key.
 const UNPROVED_LINKS: u64 = 32;
 /// Upper bound of what one connection costs: buffers of the HTTP library and the state of its task.
@@ -73,6 +77,15 @@
         }
     }
 
+    fn memory_mb(self) -> u64 {
+        if self == Self::Entry { ENTRY_MEMORY_MB } else { MEMORY_MB }
+    }
+
+    /// Memory of the machine that the process runs on, in bytes.
+    pub(crate) fn memory_bytes(self) -> u64 {
+        self.memory_mb() * 1024 * 1024
+    }
+
     fn is_product(self) -> bool {
         matches!(self, Self::ProductAgent | Self::ProductEntry)
     }
@@ -118,7 +131,7 @@
             extend(
                 &mut settings,
                 &json!({
-                    "memory_mb": 64,
+                    "memory_mb": role.memory_mb(),
                     "requests": {
                         "body_bytes": role.body_bytes(), "small_part_bytes": role.body_bytes() / 4,
                         "connections": CONNECTIONS, "probe_connections": 8,
@@ -225,13 +238,27 @@
         text
     }
 
+    /// Number of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn status_bytes(&self, key: &str) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with(key)).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+        status_bytes(self.child.id(), key)
     }
 }
 
+/// Resident memory of a process, in bytes.
+pub(crate) fn resident_bytes(process: u32) -> u64 {
+    status_bytes(process, "VmRSS:")
+}
+
+fn status_bytes(process: u32, key: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with(key)).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+}
+
 impl Drop for ServedProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/entry/src/entry_daemon.rs
+++ b/crates/entry/src/entry_daemon.rs
@@ -27,6 +27,7 @@
 use cuminbarrow_protocol::link::accept_links;
 use cuminbarrow_protocol::link_guard::LinkGuard;
 use cuminbarrow_protocol::link_metrics;
+use cuminbarrow_requests::bounded_listener;
 use cuminbarrow_requests::http_server;
 use cuminbarrow_requests::http_server::ServerPhase;
 use cuminbarrow_requests::request_guard::RequestGuard;
@@ -112,10 +113,10 @@
     mut shutdown: watch::Receiver<bool>,
 ) -> Result<(), EntryError> {
     let address = settings.listen;
-    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let listener = bounded_listener::bind(address).context(ListenSnafu { address })?;
     let address = settings.link_listen;
     let link_listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let probe_listener = bind_probes(&settings).await?;
+    let probe_listener = bind_probes(&settings)?;
     let counter = Arc::new(ByteCounter::default());
     let core = build_core(settings, Arc::clone(&store), Arc::clone(&counter))?;
     let registry = MeterRegistry::new().context(MetricsSnafu)?;
@@ -159,9 +160,9 @@
 
 /// Binds the address of the probes, if they have one of their own. On the address of callers they share
 /// its connections, since a connection is accepted before its request is known.
-async fn bind_probes(settings: &EntrySettings) -> Result<Option<TcpListener>, EntryError> {
+fn bind_probes(settings: &EntrySettings) -> Result<Option<TcpListener>, EntryError> {
     let Some(address) = settings.probe_listen else { return Ok(None) };
-    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let listener = bounded_listener::bind(address).context(ListenSnafu { address })?;
     Ok(Some(listener))
 }
 
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body_budget;
 pub mod body_ledger;
 pub mod body_reader;
+pub mod bounded_listener;
 pub mod connection_choice;
 pub mod connection_table;
 pub mod guarded_stream;
