Let no due time or size of a background job overflow the choice of turns

The choice of overdue background jobs added to times and sizes that callers pick freely: a due time at the end of time, or two steps of the largest size. An overflow ends the planner's task in a build with checks, and gives a wrong order in one without.

Jobs that are not due yet are left out, and sums saturate.

--- a/crates/taskgraph/src/overdue_turns.rs
+++ b/crates/taskgraph/src/overdue_turns.rs
@@ -56,17 +56,23 @@
         return None;
     }
     let occurrence = (0..job.spec.occurrences()).find(|known| !job.finished.contains(known))?;
+    let eligible_ms = job.spec.due_ms(occurrence).unwrap_or(job.accepted_ms);
+    // Callers choose the due time. Sums with one far ahead would overflow.
+    if eligible_ms > now_ms {
+        return None;
+    }
     let mut steps = unfinished_steps(job, occurrence).peekable();
     let (first, _) = *steps.peek()?;
     let objective_ms = job.objective_ms();
     let objective_at_ms = job.objective_at_ms(occurrence);
     let latest_start_ms = objective_at_ms.saturating_sub(job.spec.path_from_ms(first));
     let slack_ms = latest_start_ms.saturating_sub(now_ms);
-    let useless_from_ms = objective_at_ms + (TOO_LATE_FACTOR - 1) * objective_ms;
+    let useless_from_ms = eligible_ms + TOO_LATE_FACTOR * objective_ms;
     if slack_ms * 100 > objective_ms * MIN_SLACK_PERCENT || now_ms > useless_from_ms {
         return None;
     }
-    Some(steps.map(|(step, spec)| remaining_work(job, occurrence, step, spec)).sum())
+    let works = steps.map(|(step, spec)| remaining_work(job, occurrence, step, spec));
+    Some(works.fold(0, u64::saturating_add))
 }
 
 /// Steps of an occurrence that are not done. Tasks that run until they are cancelled have no objective.
--- a/crates/taskgraph/tests/graph/many_occurrences.rs
+++ b/crates/taskgraph/tests/graph/many_occurrences.rs
@@ -36,6 +36,26 @@
     assert_eq!(occurrences.collect::<Vec<u32>>(), (15..30).collect::<Vec<u32>>());
 }
 
+/// Guards against sums with a due time at the end of time, which overflow.
+#[test]
+fn background_job_due_at_the_end_of_time_waits() {
+    let mut builder = GraphBuilder::new(1, 2);
+    let job = builder.submit_spec(1, 2, spec(1, u64::MAX, 0));
+    builder.plan();
+    assert_eq!(builder.runs_of(job), []);
+}
+
+/// Guards against sums of sizes that no worker has, which overflow.
+#[test]
+fn late_background_job_of_the_largest_size_waits() {
+    let mut builder = GraphBuilder::new(1, 2);
+    let largest = StepSpec { estimate_ms: u32::MAX, ..tasks(10_000, u32::MAX) };
+    let job = builder.submit(1, 2, vec![largest.clone(), largest]);
+    builder.now_ms += 60 * u64::from(u32::MAX) / 10;
+    builder.plan();
+    assert_eq!(builder.runs_of(job), []);
+}
+
 /// Guards against trying each due occurrence of a step that no worker can run, in each round, before the
 /// jobs of others.
 #[test]
